--- /dev/null
+++ b/tamarack/tamarack.h
@@ -0,0 +1,313 @@
+// tamarackshore: a layer-4 load balancer as a library.
+//
+// This header is the manual of the library: the types that every module shares. docs/design.md gives the reasons.
+//
+// Index
+//   [1] Time          clock, steady_time, wall_time
+//   [2] Addresses     ip_address, endpoint, transport, flow_tuple
+//   [3] Configuration service, backend_server, configuration, change
+//   [4] Members       member, member_id
+//   [5] Status        backend_status, load_report
+//   [6] Packets       action_buffer
+//   [7] Errors        finding, result
+//
+// How a balancer is put together
+//   caller -> fabric -> forwarder (traffic threads) -> backend server -> caller
+//                          ^ forwarding_state
+//                        node (control thread) <-> peers, platform, probes
+//
+// The decision logic performs no I/O: it takes events and a clock, and returns actions. The daemons own the sockets.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+//----------------------------------------------------------------------------------------------------------------------
+// [1] Time
+//----------------------------------------------------------------------------------------------------------------------
+
+using duration = std::chrono::nanoseconds;
+using steady_time = std::chrono::time_point<std::chrono::steady_clock, duration>; // for intervals and timeouts
+using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;   // for records shown to operators
+
+// Source of time. Passed in, so that tests control it.
+class clock {
+public:
+    clock() = default;
+    clock(const clock&) = delete;
+    clock& operator=(const clock&) = delete;
+    virtual ~clock() = default;
+    virtual steady_time steady_now() const = 0;
+    virtual wall_time   wall_now() const = 0;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// [2] Addresses
+//----------------------------------------------------------------------------------------------------------------------
+
+// IPv4 or IPv6 address in network byte order; IPv4 is held in its IPv4-mapped form (::ffff:a.b.c.d).
+struct ip_address {
+    std::array<std::uint8_t, 16> bytes{};
+
+    bool                             is_v4() const;
+    std::string                      to_string() const;
+    friend bool                      operator==(const ip_address&, const ip_address&) = default;
+    friend auto                      operator<=>(const ip_address&, const ip_address&) = default;
+    static std::optional<ip_address> parse(std::string_view text); // numeric forms only, no names
+    static ip_address                v4(std::uint32_t host_order);
+};
+
+struct endpoint {
+    ip_address    address;
+    std::uint16_t port = 0; // host byte order
+
+    std::string                    to_string() const; // "10.0.0.1:443", "[2001:db8::1]:443"
+    friend bool                    operator==(const endpoint&, const endpoint&) = default;
+    friend auto                    operator<=>(const endpoint&, const endpoint&) = default;
+    static std::optional<endpoint> parse(std::string_view text);
+};
+
+// IANA protocol numbers.
+enum class transport : std::uint8_t { tcp = 6, udp = 17 };
+
+std::string_view         to_string(transport protocol);
+std::optional<transport> parse_transport(std::string_view text);
+
+// Identifies a flow: source is the caller, destination the service address.
+struct flow_tuple {
+    transport protocol = transport::tcp;
+    endpoint  source;
+    endpoint  destination;
+
+    friend bool operator==(const flow_tuple&, const flow_tuple&) = default;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// [3] Configuration
+//----------------------------------------------------------------------------------------------------------------------
+
+using revision_number = std::uint64_t;   // 0: nothing known yet
+using service_id = std::uint32_t;        // never used again after deletion; 0: none
+using backend_server_id = std::uint32_t; // unique over all services, never used again; 0: none
+
+// What operators ask of a backend server.
+enum class backend_state : std::uint8_t {
+    active,   // gets new flows
+    draining, // keeps its flows, gets no new one
+};
+
+std::string_view to_string(backend_state state);
+
+// Zero means unlimited.
+struct flow_limits {
+    std::uint32_t max_flows = 0;
+    std::uint32_t max_new_flows_per_second = 0;
+
+    friend bool operator==(const flow_limits&, const flow_limits&) = default;
+};
+
+struct backend_server {
+    backend_server_id id = 0;
+    std::string       name;         // unique within the service
+    endpoint          tunnel;       // receives GUE
+    endpoint          health;       // answers probes; port 0: not probed
+    std::uint32_t     weight = 100; // share of new flows, 0..1000
+    backend_state     state = backend_state::active;
+    wall_time         joined{};         // start of slow start
+    wall_time         draining_since{}; // time of acceptance; set when state is draining
+    flow_limits       limits;
+
+    friend bool operator==(const backend_server&, const backend_server&) = default;
+};
+
+struct service {
+    service_id                  id = 0;
+    std::string                 name; // unique
+    transport                   protocol = transport::tcp;
+    endpoint                    address; // unique together with protocol
+    flow_limits                 limits;
+    std::vector<backend_server> backend_servers; // in order of id
+    revision_number             changed_at = 0;  // revision of the last change, for the detection of conflicts
+
+    friend bool operator==(const service&, const service&) = default;
+};
+
+// Immutable once published. A higher revision replaces a lower one; never the reverse.
+struct configuration {
+    revision_number      revision = 0;
+    wall_time            accepted{};  // when the revision was committed
+    std::uint32_t        next_id = 1; // next service or backend server id
+    std::vector<service> services;    // in order of id
+
+    friend bool operator==(const configuration&, const configuration&) = default;
+};
+
+// Changes that an operator can ask for. Names refer to existing objects unless the change creates them.
+struct create_service {
+    std::string service;
+    transport   protocol = transport::tcp;
+    endpoint    address;
+    flow_limits limits;
+};
+struct change_service {
+    std::string service;
+    flow_limits limits;
+};
+struct delete_service {
+    std::string service;
+}; // refused while it has backend servers
+struct join_backend {
+    std::string   service;
+    std::string   backend_server;
+    endpoint      tunnel;
+    endpoint      health;
+    std::uint32_t weight = 100;
+    flow_limits   limits;
+};
+struct drain_backend {
+    std::string service;
+    std::string backend_server;
+};
+struct undrain_backend {
+    std::string service;
+    std::string backend_server;
+};
+struct leave_backend {
+    std::string service;
+    std::string backend_server;
+}; // removes it; drain first
+struct weigh_backend {
+    std::string   service;
+    std::string   backend_server;
+    std::uint32_t weight = 100;
+};
+
+using change = std::variant<create_service, change_service, delete_service, join_backend, drain_backend,
+                            undrain_backend, leave_backend, weigh_backend>;
+
+// One committed change: an entry of the audit trail.
+struct change_record {
+    std::string     operation_id; // made by the client; the same id is never committed twice
+    std::string     operator_name;
+    wall_time       time{};            // of acceptance
+    revision_number base_revision = 0; // what the operator had seen; 0: not given
+    revision_number revision = 0;      // what the change produced
+    change          what;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// [4] Members
+//----------------------------------------------------------------------------------------------------------------------
+
+using member_id = std::uint32_t;   // from settings, unique in the spray group; 0: none
+using incarnation = std::uint64_t; // wall clock milliseconds at the start of the process; higher is newer
+
+enum class member_state : std::uint8_t { alive, suspect, leaving, dead };
+
+std::string_view to_string(member_state state);
+
+// A balancer as its peers see it.
+struct member {
+    member_id    id = 0;
+    incarnation  life = 0;
+    std::string  failure_domain;
+    endpoint     control; // gossip, UDP
+    endpoint     relay;   // relay frames, UDP
+    endpoint     admin;   // gRPC
+    member_state state = member_state::alive;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// [5] Status of backend servers
+//----------------------------------------------------------------------------------------------------------------------
+
+// What a backend server says about itself. Not to be trusted: reports lag or mislead.
+struct load_report {
+    std::uint32_t busy_slots = 0;
+    std::uint32_t total_slots = 0; // 0: unknown
+    std::uint32_t connections = 0;
+    bool          shedding = false;
+
+    friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+// The control thread's verdict, as the forwarder uses it.
+struct backend_status {
+    backend_server_id id = 0;
+    bool              available = true;    // false: taken out by health
+    steady_time       out_since{};         // set when not available
+    float             load_penalty = 1.0F; // 1 (neutral) .. 4 (overloaded), damped
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// [6] Packets
+//----------------------------------------------------------------------------------------------------------------------
+
+using byte_view = std::span<const std::byte>;
+
+// What to do with a packet. All payloads are complete UDP payloads: GUE packets or relay frames.
+enum class action_kind : std::uint8_t {
+    deliver,         // GUE to a backend server's tunnel endpoint
+    relay,           // relay frame to a peer's relay endpoint
+    reply_to_caller, // GUE to the fabric endpoint that delivered the caller's packet
+};
+
+struct action {
+    action_kind kind = action_kind::deliver;
+    endpoint    to;
+    std::size_t offset = 0; // into the buffer's bytes
+    std::size_t size = 0;
+};
+
+// Output of one batch of decisions: actions and their payloads in one arena that is reused from batch to batch.
+class action_buffer {
+public:
+    void clear() {
+        actions_.clear();
+        bytes_.clear();
+    }
+    // Adds an action whose payload is the concatenation of head and body.
+    void add(action_kind kind, const endpoint& to, byte_view head, byte_view body) {
+        actions_.push_back({kind, to, bytes_.size(), head.size() + body.size()});
+        bytes_.insert(bytes_.end(), head.begin(), head.end());
+        bytes_.insert(bytes_.end(), body.begin(), body.end());
+    }
+    std::span<const action> actions() const { return actions_; }
+    byte_view payload(const action& item) const { return byte_view(bytes_).subspan(item.offset, item.size); }
+
+private:
+    std::vector<action>    actions_; // offset + size of each lies within bytes_
+    std::vector<std::byte> bytes_;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// [7] Errors
+//----------------------------------------------------------------------------------------------------------------------
+
+// One problem of an input, with its place. Findings are collected and reported together.
+struct finding {
+    std::string place;    // "tamarackd.ini:12 [balancer] member_id", "line 1, column 8", "service board"
+    std::string message;  // what is wrong
+    std::string expected; // accepted range or form; may be empty
+
+    std::string to_string() const; // "place: message (expected ...)"
+};
+
+using findings = std::vector<finding>;
+
+} // namespace tamarack
