--- /dev/null
+++ b/tamarack/node.h
@@ -0,0 +1,135 @@
+// One balancer without its I/O: joins membership, configuration, health and the forwarders.
+//
+// The daemon's control thread feeds events to the node and carries out the actions that it returns; the traffic threads
+// use the forwarders. The same class runs in the daemon, in tests and in simulations.
+//
+//   control thread: receive_control, probe_finished, store_answered, submit, tick -> take_actions
+//   traffic thread: with_forwarder
+#pragma once
+
+#include "tamarack/forwarder.h"
+#include "tamarack/platform.h"
+
+#include <functional>
+
+namespace tamarack {
+
+using control_key = std::array<std::byte, 32>;
+
+struct control_keys {
+    control_key                signing{};
+    std::optional<control_key> also_accepted; // during a rotation
+};
+
+struct node_settings {
+    member                self;                // life is set from the clock when it is 0
+    std::string           cluster = "default"; // prefix of the keys in the platform's service
+    std::vector<endpoint> peers;               // control endpoints to contact first
+    std::size_t           partitions = 1;      // forwarders; each is used by one thread at a time
+    std::uint64_t         hash_seed = 0;       // equal on all balancers of the cluster
+    flow_table_settings   table;               // max_flows is divided among the partitions
+    control_keys          keys;                // the relay keys are derived from them
+    duration              store_deadline = std::chrono::seconds(2);
+    duration              stop_grace = std::chrono::minutes(5); // a graceful stop takes no longer
+    bool                  use_store = true; // false: no platform; configuration comes from peers only
+};
+
+struct datagram {
+    endpoint               to;
+    std::vector<std::byte> bytes;
+};
+
+struct probe_request {
+    std::uint64_t     id = 0;
+    backend_server_id backend_server = 0;
+    endpoint          target;
+    duration          deadline{};
+};
+
+struct probe_result {
+    std::uint64_t              id = 0;
+    backend_server_id          backend_server = 0;
+    bool                       reachable = false;
+    std::optional<load_report> load;
+};
+
+// A change that an operator asks for.
+struct change_request {
+    std::string     operation_id;
+    std::string     operator_name;
+    revision_number base_revision = 0; // 0: no conflict detection
+    bool            dry_run = false;
+    change          what;
+};
+
+enum class change_status : std::uint8_t {
+    accepted,          // committed, or found committed under the same operation id
+    valid,             // dry run: would be accepted
+    invalid,           // findings say why; not committed
+    conflict,          // the service was changed after base_revision; not committed
+    store_unavailable, // not committed
+    outcome_unknown,   // may be committed; repeat with the same operation id
+};
+
+std::string_view to_string(change_status status);
+
+struct change_result {
+    std::string                  operation_id;
+    change_status                status = change_status::accepted;
+    revision_number              revision = 0; // produced (accepted) or known (otherwise)
+    findings                     problems;
+    std::optional<change_record> conflicting; // the change that came in between
+};
+
+struct control_actions {
+    std::vector<datagram>      datagrams; // to send from the control socket
+    std::vector<probe_request> probes;
+    std::vector<store_request> store;
+    std::vector<change_result> changes; // finished submissions
+};
+
+// Revision and state of a balancer as this node knows it.
+struct member_status {
+    member          who;
+    revision_number revision = 0; // last heard
+};
+
+enum class stop_state : std::uint8_t { running, leaving, finished };
+
+class node {
+public:
+    // The clock must outlive the node.
+    node(const node_settings& settings, const clock& time, std::uint64_t random_seed);
+    ~node();
+
+    // Events. Call them from the control thread only.
+    void            receive_control(byte_view datagram, const endpoint& from);
+    void            probe_finished(const probe_result& result);
+    void            store_answered(const store_response& response);
+    void            submit(const change_request& request);
+    void            tick(); // every 10 to 100 ms
+    void            begin_stop();
+    control_actions take_actions();
+
+    // Queries. Control thread only.
+    stop_state                           state() const;
+    const configuration&                 current() const;
+    std::vector<change_record>           recent_changes() const; // oldest first
+    std::vector<member_status>           members() const;
+    std::vector<backend_status>          statuses() const;
+    std::map<std::string, std::uint64_t> counters() const; // all counters of all parts, by metric name
+    flow_explanation                     explain(const flow_tuple& flow);
+    std::uint64_t                        control_bytes_sent() const; // with 28 bytes per datagram for IP and UDP
+
+    // Runs use with the forwarder of a partition under that partition's lock. Any thread.
+    void        with_forwarder(std::size_t partition, const std::function<void(forwarder&)>& use);
+    // Partition that handles a packet from the fabric or a relay frame; malformed ones go to partition 0. Any thread.
+    std::size_t partition_of_fabric_packet(byte_view udp_payload) const;
+    std::size_t partition_of_relay_frame(byte_view datagram) const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace tamarack
