--- a/fakes/cluster.cpp
+++ b/fakes/cluster.cpp
@@ -141,8 +141,8 @@
 class cluster::impl {
 public:
     explicit impl(const cluster_settings& settings) : settings_(settings), random_(settings.seed) {
-        factory_ = [this](const node_settings& what, std::uint64_t seed) {
-            return std::make_unique<node_balancer>(what, time_, seed);
+        factory_ = [](const node_settings& what, const tamarack::clock& time, std::uint64_t seed) {
+            return std::make_unique<node_balancer>(what, time, seed);
         };
         after(sample_period, [this] { sample(); });
     }
@@ -219,7 +219,7 @@
         for (std::size_t i = 0; i < hosts_.size() && target.settings.peers.size() < max_seeds; ++i) {
             if (i != index) target.settings.peers.push_back(hosts_[i].settings.self.control);
         }
-        target.logic = factory_(target.settings, random_());
+        target.logic = factory_(target.settings, time_, random_());
         schedule_tick(index, target.life);
     }
 
--- a/fakes/cluster.h
+++ b/fakes/cluster.h
@@ -104,8 +104,8 @@
 
 class cluster {
 public:
-    using balancer_factory =
-        std::function<std::unique_ptr<balancer>(const tamarack::node_settings&, std::uint64_t seed)>;
+    using balancer_factory = std::function<std::unique_ptr<balancer>(const tamarack::node_settings&,
+                                                                     const tamarack::clock& time, std::uint64_t seed)>;
 
     explicit cluster(const cluster_settings& settings);
     ~cluster();
