--- /dev/null
+++ b/tamarack/forwarder.cpp
@@ -0,0 +1,1061 @@
+// The decision for each packet: see docs/design.md section 2.2.
+//
+// Sections: look-ups and replies; arrival; owner; routes; relay frames of peers; delivery; maintenance; public
+// functions.
+#include "tamarack/forwarder.h"
+
+#include "tamarack/invariant.h"
+#include "tamarack/place_sequence.h"
+#include "tamarack/selection.h"
+#include "tamarack/service_index.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+
+namespace tamarack {
+
+namespace {
+
+constexpr duration      pause_threshold = std::chrono::seconds(1); // between two calls of tick
+constexpr duration      refusal_memory = std::chrono::seconds(10); // a late copy of a refused SYN is refused too
+constexpr std::size_t   max_refusals = 16'384;
+constexpr std::size_t   max_learned_tunnels = 1'024;
+constexpr std::size_t   slots_per_tick = 8'192;               // of the flow table, looked at for expiry
+constexpr std::size_t   slots_per_collection = 16'384;        // looked at for replication
+constexpr duration      quiet_time = std::chrono::seconds(1); // without a packet: replicated over the control channel
+constexpr unsigned      stall_repeats = 6;                    // of one sequence number, over at least stall_time
+constexpr duration      stall_time = std::chrono::seconds(10);
+constexpr std::uint32_t min_stalled_payload = 2; // bytes; 0 or 1 can be a keep-alive or zero-window probe
+
+struct key_hash {
+    std::size_t operator()(const flow_key& key) const { return key.low; }
+};
+
+// Limits replies to packets without a placement, so that a flood of them is not answered one by one.
+class reply_limiter {
+public:
+    explicit reply_limiter(std::uint32_t per_second) : per_second_(per_second) {}
+
+    bool take(steady_time now) {
+        const double refill = std::chrono::duration<double>(now - last_).count() * per_second_;
+        tokens_ = std::min<double>(per_second_, tokens_ + refill);
+        last_ = now;
+        if (tokens_ < 1) return false;
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    double      per_second_;
+    double      tokens_ = 0; // 0 .. per_second_
+    steady_time last_{};
+};
+
+// New flows a second of a service or backend server: this balancer's share of the limit, with a burst of one second.
+struct rate_state {
+    double      tokens = 0;
+    steady_time last{};
+
+    bool take(double per_second, steady_time now) {
+        const double burst = std::max(1.0, per_second);
+        if (last == steady_time{}) tokens = burst;
+        tokens = std::min(burst, tokens + std::chrono::duration<double>(now - last).count() * per_second);
+        last = now;
+        if (tokens < 1) return false;
+        tokens -= 1;
+        return true;
+    }
+};
+
+// SYNs that were refused: a copy that arrives late must be refused again, since the caller has been told "not run".
+class refusal_memory_table {
+public:
+    void remember(const flow_key& key, std::uint32_t sequence, steady_time now) {
+        forget_old(now);
+        if (order_.size() >= max_refusals) return;
+        order_.emplace_back(now, key);
+        refused_[key] = sequence;
+    }
+    bool contains(const flow_key& key, std::uint32_t sequence, steady_time now) {
+        forget_old(now);
+        const auto found = refused_.find(key);
+        return found != refused_.end() && found->second == sequence;
+    }
+
+private:
+    void forget_old(steady_time now) {
+        while (!order_.empty() && now - order_.front().first > refusal_memory) {
+            refused_.erase(order_.front().second);
+            order_.pop_front();
+        }
+    }
+
+    std::deque<std::pair<steady_time, flow_key>>          order_; // oldest first; at most max_refusals
+    std::unordered_map<flow_key, std::uint32_t, key_hash> refused_;
+};
+
+// A packet on its way through the decision.
+struct packet_context {
+    packet_info    info;
+    byte_view      inner;
+    flow_key       key;
+    holders        responsible;
+    endpoint       fabric;
+    std::uint8_t   hops = 0;   // taken so far
+    member_id      sender = 0; // of the relay frame; 0: from the fabric
+    steady_time    now{};
+    action_buffer* out = nullptr;
+
+    bool starts_flow() const { return info.flow.protocol == transport::udp || info.syn; }
+    bool changes_state() const { return info.syn || info.fin || info.rst; }
+};
+
+// What a peer offers along with a packet.
+using offered_placement = const placement_record*; // null: nothing
+
+} // namespace
+
+class forwarder::impl {
+public:
+    impl(const forwarder_settings& settings, const clock& time)
+        : settings_(settings), time_(time), table_(settings.table), replies_(settings.replies_per_second),
+          started_(time.steady_now()), last_tick_(started_) {}
+
+    void publish(std::shared_ptr<const forwarding_state> state) {
+        const revision_number revision = state->services->revision;
+        check(invariant::revision_monotonic, !state_ || revision >= state_->services->revision,
+              "published configuration");
+        if (paused_ && state->may_place && state->built > paused_at_) paused_ = false;
+        state_ = std::move(state);
+        index_.emplace(*state_);
+        members_.clear();
+        for (const auto& item : state_->members)
+            members_.emplace(item.id, item);
+        for (const auto& item : state_->members)
+            sequences_.note_life(item.id, item.life);
+        newest_revision_ = std::max(newest_revision_, revision);
+    }
+
+    void receive_from_fabric(byte_view udp_payload, const endpoint& fabric, action_buffer& out) {
+        ++counters_.packets_from_fabric;
+        const steady_time now = time_.steady_now();
+        if (!ready(now)) return;
+        const auto inner = decapsulate(udp_payload);
+        if (!inner.has_value()) return count_malformed(inner.error());
+        const auto info = parse_packet(inner.value());
+        if (!info.has_value()) return count_malformed(info.error());
+        packet_context packet = make_context(info.value(), inner.value(), fabric, now, out);
+        arrive(packet, nullptr);
+    }
+
+    void receive_from_peer(byte_view datagram, action_buffer& out) {
+        ++counters_.packets_from_peers;
+        const steady_time now = time_.steady_now();
+        if (!ready(now)) return;
+        const auto frame = parse_relay_frame(datagram, settings_.keys);
+        if (!frame.has_value()) {
+            ++counters_.frames_rejected;
+            return;
+        }
+        const relay_header& header = frame.value().header;
+        if (!accept_sender(header)) return;
+        learn_tunnel(header.placement);
+        if (header.kind == relay_kind::adopt) return receive_adopt(header, now);
+        const auto info = parse_packet(frame.value().inner);
+        if (!info.has_value()) return count_malformed(info.error());
+        packet_context packet = make_context(info.value(), frame.value().inner, header.fabric, now, out);
+        if (packet.key != header.flow) {
+            ++counters_.frames_rejected; // another hash seed, or a packet that is not the one of the header
+            return;
+        }
+        packet.hops = header.hops;
+        packet.sender = header.sender;
+        receive_packet(packet, header);
+    }
+
+    void tick(action_buffer&) {
+        const steady_time now = time_.steady_now();
+        note_gap(now);
+        last_tick_ = now;
+        if (!state_) return;
+        table_.expire(now, slots_per_tick, &protocol_of, this);
+        check(invariant::table_cap, table_.size() <= table_.capacity());
+        counters_.evictions = table_.evictions();
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Look-ups and replies
+    //------------------------------------------------------------------------------------------------------------------
+
+    // False while nothing may be decided: before the first state, and after a pause until the control thread has
+    // published a state in which a peer has acknowledged this balancer again.
+    bool ready(steady_time now) {
+        note_gap(now);
+        if (paused_) ++counters_.dropped_paused;
+        return state_ != nullptr && !paused_;
+    }
+
+    void note_gap(steady_time now) {
+        if (now - last_tick_ <= pause_threshold) return;
+        paused_ = true;
+        paused_at_ = now;
+        last_tick_ = now;
+    }
+
+    void count_malformed(packet_error error) {
+        ++(error == packet_error::fragment ? counters_.packets_fragment : counters_.packets_malformed);
+    }
+
+    packet_context make_context(const packet_info& info, byte_view inner, const endpoint& fabric, steady_time now,
+                                action_buffer& out) const {
+        packet_context packet;
+        packet.info = info;
+        packet.inner = inner;
+        packet.key = make_flow_key(info.flow, settings_.hash_seed);
+        packet.responsible = state_->owners.present->of(bucket_of(packet.key));
+        packet.fabric = fabric;
+        packet.now = now;
+        packet.out = &out;
+        return packet;
+    }
+
+    const member* peer(member_id id) const {
+        const auto found = members_.find(id);
+        return found == members_.end() ? nullptr : &found->second;
+    }
+
+    bool reachable(member_id id) const { return id != 0 && id != settings_.self && peer(id) != nullptr; }
+
+    // The placement held for the packet's flow; an expired one is erased.
+    placement* find(const packet_context& packet) {
+        placement* item = table_.find(packet.key);
+        if (item == nullptr || !table_.expired(*item, packet.info.flow.protocol, packet.now)) return item;
+        table_.erase(packet.key);
+        return nullptr;
+    }
+
+    static transport protocol_of(service_id id, const void* context) {
+        const auto*    self = static_cast<const impl*>(context);
+        const service* found = self->index_->service_by_id(id);
+        return found == nullptr ? transport::tcp : found->protocol;
+    }
+
+    std::optional<endpoint> tunnel_of(backend_server_id id) const {
+        if (const indexed_server* found = index_->server(id)) return found->server->tunnel;
+        const auto learned = learned_tunnels_.find(id);
+        if (!index_->knows_ids_up_to(id) && learned != learned_tunnels_.end()) return learned->second;
+        return std::nullopt;
+    }
+
+    // Remembers the address of a backend server that only a newer revision names.
+    void learn_tunnel(const placement_record& record) {
+        if (record.backend_server == 0 || index_->knows_ids_up_to(record.backend_server)) return;
+        if (learned_tunnels_.size() >= max_learned_tunnels) learned_tunnels_.clear();
+        learned_tunnels_[record.backend_server] = record.tunnel;
+    }
+
+    placement_record record_of(const placement& item) const {
+        placement_record record;
+        record.backend_server = item.backend_server;
+        record.service = item.service;
+        record.tunnel = tunnel_of(item.backend_server).value_or(endpoint{});
+        record.generation = item.generation;
+        record.retried = item.place_sequence != 0 || item.state != flow_state::half_open;
+        record.established = item.other_holder != 0;
+        return record;
+    }
+
+    // Time for which the ranking of the bucket has stayed the same, as far as the kept views tell.
+    bool settled(const packet_context& packet) const {
+        if (state_->partition_suspected) return false;
+        if (packet.now - started_ < settings_.reset_grace) return false;
+        return !recently_changed(packet);
+    }
+
+    bool recently_changed(const packet_context& packet) const {
+        const std::size_t bucket = bucket_of(packet.key);
+        for (const auto& entry : state_->owners.previous) {
+            if (packet.now - entry.replaced >= settings_.settle_time) continue;
+            if (entry.ranking->of(bucket) != packet.responsible) return true;
+        }
+        return false;
+    }
+
+    void send_to_caller(const packet_context& packet, byte_view reply) {
+        const auto header = make_gue_header(packet.info.flow.source.address.is_v4());
+        packet.out->add(action_kind::reply_to_caller, packet.fabric, header, reply);
+    }
+
+    // A RST, or for UDP an ICMP error. The kind of event is counted by the callers of this function.
+    bool answer_caller(const packet_context& packet) {
+        if (packet.fabric.port == 0 || packet.info.icmp_error) return false;
+        if (!replies_.take(packet.now)) {
+            ++counters_.replies_suppressed;
+            return false;
+        }
+        scratch_.clear();
+        if (packet.info.flow.protocol == transport::tcp) {
+            append_tcp_reset(packet.info, scratch_);
+        } else {
+            append_port_unreachable(packet.inner, packet.info, scratch_);
+        }
+        if (!scratch_.empty()) send_to_caller(packet, scratch_);
+        return true;
+    }
+
+    // Nothing of the flow has been forwarded by anybody on the route.
+    void refuse(const packet_context& packet) {
+        check(invariant::refused_never_forwarded, table_.find(packet.key) == nullptr, "refusal of a placed flow");
+        if (index_->service_at(packet.info.flow.protocol, packet.info.flow.destination) == nullptr)
+            ++counters_.no_service;
+        if (!answer_caller(packet)) return;
+        ++counters_.flows_refused;
+        refusals_.remember(packet.key, packet.info.sequence, packet.now);
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Arrival
+    //------------------------------------------------------------------------------------------------------------------
+
+    // From the fabric, or from a peer that takes this balancer for the owner.
+    void arrive(packet_context& packet, offered_placement offered) {
+        const member_id owner = packet.responsible.owner();
+        placement*      item = find(packet);
+        if (owner == settings_.self || owner == 0) return handle_as_owner(packet, item, offered);
+        // The sender takes this balancer for the owner and this one takes the sender: one of them has to decide.
+        if (packet.sender == owner) return handle_as_owner(packet, item, offered);
+        if (item != nullptr && may_deliver_as_second(packet, *item)) return deliver_placed(packet, *item);
+        if (!reachable(owner)) return handle_as_owner(packet, item, offered);
+        relay_to_owner(packet, item, offered);
+    }
+
+    bool may_deliver_as_second(const packet_context& packet, const placement& item) const {
+        if (packet.responsible.second != settings_.self || packet.changes_state()) return false;
+        // Another owner than the one that shares this placement must learn it from an offer.
+        return item.state == flow_state::established && item.other_holder == packet.responsible.owner();
+    }
+
+    void relay_to_owner(packet_context& packet, placement* item, offered_placement offered) {
+        relay_header header = make_header(packet, relay_kind::forward, packet.responsible.owner());
+        if (item != nullptr && item->state != flow_state::closing && tunnel_of(item->backend_server)) {
+            table_.touch(*item, packet.now);
+            header.kind = relay_kind::offer;
+            header.placement = record_of(*item);
+        } else if (offered != nullptr) {
+            header.kind = relay_kind::offer;
+            header.placement = *offered;
+        }
+        send_frame(packet, header, packet.responsible.owner(), packet.inner);
+    }
+
+    relay_header make_header(const packet_context& packet, relay_kind kind, member_id to) const {
+        relay_header header;
+        header.kind = kind;
+        header.sender = settings_.self;
+        header.sender_life = settings_.life;
+        header.hops = static_cast<std::uint8_t>(packet.hops + 1);
+        header.acknowledgement = sequences_.acknowledgement_for(to);
+        header.revision = state_->services->revision;
+        header.flow = packet.key;
+        header.fabric = packet.fabric;
+        return header;
+    }
+
+    void send_frame(const packet_context& packet, const relay_header& header, member_id to, byte_view inner) {
+        if (header.hops > max_relay_hops) {
+            ++counters_.hops_exceeded;
+            return;
+        }
+        const member* target = reachable(to) ? peer(to) : nullptr;
+        if (target == nullptr) {
+            ++counters_.dropped_unreachable;
+            return;
+        }
+        scratch_.clear();
+        append_relay_frame(header, inner, settings_.keys, scratch_);
+        packet.out->add(action_kind::relay, target->relay, scratch_, {});
+        ++counters_.packets_relayed;
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Owner
+    //------------------------------------------------------------------------------------------------------------------
+
+    void handle_as_owner(packet_context& packet, placement* item, offered_placement offered) {
+        if (offered != nullptr) item = take_offer(packet, item, *offered);
+        if (item == nullptr) {
+            if (packet.info.icmp_error) return;
+            if (packet.starts_flow()) return place_new(packet, 1, 0);
+            return look_up(packet);
+        }
+        if (packet.info.syn && item->state == flow_state::closing) return reuse_tuple(packet, *item);
+        if (backend_is_dead(*item, packet.now)) return end_dead_flow(packet, *item);
+        update_state(packet, *item);
+        // The second holder follows the state of the flow, and redundancy is restored by the flow's next packet.
+        if (packet.changes_state() || !confirmed(packet, *item)) return send_through_second(packet, *item);
+        deliver_placed(packet, *item);
+    }
+
+    // A holder outside the present pair passed its placement on with the packet.
+    placement* take_offer(const packet_context& packet, placement* item, const placement_record& offered) {
+        if (item == nullptr) return store(packet, offered, 0);
+        const bool older = offered.generation < item->generation;
+        if (older || offered.backend_server == item->backend_server) return item;
+        const bool newer = offered.generation > item->generation;
+        if (newer || (item->other_holder == 0 && offered.established)) {
+            ++counters_.flows_adopted;
+            return replace(packet, offered, 0);
+        }
+        ++counters_.placement_conflicts;
+        return item;
+    }
+
+    // Stores a placement that another balancer decided; null if there is no room.
+    placement* store(const packet_context& packet, const placement_record& record, member_id other_holder) {
+        placement value;
+        value.backend_server = record.backend_server;
+        value.service = record.service;
+        value.generation = record.generation;
+        value.other_holder = other_holder;
+        const bool begins = packet.info.syn && packet.info.flow.protocol == transport::tcp;
+        value.state = begins ? flow_state::half_open : flow_state::established;
+        placement* item = table_.insert(packet.key, value, packet.now);
+        if (item != nullptr) table_.touch(*item, packet.now);
+        return item;
+    }
+
+    placement* replace(const packet_context& packet, const placement_record& record, member_id other_holder) {
+        table_.erase(packet.key);
+        return store(packet, record, other_holder);
+    }
+
+    // The 5-tuple of a flow that has ended. The same backend server is kept where it may take new flows, so that a late
+    // copy of the first SYN cannot reach another one.
+    void reuse_tuple(packet_context& packet, const placement& item) {
+        const auto              generation = static_cast<std::uint16_t>(item.generation + 1);
+        const backend_server_id preferred = item.backend_server;
+        table_.erase(packet.key);
+        place_new(packet, generation, preferred);
+    }
+
+    bool backend_is_dead(const placement& item, steady_time now) const {
+        const indexed_server* found = index_->server(item.backend_server);
+        if (found == nullptr) return index_->knows_ids_up_to(item.backend_server);
+        return !found->status.available && now - found->status.out_since >= settings_.dead_server_grace;
+    }
+
+    // A SYN is not answered: it may have been forwarded before, and a RST would say that it was not.
+    void end_dead_flow(const packet_context& packet, placement& item) {
+        if (packet.info.syn || item.state == flow_state::half_open) return;
+        if (!answer_caller(packet)) return;
+        if (item.state == flow_state::closing) return;
+        ++counters_.flows_reset_dead;
+        item.state = flow_state::closing;
+        table_.touch(item, packet.now);
+    }
+
+    void update_state(const packet_context& packet, placement& item) {
+        if (packet.info.fin || packet.info.rst) {
+            item.state = flow_state::closing;
+        } else if (!packet.info.syn && item.state == flow_state::half_open) {
+            item.state = flow_state::established;
+        }
+        table_.touch(item, packet.now);
+    }
+
+    // True if the present second holder is known to have the placement, or there is none.
+    bool confirmed(const packet_context& packet, placement& item) {
+        const member_id second = other_of_pair(packet);
+        if (!reachable(second)) return true;
+        if (item.other_holder == second) return true;
+        if (item.pending_holder != second || !sequences_.acknowledged(second, item.place_sequence)) return false;
+        item.other_holder = second;
+        return true;
+    }
+
+    // The holder that this balancer shares placements of the bucket with.
+    member_id other_of_pair(const packet_context& packet) const {
+        const holders& pair = packet.responsible;
+        return pair.owner() == settings_.self ? pair.second : pair.owner();
+    }
+
+    void place_new(packet_context& packet, std::uint16_t generation, backend_server_id preferred) {
+        if (!state_->may_place) {
+            ++counters_.dropped_unsettled;
+            return;
+        }
+        const indexed_server* chosen = choose(packet, preferred);
+        if (chosen == nullptr) return propose_refusal(packet);
+        placement_record record;
+        record.backend_server = chosen->server->id;
+        record.service = chosen->owner->id;
+        record.tunnel = chosen->server->tunnel;
+        record.generation = generation;
+        placement* item = store(packet, record, 0);
+        if (item == nullptr) return propose_refusal(packet);
+        ++counters_.flows_placed;
+        send_along_route(packet, *item, record);
+    }
+
+    // Null: the flow is to be refused.
+    const indexed_server* choose(const packet_context& packet, backend_server_id preferred) {
+        const service* target = index_->service_at(packet.info.flow.protocol, packet.info.flow.destination);
+        if (target == nullptr || refusals_.contains(packet.key, packet.info.sequence, packet.now)) return nullptr;
+        const auto members =
+            static_cast<std::uint32_t>(std::max<std::size_t>(1, state_->owners.present->member_count()));
+        if (service_at_limit(*target, members, packet.now)) return nullptr;
+        const bool            hash_only = state_->partition_suspected || recently_changed(packet);
+        const selection_input input{*target, *index_, table_, packet.key, time_.wall_now(), members, hash_only};
+        const indexed_server* kept = preferred == 0 ? nullptr : index_->server(preferred);
+        const bool            keep = kept != nullptr && kept->owner == target && effective_weight(*kept, input.now) > 0;
+        const indexed_server* chosen = keep ? kept : select(settings_.policy, input);
+        if (chosen == nullptr ||
+            !within_rate(chosen->server->limits, server_rates_[chosen->server->id], members, packet.now))
+            return nullptr;
+        check(invariant::no_flow_to_draining, chosen->server->state == backend_state::active, chosen->server->name);
+        check(invariant::right_service, chosen->owner == target, target->name);
+        return chosen;
+    }
+
+    // Limits hold for the whole cluster; each balancer applies its share, so that uneven ownership of buckets (about
+    // 13% at 267 members) makes them inexact by as much.
+    bool service_at_limit(const service& target, std::uint32_t members, steady_time now) {
+        const double held = static_cast<double>(table_.service_count(target.id));
+        const double share = members < 2 ? 1.0 : 2.0 / members; // each placement is held twice
+        if (target.limits.max_flows != 0 && held >= std::max(1.0, target.limits.max_flows * share)) return true;
+        return !within_rate(target.limits, service_rates_[target.id], members, now);
+    }
+
+    static bool within_rate(const flow_limits& limits, rate_state& rate, std::uint32_t members, steady_time now) {
+        if (limits.max_new_flows_per_second == 0) return true;
+        return rate.take(static_cast<double>(limits.max_new_flows_per_second) / members, now);
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Routes
+    //------------------------------------------------------------------------------------------------------------------
+
+    struct route {
+        std::array<member_id, max_route_length> members{};
+        std::uint8_t                            length = 0;
+
+        void add(member_id id) {
+            if (length < members.size() && !contains(id)) members[length++] = id;
+        }
+        bool contains(member_id id) const {
+            return std::find(members.begin(), members.begin() + length, id) != members.begin() + length;
+        }
+    };
+
+    // Holders of the kept views, newest first: one of them may have the placement.
+    void add_previous_holders(const packet_context& packet, std::size_t limit, route& path) const {
+        const std::size_t bucket = bucket_of(packet.key);
+        for (const auto& entry : state_->owners.previous) {
+            const holders& pair = entry.ranking->of(bucket);
+            for (const member_id id : {pair.owner(), pair.second}) {
+                if (path.length >= limit) return;
+                if (reachable(id) && id != other_of_pair(packet)) path.add(id);
+            }
+        }
+    }
+
+    // Previous holders, then the second holder as the last one.
+    route placing_route(const packet_context& packet, bool is_new) const {
+        route           path;
+        const member_id last = other_of_pair(packet);
+        const bool      has_second = reachable(last);
+        if (is_new) add_previous_holders(packet, has_second ? max_route_length - 1 : max_route_length, path);
+        if (has_second) path.add(last);
+        return path;
+    }
+
+    route lookup_route(const packet_context& packet) const {
+        route path;
+        if (reachable(other_of_pair(packet))) path.add(other_of_pair(packet));
+        add_previous_holders(packet, max_route_length, path);
+        for (const member_id id : packet.responsible.ranks) {
+            if (reachable(id)) path.add(id);
+        }
+        return path;
+    }
+
+    void send_on_route(packet_context& packet, relay_header header, const route& path) {
+        header.owner = settings_.self;
+        header.route_length = static_cast<std::uint8_t>(path.length - 1);
+        std::copy(path.members.begin() + 1, path.members.begin() + path.length, header.route.begin());
+        send_frame(packet, header, path.members[0], packet.inner);
+    }
+
+    // A new placement: every balancer that may hold another one for the flow sees it before the second holder records
+    // it.
+    void send_along_route(packet_context& packet, placement& item, const placement_record& record) {
+        const route path = placing_route(packet, true);
+        if (path.length == 0) return deliver_placed(packet, item);
+        send_place(packet, item, record, path);
+    }
+
+    void send_through_second(packet_context& packet, placement& item) {
+        const placement_record record = record_of(item);
+        if (record.tunnel.port == 0) {
+            ++counters_.dropped_unreachable;
+            return;
+        }
+        // Until the second holder has confirmed it, another holder's placement may still win.
+        const route path = placing_route(packet, !record.established);
+        if (path.length == 0) return deliver_placed(packet, item);
+        send_place(packet, item, record, path);
+    }
+
+    void send_place(packet_context& packet, placement& item, const placement_record& record, const route& path) {
+        const member_id last = path.members[path.length - 1U];
+        relay_header    header = make_header(packet, relay_kind::place, path.members[0]);
+        header.placement = record;
+        header.place_sequence = sequences_.next(last);
+        item.place_sequence = header.place_sequence;
+        item.pending_holder = last;
+        send_on_route(packet, header, path);
+    }
+
+    void propose_refusal(packet_context& packet) {
+        const route path = placing_route(packet, true);
+        if (path.length == 0) return refuse(packet);
+        send_on_route(packet, make_header(packet, relay_kind::place, path.members[0]), path);
+    }
+
+    // The placement of an established flow is not here: ask the other candidates, and reset the flow if nobody has it.
+    void look_up(packet_context& packet) {
+        const bool  may_reset = settled(packet) && state_->may_place;
+        const route path = lookup_route(packet);
+        if (path.length == 0) return end_lost_flow(packet, may_reset);
+        relay_header header = make_header(packet, relay_kind::lookup, path.members[0]);
+        if (!may_reset) header.fabric = {}; // the last hop must not answer
+        send_on_route(packet, header, path);
+    }
+
+    void end_lost_flow(const packet_context& packet, bool may_reset) {
+        if (!may_reset) {
+            ++counters_.dropped_unsettled;
+            return;
+        }
+        if (answer_caller(packet)) ++counters_.flows_reset_lost;
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Relay frames of peers
+    //------------------------------------------------------------------------------------------------------------------
+
+    bool accept_sender(const relay_header& header) {
+        const member* known = peer(header.sender);
+        if (header.sender == settings_.self || (known != nullptr && header.sender_life < known->life)) {
+            ++counters_.frames_stale_sender;
+            return false;
+        }
+        sequences_.note_life(header.sender, header.sender_life);
+        sequences_.apply(header.sender, header.acknowledgement);
+        newest_revision_ = std::max(newest_revision_, header.revision);
+        return true;
+    }
+
+    void receive_packet(packet_context& packet, const relay_header& header) {
+        switch (header.kind) {
+        case relay_kind::forward:
+            return arrive(packet, nullptr);
+        case relay_kind::offer:
+            return arrive(packet, &header.placement);
+        case relay_kind::place:
+            return receive_place(packet, header);
+        case relay_kind::lookup:
+            return receive_lookup(packet, header);
+        case relay_kind::adopt:
+            return;
+        }
+    }
+
+    void pass_on(packet_context& packet, const relay_header& received) {
+        relay_header header = received;
+        header.sender = settings_.self;
+        header.sender_life = settings_.life;
+        header.hops = static_cast<std::uint8_t>(received.hops + 1);
+        header.revision = state_->services->revision;
+        header.acknowledgement = sequences_.acknowledgement_for(received.route[0]);
+        header.route_length = static_cast<std::uint8_t>(received.route_length - 1);
+        std::copy(received.route.begin() + 1, received.route.end(), header.route.begin());
+        header.route.back() = 0;
+        send_frame(packet, header, received.route[0], packet.inner);
+    }
+
+    void receive_place(packet_context& packet, const relay_header& header) {
+        placement* item = find(packet);
+        if (item != nullptr && own_wins(*item, header.placement)) return deliver_own(packet, *item, header);
+        if (header.route_length > 0) return pass_on(packet, header);
+        record_place(packet, item, header);
+    }
+
+    // Whether the placement held here wins over the owner's.
+    static bool own_wins(const placement& item, const placement_record& record) {
+        if (record.backend_server == 0) return item.state != flow_state::closing;
+        if (item.generation != record.generation) return item.generation > record.generation;
+        return item.backend_server != record.backend_server && !record.established;
+    }
+
+    // Handles the packet by the placement held here and tells the owner.
+    void deliver_own(packet_context& packet, placement& item, const relay_header& header) {
+        update_state(packet, item);
+        if (!tunnel_of(item.backend_server)) {
+            ++counters_.dropped_unreachable;
+            return;
+        }
+        packet_context answer = packet;
+        answer.hops = 0;
+        relay_header adopt = make_header(answer, relay_kind::adopt, header.owner);
+        adopt.placement = record_of(item);
+        send_frame(answer, adopt, header.owner, {});
+        deliver_placed(packet, item);
+    }
+
+    // The last hop of a place frame.
+    void record_place(packet_context& packet, placement* item, const relay_header& header) {
+        const placement_record& record = header.placement;
+        if (record.backend_server == 0) {
+            if (item != nullptr) table_.erase(packet.key); // closing: the tuple is free
+            return refuse(packet);
+        }
+        const bool same =
+            item != nullptr && item->backend_server == record.backend_server && item->generation == record.generation;
+        if (item != nullptr && !same) {
+            if (item->generation == record.generation) ++counters_.placement_conflicts;
+            table_.erase(packet.key);
+            item = nullptr;
+        }
+        if (item == nullptr && !record.retried && !record.established && not_selectable(record))
+            return choose_instead(packet, header);
+        if (item == nullptr) item = store(packet, record, header.owner);
+        if (item == nullptr && !record.established) {
+            ++counters_.dropped_table_full;
+            return;
+        }
+        if (item == nullptr) return deliver_to(packet, record.service, record.tunnel);
+        item->other_holder = header.owner;
+        sequences_.received(header.owner, header.place_sequence);
+        update_state(packet, *item);
+        deliver_placed(packet, *item);
+    }
+
+    // A proposal that this balancer knows to be outdated.
+    bool not_selectable(const placement_record& record) const {
+        const indexed_server* found = index_->server(record.backend_server);
+        if (found == nullptr) return index_->knows_ids_up_to(record.backend_server);
+        return found->server->state != backend_state::active;
+    }
+
+    void choose_instead(packet_context& packet, const relay_header& header) {
+        const indexed_server* chosen = choose(packet, 0);
+        if (chosen == nullptr) {
+            // The owner keeps its proposal, so this is no refusal; the caller repeats its SYN.
+            ++counters_.dropped_unsettled;
+            return;
+        }
+        placement_record record = header.placement;
+        record.backend_server = chosen->server->id;
+        record.service = chosen->owner->id;
+        record.tunnel = chosen->server->tunnel;
+        placement* item = store(packet, record, 0);
+        if (item == nullptr) {
+            ++counters_.dropped_table_full;
+            return;
+        }
+        deliver_own(packet, *item, header);
+    }
+
+    void receive_lookup(packet_context& packet, const relay_header& header) {
+        placement* item = find(packet);
+        if (item != nullptr && backend_is_dead(*item, packet.now)) return end_dead_flow(packet, *item);
+        if (item != nullptr) return deliver_own(packet, *item, header);
+        if (header.route_length > 0) return pass_on(packet, header);
+        end_lost_flow(packet, header.fabric.port != 0);
+    }
+
+    // A holder tells this owner its placement.
+    void receive_adopt(const relay_header& header, steady_time now) {
+        const placement_record& record = header.placement;
+        placement*              item = table_.find(header.flow);
+        if (item != nullptr && item->generation > record.generation) return;
+        const bool same =
+            item != nullptr && item->backend_server == record.backend_server && item->generation == record.generation;
+        if (same) {
+            item->other_holder = header.sender;
+            return;
+        }
+        const bool decided = item != nullptr && item->other_holder != 0 && item->generation == record.generation;
+        if (decided) {
+            ++counters_.placement_conflicts;
+            return;
+        }
+        if (item != nullptr) table_.erase(header.flow);
+        placement value;
+        value.backend_server = record.backend_server;
+        value.service = record.service;
+        value.generation = record.generation;
+        value.other_holder = header.sender;
+        value.state = record.retried ? flow_state::established : flow_state::half_open;
+        if (table_.insert(header.flow, value, now) == nullptr) return;
+        ++counters_.flows_adopted;
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Delivery
+    //------------------------------------------------------------------------------------------------------------------
+
+    void deliver_placed(packet_context& packet, placement& item) {
+        if (backend_is_dead(item, packet.now)) return end_dead_flow(packet, item);
+        if (stalled(packet, item)) return end_stalled_flow(packet, item);
+        const auto tunnel = tunnel_of(item.backend_server);
+        if (!tunnel) {
+            ++counters_.dropped_unreachable;
+            return;
+        }
+        table_.touch(item, packet.now);
+        deliver_to(packet, item.service, *tunnel);
+    }
+
+    void deliver_to(const packet_context& packet, service_id placed_for, const endpoint& tunnel) {
+        const service* target = index_->service_at(packet.info.flow.protocol, packet.info.flow.destination);
+        // A service that only a newer revision names cannot be compared here; the owner has compared it.
+        if (target != nullptr && target->id != placed_for) {
+            check(invariant::right_service, false, target->name);
+            return;
+        }
+        const auto header = make_gue_header(packet.info.flow.source.address.is_v4());
+        packet.out->add(action_kind::deliver, tunnel, header, packet.inner);
+        ++counters_.packets_delivered;
+    }
+
+    // Dead path: the caller repeats the same bytes and nothing makes it go on.
+    bool stalled(const packet_context& packet, placement& item) const {
+        const packet_info& info = packet.info;
+        if (info.flow.protocol != transport::tcp || info.payload_size < min_stalled_payload || packet.changes_state())
+            return false;
+        if (info.sequence != item.last_sequence || item.repeats == 0) {
+            item.last_sequence = info.sequence;
+            item.repeats = 1;
+            item.repeats_since = tick_of(packet.now);
+            return false;
+        }
+        if (item.repeats <= stall_repeats) ++item.repeats;
+        const auto elapsed = (tick_of(packet.now) - item.repeats_since) * flow_table::tick_length;
+        return item.repeats > stall_repeats && elapsed >= stall_time;
+    }
+
+    std::uint32_t tick_of(steady_time now) const {
+        return static_cast<std::uint32_t>((now - started_) / flow_table::tick_length);
+    }
+
+    void end_stalled_flow(const packet_context& packet, placement& item) {
+        if (!answer_caller(packet)) return;
+        ++counters_.flows_stalled;
+        item.state = flow_state::closing;
+        item.repeats = 0;
+        table_.touch(item, packet.now);
+    }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Maintenance
+    //------------------------------------------------------------------------------------------------------------------
+
+    bool known_elsewhere(const placement& item) const { return reachable(item.other_holder); }
+
+    // The present holder that should learn of a placement; 0: none has to.
+    member_id missing_holder(const flow_key& key, const placement& item) const {
+        const holders& pair = state_->owners.present->of(bucket_of(key));
+        if (pair.owner() == settings_.self || pair.second == settings_.self) {
+            const member_id other = pair.owner() == settings_.self ? pair.second : pair.owner();
+            return reachable(other) && item.other_holder != other ? other : 0;
+        }
+        const bool shared =
+            item.other_holder != 0 && (item.other_holder == pair.owner() || item.other_holder == pair.second);
+        return !shared && reachable(pair.owner()) ? pair.owner() : 0;
+    }
+
+    struct collector final : flow_table::visitor {
+        collector(const impl& where, steady_time time, std::size_t limit) : self(where), now(time), left(limit) {}
+        void visit(const flow_key& key, placement& item) override {
+            if (left == 0 || item.state != flow_state::established) return;
+            const auto idle = self.table_.idle_time(item, now);
+            if (idle < quiet_time) return;
+            const member_id target = self.missing_holder(key, item);
+            if (target == 0) return;
+            const placement_record record = self.record_of(item);
+            if (record.tunnel.port == 0) return;
+            found[target].push_back({key, record});
+            --left;
+        }
+        const impl&                                            self;
+        steady_time                                            now;
+        std::size_t                                            left;
+        std::map<member_id, std::vector<replicated_placement>> found;
+    };
+
+    std::map<member_id, std::vector<replicated_placement>> placements_to_replicate(std::size_t limit) {
+        if (!state_ || limit == 0) return {};
+        collector target(*this, time_.steady_now(), limit);
+        table_.scan(replication_position_, slots_per_collection, target);
+        return std::move(target.found);
+    }
+
+    bool store_replicated(member_id peer_id, const replicated_placement& item) {
+        if (!state_) return false;
+        learn_tunnel(item.record);
+        placement* held = table_.find(item.flow);
+        if (held != nullptr) {
+            if (held->backend_server != item.record.backend_server || held->generation != item.record.generation)
+                return false;
+            held->other_holder = peer_id;
+            return true;
+        }
+        placement value;
+        value.backend_server = item.record.backend_server;
+        value.service = item.record.service;
+        value.generation = item.record.generation;
+        value.other_holder = peer_id;
+        value.state = flow_state::established;
+        return table_.insert(item.flow, value, time_.steady_now()) != nullptr;
+    }
+
+    void acknowledge_replicated(member_id peer_id, std::span<const flow_key> flows) {
+        for (const auto& key : flows) {
+            if (placement* item = table_.find(key)) item->other_holder = peer_id;
+        }
+    }
+
+    struct sole_counter final : flow_table::visitor {
+        explicit sole_counter(impl& where) : self(where) {}
+        void visit(const flow_key&, placement& item) override {
+            self.note_acknowledgement(item);
+            if (item.state == flow_state::established && !self.known_elsewhere(item)) ++sole;
+        }
+        impl&       self;
+        std::size_t sole = 0;
+    };
+
+    void note_acknowledgement(placement& item) const {
+        if (item.other_holder != item.pending_holder &&
+            sequences_.acknowledged(item.pending_holder, item.place_sequence)) {
+            item.other_holder = item.pending_holder;
+        }
+    }
+
+    std::size_t unreplicated_placements() {
+        if (!state_) return 0;
+        sole_counter target(*this);
+        std::size_t  position = 0;
+        table_.scan(position, table_.slot_count(), target);
+        return target.sole;
+    }
+
+    flow_explanation explain(const flow_tuple& flow) {
+        flow_explanation result;
+        result.key = make_flow_key(flow, settings_.hash_seed);
+        result.bucket = bucket_of(result.key);
+        if (!state_) {
+            result.reason = "no configuration has been published yet";
+            return result;
+        }
+        result.responsible = state_->owners.present->of(result.bucket);
+        const service* found = index_->service_at(flow.protocol, flow.destination);
+        if (found != nullptr) result.service = found->name;
+        if (const placement* item = table_.find(result.key)) {
+            result.held = *item;
+            const indexed_server* server = index_->server(item->backend_server);
+            result.backend_server = server != nullptr ? server->server->name : std::to_string(item->backend_server);
+        }
+        result.reason = reason_of(result);
+        return result;
+    }
+
+    std::string reason_of(const flow_explanation& result) const {
+        const std::string revision = " at revision " + std::to_string(state_->services->revision);
+        if (result.held) {
+            const bool in_pair =
+                result.responsible.owner() == settings_.self || result.responsible.second == settings_.self;
+            return std::string("this balancer holds the placement") +
+                   (in_pair ? "" : " from an earlier membership view") + revision;
+        }
+        if (result.service.empty()) return "no service has this address" + revision;
+        if (result.responsible.owner() == settings_.self)
+            return "this balancer owns the flow and has no placement: a SYN would start one" + revision;
+        return "balancer " + std::to_string(result.responsible.owner()) + " owns the flow; packets are relayed to it" +
+               revision;
+    }
+
+    forwarder_settings                                settings_;
+    const clock&                                      time_;
+    flow_table                                        table_;
+    reply_limiter                                     replies_;
+    steady_time                                       started_;
+    steady_time                                       last_tick_;
+    bool                                              paused_ = false;
+    steady_time                                       paused_at_{};
+    std::shared_ptr<const forwarding_state>           state_;   // null until the first publish
+    std::optional<service_index>                      index_;   // of state_
+    std::unordered_map<member_id, member>             members_; // of state_
+    place_sequences                                   sequences_;
+    refusal_memory_table                              refusals_;
+    std::unordered_map<service_id, rate_state>        service_rates_;
+    std::unordered_map<backend_server_id, rate_state> server_rates_;
+    std::unordered_map<backend_server_id, endpoint>   learned_tunnels_; // at most max_learned_tunnels
+    revision_number                                   newest_revision_ = 0;
+    std::size_t                                       replication_position_ = 0;
+    std::vector<std::byte>                            scratch_;
+    forwarder_counters                                counters_;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// Public functions
+//----------------------------------------------------------------------------------------------------------------------
+
+forwarder::forwarder(const forwarder_settings& settings, const clock& time)
+    : impl_(std::make_unique<impl>(settings, time)) {}
+forwarder::~forwarder() = default;
+forwarder::forwarder(forwarder&&) noexcept = default;
+forwarder& forwarder::operator=(forwarder&&) noexcept = default;
+
+void forwarder::publish(std::shared_ptr<const forwarding_state> state) {
+    impl_->publish(std::move(state));
+}
+void forwarder::receive_from_fabric(byte_view udp_payload, const endpoint& fabric, action_buffer& out) {
+    impl_->receive_from_fabric(udp_payload, fabric, out);
+}
+void forwarder::receive_from_peer(byte_view datagram, action_buffer& out) {
+    impl_->receive_from_peer(datagram, out);
+}
+void forwarder::tick(action_buffer& out) {
+    impl_->tick(out);
+}
+
+revision_number forwarder::newest_revision_seen() const {
+    return impl_->newest_revision_;
+}
+std::map<member_id, std::vector<replicated_placement>> forwarder::placements_to_replicate(std::size_t limit) {
+    return impl_->placements_to_replicate(limit);
+}
+bool forwarder::store_replicated(member_id peer, const replicated_placement& item) {
+    return impl_->store_replicated(peer, item);
+}
+void forwarder::acknowledge_replicated(member_id peer, std::span<const flow_key> flows) {
+    impl_->acknowledge_replicated(peer, flows);
+}
+std::size_t forwarder::unreplicated_placements() const {
+    return impl_->unreplicated_placements();
+}
+const forwarder_counters& forwarder::counters() const {
+    return impl_->counters_;
+}
+const flow_table& forwarder::flows() const {
+    return impl_->table_;
+}
+flow_explanation forwarder::explain(const flow_tuple& flow) {
+    return impl_->explain(flow);
+}
+
+} // namespace tamarack
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -16,14 +16,19 @@
 
 // Everything the forwarder needs from the control thread. Immutable once published.
 struct forwarding_state {
+    steady_time                          built{};  // a forwarder that noticed a pause waits for a later one
     std::shared_ptr<const configuration> services; // never null
     ownership_history                    owners;   // present is never null
     std::vector<member>                  members;  // all that are not dead, this balancer included
     std::vector<backend_status>          statuses; // in order of id; a missing one is available and neutral
     bool may_place = true;                         // false: started, or paused, and not yet acknowledged by a peer
     bool leaving = false;                          // graceful stop in progress
+    bool partition_suspected = false;              // all members of some failure domain are unreachable
 };
 
+// See tamarack/selection.h.
+enum class selection_policy : std::uint8_t { two_choices_by_load, weighted_hash, bounded_load_hash };
+
 struct forwarder_settings {
     member_id           self = 0;
     incarnation         life = 0;
@@ -33,9 +38,9 @@
     duration reset_grace = std::chrono::seconds(3); // after the start no flow is reset for lack of a placement
     duration settle_time = std::chrono::seconds(2); // after a change of the ranking
     duration dead_server_grace =
-        std::chrono::seconds(10);             // a backend server is out this long before its flows are reset
-    std::uint32_t replies_per_second = 1'000; // refusals, resets and ICMP for packets without a placement
-    bool          selection_by_load = true;   // false: by weighted hash only (a baseline)
+        std::chrono::seconds(10);                // a backend server is out this long before its flows are reset
+    std::uint32_t    replies_per_second = 1'000; // refusals, resets and ICMP for packets without a placement
+    selection_policy policy = selection_policy::two_choices_by_load;
 };
 
 // Counters since the start. Each row is a metric of the same name with the prefix tamarack_.
@@ -56,7 +61,10 @@
     std::uint64_t flows_reset_lost = 0;    // placement_lost: no candidate holds the placement
     std::uint64_t flows_reset_dead = 0;    // backend server gone or out for longer than the grace time
     std::uint64_t flows_stalled = 0;       // dead path detected
-    std::uint64_t dropped_unsettled = 0;   // no placement, too early to reset
+    std::uint64_t dropped_unsettled = 0;   // no placement, too early to reset or to place
+    std::uint64_t dropped_paused = 0;      // waited in a queue while the process was paused
+    std::uint64_t dropped_table_full = 0;  // second holder without room for a new placement
+    std::uint64_t dropped_unreachable = 0; // no relay address of the next hop, or no address of the backend server
     std::uint64_t placement_conflicts = 0; // two different established placements met
     std::uint64_t replies_suppressed = 0;  // over replies_per_second
     std::uint64_t evictions = 0;
@@ -81,8 +89,8 @@
 
 class forwarder {
 public:
-    // The clock must outlive the forwarder. Selections are reproducible for equal seeds and inputs.
-    forwarder(const forwarder_settings& settings, const clock& time, std::uint64_t random_seed);
+    // The clock must outlive the forwarder. Equal inputs give equal decisions.
+    forwarder(const forwarder_settings& settings, const clock& time);
     ~forwarder();
     forwarder(forwarder&&) noexcept;
     forwarder& operator=(forwarder&&) noexcept;
@@ -101,8 +109,8 @@
     // Newest revision seen in a relay frame, for the control thread to ask for.
     revision_number newest_revision_seen() const;
 
-    // Up to limit placements that this balancer owns, whose second holder has not acknowledged them and which had no
-    // packet for a second; grouped by that second holder. A later call returns others.
+    // Up to limit established placements without a packet for a second that a present holder other than this balancer
+    // is not known to have, grouped by that holder. A later call returns others.
     std::map<member_id, std::vector<replicated_placement>> placements_to_replicate(std::size_t limit);
     // Stores a placement received over the control channel. False if a different one is held.
     bool                                                   store_replicated(const replicated_placement& item);
@@ -110,12 +118,11 @@
     void acknowledge_replicated(member_id peer, std::span<const flow_key> flows);
 
     // Placements that no other live member is known to hold; a graceful stop waits for 0.
-    std::size_t unreplicated_placements() const;
+    std::size_t unreplicated_placements();
 
-    // Updates the members' own flow counts and so on for the administration interface.
     const forwarder_counters& counters() const;
     const flow_table&         flows() const;
-    flow_explanation          explain(const flow_tuple& flow) const;
+    flow_explanation          explain(const flow_tuple& flow);
 
 private:
     class impl;
--- a/tamarack/relay.h
+++ b/tamarack/relay.h
@@ -26,7 +26,8 @@
     service_id        service = 0;
     endpoint          tunnel;              // so that a hop with an older configuration can deliver
     std::uint16_t     generation = 1;      // rises when a 5-tuple is used again after its flow ended
-    bool              established = false; // delivered before: it must not be replaced by another choice
+    bool              retried = false;     // sent before, perhaps delivered: its choice must not be replaced by another
+    bool              established = false; // a holder has acknowledged it: it wins over one that nobody has
 
     friend bool operator==(const placement_record&, const placement_record&) = default;
 };
