--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -1045,7 +1045,7 @@
 void forwarder::acknowledge_replicated(member_id peer, std::span<const flow_key> flows) {
     impl_->acknowledge_replicated(peer, flows);
 }
-std::size_t forwarder::unreplicated_placements() const {
+std::size_t forwarder::unreplicated_placements() {
     return impl_->unreplicated_placements();
 }
 const forwarder_counters& forwarder::counters() const {
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -112,8 +112,9 @@
     // Up to limit established placements without a packet for a second that a present holder other than this balancer
     // is not known to have, grouped by that holder. A later call returns others.
     std::map<member_id, std::vector<replicated_placement>> placements_to_replicate(std::size_t limit);
-    // Stores a placement received over the control channel. False if a different one is held.
-    bool                                                   store_replicated(const replicated_placement& item);
+    // Stores a placement received over the control channel from a peer that holds it. False if a different one is held,
+    // or there is no room.
+    bool store_replicated(member_id peer, const replicated_placement& item);
     // The peer has stored these placements.
     void acknowledge_replicated(member_id peer, std::span<const flow_key> flows);
 
