--- /dev/null
+++ b/tests/forwarder_test.cpp
@@ -0,0 +1,346 @@
+// The forwarder's rules of docs/design.md section 2.2, each with the fault that it guards against.
+#define BOOST_TEST_MODULE forwarder
+#include "tests/forwarder_mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mesh;
+
+namespace tamarack {
+std::ostream& operator<<(std::ostream& out, const endpoint& item) {
+    return out << item.to_string();
+}
+} // namespace tamarack
+
+namespace {
+
+constexpr std::uint16_t first_port = 10'000;
+constexpr std::uint16_t flow_count = 50;
+
+template <class Use>
+void for_each_flow(const Use& use) {
+    for (std::uint16_t i = 0; i < flow_count; ++i)
+        use(forwarder_mesh::flow(static_cast<std::uint16_t>(first_port + i)));
+}
+
+void send_through_all(forwarder_mesh& net, const flow_tuple& flow, const endpoint& expected) {
+    for (std::size_t host = 0; host < net.hosts.size(); ++host) {
+        if (!net.hosts[host]) continue;
+        net.delivered.clear();
+        net.send(host, flow, standin::ack_flag, 3, "more");
+        BOOST_REQUIRE_EQUAL(net.delivered.size(), 1U);
+        BOOST_TEST(net.delivered.front() == expected);
+    }
+}
+
+} // namespace
+
+// Guards against a backend server that depends on the balancer that a packet happens to reach.
+BOOST_AUTO_TEST_CASE(every_balancer_delivers_a_flow_to_the_same_backend_server) {
+    forwarder_mesh net(6);
+    for_each_flow([&](const flow_tuple& flow) { send_through_all(net, flow, net.open(flow)); });
+}
+
+// Guards against a SYN that is delivered while only one balancer knows the placement.
+BOOST_AUTO_TEST_CASE(syn_is_delivered_by_the_second_holder_only) {
+    forwarder_mesh net(6);
+    for_each_flow([&](const flow_tuple& flow) {
+        const std::size_t second = net.second_of(flow);
+        net.lose = [second](const frame& item) { return item.to == second; };
+        net.delivered.clear();
+        net.send(net.owner_of(flow), flow, standin::syn_flag);
+        BOOST_TEST(net.delivered.empty());
+        net.lose = {};
+        net.send(net.owner_of(flow), flow, standin::syn_flag);
+        BOOST_TEST(net.delivered.size() == 1U);
+    });
+}
+
+// Guards against the loss of a flow by the crash of either holder, before and after the peers notice.
+BOOST_AUTO_TEST_CASE(flows_survive_the_crash_of_either_holder) {
+    for (const bool crash_owner : {true, false}) {
+        for_each_flow([&](const flow_tuple& flow) {
+            forwarder_mesh    net(6);
+            const endpoint    expected = net.open(flow);
+            const std::size_t lost = crash_owner ? net.owner_of(flow) : net.second_of(flow);
+            net.remove(lost);
+            net.publish_all();
+            send_through_all(net, flow, expected);
+            BOOST_TEST(net.replies.empty());
+        });
+    }
+}
+
+// Guards against flows that break when empty balancers become both owner and second holder at once.
+BOOST_AUTO_TEST_CASE(flows_survive_the_join_of_several_empty_balancers) {
+    forwarder_mesh                               net(3);
+    std::vector<std::pair<flow_tuple, endpoint>> flows;
+    for_each_flow([&](const flow_tuple& flow) { flows.emplace_back(flow, net.open(flow)); });
+    for (int i = 0; i < 6; ++i)
+        net.add_host();
+    net.publish_all();
+    net.wait(4s);
+    net.publish_all();
+    for (const auto& [flow, expected] : flows)
+        send_through_all(net, flow, expected);
+    BOOST_TEST(net.replies.empty());
+}
+
+// Guards against two backend servers for one flow when a SYN is repeated while balancers hold different views.
+BOOST_AUTO_TEST_CASE(repeated_syn_under_another_view_finds_the_placement) {
+    forwarder_mesh                               net(4);
+    std::vector<std::pair<flow_tuple, endpoint>> flows;
+    for_each_flow([&](const flow_tuple& flow) {
+        net.delivered.clear();
+        net.send(net.other_than_holders(flow), flow, standin::syn_flag);
+        BOOST_REQUIRE_EQUAL(net.delivered.size(), 1U);
+        flows.emplace_back(flow, net.delivered.front());
+    });
+    net.add_host();
+    net.add_host();
+    net.publish(4);
+    net.publish(5);
+    net.publish(0); // hosts 1 to 3 do not know the new members yet
+    for (const auto& [flow, expected] : flows) {
+        for (std::size_t host = 0; host < net.hosts.size(); ++host) {
+            net.delivered.clear();
+            net.send(host, flow, standin::syn_flag);
+            for (const auto& tunnel : net.delivered)
+                BOOST_TEST(tunnel == expected);
+        }
+    }
+}
+
+// Guards against a second holder that follows an outdated proposal: a backend server known to be draining gets nothing
+// new.
+BOOST_AUTO_TEST_CASE(second_holder_replaces_a_choice_that_it_knows_to_be_draining) {
+    forwarder_mesh net(4);
+    for_each_flow([&](const flow_tuple& flow) {
+        for (auto& server : net.services().services.front().backend_servers)
+            server.state = backend_state::active;
+        net.revise();
+        net.publish_all();
+        for (std::size_t i = 0; i + 1 < net.services().services.front().backend_servers.size(); ++i) {
+            net.services().services.front().backend_servers[i].state = backend_state::draining;
+        }
+        net.revise();
+        net.publish(net.second_of(flow));
+        const endpoint expected = net.services().services.front().backend_servers.back().tunnel;
+        net.delivered.clear();
+        net.send(net.owner_of(flow), flow, standin::syn_flag);
+        BOOST_REQUIRE_EQUAL(net.delivered.size(), 1U);
+        BOOST_TEST(net.delivered.front() == expected);
+        net.delivered.clear();
+        net.send(net.owner_of(flow), flow, standin::ack_flag, 2, "request");
+        BOOST_REQUIRE_EQUAL(net.delivered.size(), 1U);
+        BOOST_TEST(net.delivered.front() == expected);
+    });
+}
+
+// Guards against established flows that follow a drain, and against new ones that do not.
+BOOST_AUTO_TEST_CASE(draining_keeps_old_flows_and_gets_no_new_one) {
+    forwarder_mesh                               net(4);
+    std::vector<std::pair<flow_tuple, endpoint>> flows;
+    for_each_flow([&](const flow_tuple& flow) { flows.emplace_back(flow, net.open(flow)); });
+    backend_server& drained = net.services().services.front().backend_servers.front();
+    drained.state = backend_state::draining;
+    net.revise();
+    net.publish_all();
+    for (const auto& [flow, expected] : flows)
+        send_through_all(net, flow, expected);
+    for (std::uint16_t i = 0; i < flow_count; ++i) {
+        BOOST_TEST(net.open(forwarder_mesh::flow(static_cast<std::uint16_t>(30'000 + i))) != drained.tunnel);
+    }
+}
+
+// Guards against "not run" for something that ran: a refused SYN stays refused, also when a backend server appears.
+BOOST_AUTO_TEST_CASE(late_copy_of_a_refused_syn_is_refused) {
+    forwarder_mesh net(4, 0);
+    for_each_flow([&](const flow_tuple& flow) {
+        net.replies.clear();
+        net.send(net.other_than_holders(flow), flow, standin::syn_flag);
+        BOOST_TEST(net.replies.size() == 1U);
+    });
+    net.add_backend();
+    net.revise();
+    net.publish_all();
+    net.delivered.clear();
+    for_each_flow([&](const flow_tuple& flow) { net.send(net.owner_of(flow), flow, standin::syn_flag); });
+    BOOST_TEST(net.delivered.empty());
+    constexpr std::uint32_t next_attempt = 500'000; // another initial sequence number
+    for_each_flow([&](const flow_tuple& flow) { net.send(net.owner_of(flow), flow, standin::syn_flag, next_attempt); });
+    BOOST_TEST(net.delivered.size() == flow_count);
+}
+
+// Guards against "not run" for a SYN whose backend server died after the delivery.
+BOOST_AUTO_TEST_CASE(syn_of_a_delivered_flow_is_never_answered_with_reset) {
+    forwarder_mesh net(4, 1);
+    for_each_flow([&](const flow_tuple& flow) { net.send(net.other_than_holders(flow), flow, standin::syn_flag); });
+    net.statuses = {{net.services().services.front().backend_servers.front().id, false, net.time.steady_now(), 1.0F}};
+    net.wait(12s);
+    net.publish_all();
+    net.replies.clear();
+    net.delivered.clear();
+    for_each_flow([&](const flow_tuple& flow) { net.send(net.other_than_holders(flow), flow, standin::syn_flag); });
+    BOOST_TEST(net.replies.empty());
+}
+
+// Guards against a flow of a dead backend server that goes silent, or is moved.
+BOOST_AUTO_TEST_CASE(flow_of_a_dead_backend_server_is_reset_after_the_grace_time) {
+    forwarder_mesh net(4, 2);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    const endpoint expected = net.open(flow);
+    for (const auto& server : net.services().services.front().backend_servers) {
+        if (server.tunnel == expected) net.statuses = {{server.id, false, net.time.steady_now(), 1.0F}};
+    }
+    net.publish_all();
+    send_through_all(net, flow, expected);
+    BOOST_TEST(net.replies.empty());
+    net.wait(11s);
+    net.delivered.clear();
+    net.send(0, flow, standin::ack_flag, 9, "request");
+    BOOST_TEST(net.delivered.empty());
+    BOOST_TEST(net.replies.size() == 1U);
+}
+
+// Guards against silence when both holders are lost, and against a reset while a holder may still be found.
+BOOST_AUTO_TEST_CASE(flow_without_any_holder_is_reset_once_the_view_has_settled) {
+    forwarder_mesh net(6);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    const auto     owner = net.owner_of(flow);
+    const auto     second = net.second_of(flow);
+    net.open(flow);
+    net.remove(owner);
+    net.remove(second);
+    net.publish_all();
+    const std::size_t entry = net.other_than_holders(flow);
+    net.send(entry, flow, standin::ack_flag, 3, "request");
+    BOOST_TEST(net.replies.empty());
+    net.wait(3s);
+    net.publish_all([](forwarding_state& state) { state.partition_suspected = true; });
+    net.send(entry, flow, standin::ack_flag, 3, "request");
+    BOOST_TEST(net.replies.empty());
+    net.publish_all();
+    net.send(entry, flow, standin::ack_flag, 3, "request");
+    BOOST_TEST(net.replies.size() == 1U);
+    BOOST_TEST(net.delivered.empty());
+}
+
+// Guards against a new connection that is taken for the old one with the same 5-tuple.
+BOOST_AUTO_TEST_CASE(five_tuple_is_used_again_after_fin) {
+    forwarder_mesh net(5);
+    for_each_flow([&](const flow_tuple& flow) {
+        net.open(flow);
+        net.send(net.other_than_holders(flow), flow, standin::fin_flag | standin::ack_flag, 9);
+        const endpoint again = net.open(flow);
+        send_through_all(net, flow, again);
+        BOOST_TEST(net.hosts[net.owner_of(flow)]->explain(flow).held->generation == 2U);
+    });
+}
+
+// Guards against a process that acts on queued packets and an old view after a pause.
+BOOST_AUTO_TEST_CASE(paused_balancer_drops_packets_until_a_later_state_is_published) {
+    forwarder_mesh net(4);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    const auto     owner = net.owner_of(flow);
+    const auto     stale = net.state_for(owner);
+    net.time.advance(5s);
+    net.delivered.clear();
+    net.send(owner, flow, standin::syn_flag);
+    BOOST_TEST(net.delivered.empty());
+    net.hosts[owner]->publish(std::make_shared<forwarding_state>(stale));
+    net.send(owner, flow, standin::syn_flag);
+    BOOST_TEST(net.delivered.empty());
+    net.time.advance(100ms);
+    net.tick_all();
+    net.time.advance(100ms);
+    net.publish_all();
+    net.send(owner, flow, standin::syn_flag);
+    BOOST_TEST(net.delivered.size() == 1U);
+}
+
+// Guards against a restarted balancer being mistaken for its predecessor.
+BOOST_AUTO_TEST_CASE(frames_of_an_earlier_life_are_rejected) {
+    forwarder_mesh net(4);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    const auto     entry = net.other_than_holders(flow);
+    net.hand_over(entry, flow, standin::syn_flag);
+    net.restart(entry);
+    net.publish_all();
+    net.delivered.clear();
+    net.settle();
+    BOOST_TEST(net.delivered.empty());
+    BOOST_TEST(net.hosts[net.owner_of(flow)]->counters().frames_stale_sender == 1U);
+}
+
+// Guards against a flow that hangs because something between the ends lost track of it.
+BOOST_AUTO_TEST_CASE(dead_path_is_reset_and_counted) {
+    forwarder_mesh net(2);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    net.delivered.clear();
+    net.send(0, flow, standin::syn_flag);
+    net.send(0, flow, standin::ack_flag, 2, "request");
+    for (int i = 0; i < 30 && net.replies.empty(); ++i) {
+        net.wait(1s);
+        net.send(0, flow, standin::ack_flag, 2, "request");
+    }
+    BOOST_TEST(net.replies.size() == 1U);
+    const auto idle = forwarder_mesh::flow(first_port + 1);
+    net.send(0, idle, standin::syn_flag);
+    net.replies.clear();
+    for (int i = 0; i < 60; ++i) {
+        net.wait(1s);
+        net.send(0, idle, standin::ack_flag, 2, "x"); // zero-window probe
+    }
+    BOOST_TEST(net.replies.empty());
+}
+
+// Guards against quiet flows that stay on one balancer after its partner has gone.
+BOOST_AUTO_TEST_CASE(quiet_placements_are_handed_to_the_missing_holder) {
+    forwarder_mesh net(5);
+    for_each_flow([&](const flow_tuple& flow) { net.open(flow); });
+    net.remove(0);
+    net.publish_all();
+    net.wait(2s);
+    for (int round = 0; round < 10; ++round) {
+        for (std::size_t host = 0; host < net.hosts.size(); ++host) {
+            if (!net.hosts[host]) continue;
+            for (const auto& [target, items] : net.hosts[host]->placements_to_replicate(1000)) {
+                std::vector<flow_key> stored;
+                for (const auto& item : items) {
+                    if (net.hosts[target - 1]->store_replicated(net.members[host].id, item))
+                        stored.push_back(item.flow);
+                }
+                net.hosts[host]->acknowledge_replicated(target, stored);
+            }
+        }
+    }
+    for (const auto& host : net.hosts) {
+        if (host) BOOST_TEST(host->unreplicated_placements() == 0U);
+    }
+    net.remove(1);
+    net.publish_all();
+    net.replies.clear();
+    for_each_flow([&](const flow_tuple& flow) {
+        net.delivered.clear();
+        net.send(net.owner_of(flow), flow, standin::ack_flag, 3, "more");
+        BOOST_TEST(net.delivered.size() == 1U);
+    });
+    BOOST_TEST(net.replies.empty());
+}
+
+// Guards against a service at its limit taking more flows, and against established flows that pay for it.
+BOOST_AUTO_TEST_CASE(flow_limit_refuses_new_flows_only) {
+    forwarder_mesh net(2);
+    net.services().services.front().limits.max_flows = 10;
+    net.revise();
+    net.publish_all();
+    std::size_t established = 0;
+    for_each_flow([&](const flow_tuple& flow) {
+        net.delivered.clear();
+        net.send(0, flow, standin::syn_flag);
+        established += net.delivered.size();
+    });
+    BOOST_TEST(established == 10U);
+    BOOST_TEST(net.replies.size() == flow_count - 10U);
+}
