Add packet parsing, flow keys and replies to callers

Parses GUE (variant 0 without optional fields), IPv4 with options, IPv6 with hop-by-hop and destination options, TCP, UDP, and ICMP errors that quote a packet of a flow. Builds RST and ICMP port unreachable for both IP versions.

A quoted first fragment counts, because it has the ports. - Source quench and redirect are unsupported, as are more than 4 extension headers.

--- /dev/null
+++ b/tamarack/packet.cpp
@@ -0,0 +1,404 @@
+// Parsing of GUE and inner IP packets, flow keys, and the replies that a balancer sends to callers.
+//
+// Checksums of received packets are not verified: the packet travels unchanged, and the backend server verifies them.
+#include "tamarack/packet.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/endian/conversion.hpp>
+
+namespace tamarack {
+
+namespace {
+
+using boost::endian::load_big_u16;
+using boost::endian::load_big_u32;
+using boost::endian::store_big_u16;
+using boost::endian::store_big_u32;
+
+// IANA protocol numbers.
+constexpr std::uint8_t protocol_hop_by_hop = 0;
+constexpr std::uint8_t protocol_icmp = 1;
+constexpr std::uint8_t protocol_ipv4 = 4;
+constexpr std::uint8_t protocol_ipv6 = 41;
+constexpr std::uint8_t protocol_fragment = 44;
+constexpr std::uint8_t protocol_icmpv6 = 58;
+constexpr std::uint8_t protocol_destination_options = 60;
+
+// Sizes in bytes.
+constexpr std::size_t ipv4_header_size = 20; // without options
+constexpr std::size_t ipv6_header_size = 40;
+constexpr std::size_t tcp_header_size = 20; // without options
+constexpr std::size_t udp_header_size = 8;
+constexpr std::size_t icmp_header_size = 8;
+constexpr std::size_t quoted_transport_size = 8; // least part of the transport header that an ICMP error quotes
+
+// Longer chains of options are not used in practice, and each header costs time.
+constexpr std::size_t max_extension_headers = 4;
+
+constexpr std::uint8_t tcp_flag_fin = 0x01;
+constexpr std::uint8_t tcp_flag_syn = 0x02;
+constexpr std::uint8_t tcp_flag_rst = 0x04;
+constexpr std::uint8_t tcp_flag_ack = 0x10;
+
+constexpr std::uint8_t reply_hop_limit = 64;
+// Largest ICMP errors: RFC 1812 section 4.3.2.3, and the IPv6 minimum MTU (RFC 4443 section 3.1).
+constexpr std::size_t  max_icmp_packet = 576;
+constexpr std::size_t  max_icmpv6_packet = 1280;
+
+// Offset of the IPv4 address in its IPv4-mapped form.
+constexpr std::size_t v4_offset = 12;
+
+const unsigned char* raw(byte_view view) {
+    return reinterpret_cast<const unsigned char*>(view.data());
+}
+
+std::uint8_t u8(byte_view view, std::size_t offset) {
+    return std::to_integer<std::uint8_t>(view[offset]);
+}
+
+std::uint16_t u16(byte_view view, std::size_t offset) {
+    return load_big_u16(raw(view) + offset);
+}
+
+std::uint32_t u32(byte_view view, std::size_t offset) {
+    return load_big_u32(raw(view) + offset);
+}
+
+ip_address v6_address(byte_view view, std::size_t offset) {
+    ip_address address;
+    std::copy_n(raw(view) + offset, address.bytes.size(), address.bytes.begin());
+    return address;
+}
+
+// Whether a reply may be sent to the address: unspecified, multicast and broadcast sources are forged.
+bool usable_source(const ip_address& address) {
+    if (!address.is_v4()) return address.bytes[0] != 0xff && address != ip_address{};
+    const std::uint32_t value = load_big_u32(address.bytes.data() + v4_offset);
+    return value != 0 && value >> 28 != 0xe && value != 0xffffffff;
+}
+
+// An IP header, and the bytes after it.
+struct ip_packet {
+    ip_address   source;
+    ip_address   destination;
+    std::uint8_t protocol = 0;
+    byte_view    payload;
+};
+
+// A quoted packet is the start of a packet: its length field may exceed the bytes present, and a first fragment still
+// has the ports.
+enum class extent : std::uint8_t { whole, quoted };
+
+result<ip_packet, packet_error> parse_ipv4(byte_view bytes, extent part) {
+    if (bytes.size() < ipv4_header_size) return packet_error::truncated;
+    const std::size_t header_size = std::size_t{u8(bytes, 0) & 0x0fU} * 4;
+    const std::size_t total_size = u16(bytes, 2);
+    if (header_size < ipv4_header_size || total_size < header_size) return packet_error::bad_ip_header;
+    if (bytes.size() < header_size) return packet_error::truncated;
+    if (bytes.size() < total_size && part == extent::whole) return packet_error::truncated;
+
+    const std::uint16_t fragment = u16(bytes, 6);
+    const bool          more_fragments = (fragment & 0x2000U) != 0;
+    if ((fragment & 0x1fffU) != 0) return packet_error::fragment;
+    if (more_fragments && part == extent::whole) return packet_error::fragment;
+
+    ip_packet packet;
+    packet.source = ip_address::v4(u32(bytes, 12));
+    packet.destination = ip_address::v4(u32(bytes, 16));
+    packet.protocol = u8(bytes, 9);
+    packet.payload = bytes.first(std::min(bytes.size(), total_size)).subspan(header_size);
+    return packet;
+}
+
+result<ip_packet, packet_error> parse_ipv6(byte_view bytes, extent part) {
+    if (bytes.size() < ipv6_header_size) return packet_error::truncated;
+    const std::size_t total_size = ipv6_header_size + u16(bytes, 4);
+    if (bytes.size() < total_size && part == extent::whole) return packet_error::truncated;
+
+    ip_packet packet;
+    packet.source = v6_address(bytes, 8);
+    packet.destination = v6_address(bytes, 24);
+    // IPv4-mapped addresses do not occur on the wire; accepting them would let an IPv6 packet pass for an IPv4 flow.
+    if (packet.source.is_v4() || packet.destination.is_v4()) return packet_error::bad_ip_header;
+    packet.protocol = u8(bytes, 6);
+    packet.payload = bytes.first(std::min(bytes.size(), total_size)).subspan(ipv6_header_size);
+
+    for (std::size_t seen = 0;; ++seen) {
+        if (packet.protocol == protocol_fragment) return packet_error::fragment;
+        const bool hop_by_hop = packet.protocol == protocol_hop_by_hop;
+        if (!hop_by_hop && packet.protocol != protocol_destination_options) return packet;
+        if (hop_by_hop && seen > 0) return packet_error::bad_ip_header; // RFC 8200: only the first one
+        if (seen == max_extension_headers) return packet_error::unsupported_protocol;
+        if (packet.payload.size() < 8) return packet_error::truncated;
+        const std::size_t size = (std::size_t{u8(packet.payload, 1)} + 1) * 8;
+        if (packet.payload.size() < size) return packet_error::truncated;
+        packet.protocol = u8(packet.payload, 0);
+        packet.payload = packet.payload.subspan(size);
+    }
+}
+
+result<ip_packet, packet_error> parse_ip(byte_view bytes, extent part) {
+    if (bytes.empty()) return packet_error::truncated;
+    switch (u8(bytes, 0) >> 4) {
+    case 4:
+        return parse_ipv4(bytes, part);
+    case 6:
+        return parse_ipv6(bytes, part);
+    default:
+        return packet_error::bad_ip_header;
+    }
+}
+
+result<packet_info, packet_error> parse_tcp(const ip_packet& ip) {
+    const byte_view segment = ip.payload;
+    if (segment.size() < tcp_header_size) return packet_error::truncated;
+    const std::size_t header_size = std::size_t{static_cast<std::uint8_t>(u8(segment, 12) >> 4)} * 4;
+    if (header_size < tcp_header_size) return packet_error::bad_transport_header;
+    if (segment.size() < header_size) return packet_error::truncated;
+
+    const std::uint8_t flags = u8(segment, 13);
+    const bool         acknowledges = (flags & tcp_flag_ack) != 0;
+    packet_info        info;
+    info.flow = {transport::tcp, {ip.source, u16(segment, 0)}, {ip.destination, u16(segment, 2)}};
+    info.syn = (flags & tcp_flag_syn) != 0 && !acknowledges;
+    info.fin = (flags & tcp_flag_fin) != 0;
+    info.rst = (flags & tcp_flag_rst) != 0;
+    info.sequence = u32(segment, 4);
+    info.acknowledgement = acknowledges ? u32(segment, 8) : 0;
+    info.payload_size = static_cast<std::uint32_t>(segment.size() - header_size);
+    return info;
+}
+
+result<packet_info, packet_error> parse_udp(const ip_packet& ip) {
+    const byte_view datagram = ip.payload;
+    if (datagram.size() < udp_header_size) return packet_error::truncated;
+    const std::size_t size = u16(datagram, 4);
+    if (size < udp_header_size) return packet_error::bad_transport_header;
+    if (datagram.size() < size) return packet_error::truncated;
+
+    packet_info info;
+    info.flow = {transport::udp, {ip.source, u16(datagram, 0)}, {ip.destination, u16(datagram, 2)}};
+    info.payload_size = static_cast<std::uint32_t>(size - udp_header_size);
+    return info;
+}
+
+// Errors about packets on their way to the caller. Source quench and redirect (4, 5) are obsolete or unsafe to follow.
+bool is_icmp_error(std::uint8_t type, bool v4) {
+    if (v4) return type == 3 || type == 11 || type == 12;
+    return type >= 1 && type <= 4;
+}
+
+// The quoted packet was sent by the backend server in the name of the service, so the flow is the quoted one swapped.
+result<packet_info, packet_error> parse_icmp(const ip_packet& ip, bool v4) {
+    if (ip.payload.size() < icmp_header_size) return packet_error::truncated;
+    if (!is_icmp_error(u8(ip.payload, 0), v4)) return packet_error::unsupported_protocol;
+
+    const byte_view bytes = ip.payload.subspan(icmp_header_size);
+    const auto      parsed = parse_ip(bytes, extent::quoted);
+    if (!parsed) return parsed.error();
+    const ip_packet& quoted = parsed.value();
+    if (quoted.protocol != static_cast<std::uint8_t>(transport::tcp) &&
+        quoted.protocol != static_cast<std::uint8_t>(transport::udp))
+        return packet_error::unsupported_protocol;
+    if (quoted.payload.size() < quoted_transport_size) return packet_error::truncated;
+    // An error is sent to the source of the packet it quotes; anything else is forged.
+    if (quoted.source != ip.destination) return packet_error::bad_transport_header;
+
+    packet_info info;
+    info.icmp_error = true;
+    info.flow.protocol = static_cast<transport>(quoted.protocol);
+    info.flow.source = {quoted.destination, u16(quoted.payload, 2)};
+    info.flow.destination = {quoted.source, u16(quoted.payload, 0)};
+    return info;
+}
+
+// Sum of 16-bit words for the Internet checksum (RFC 1071), not yet folded.
+std::uint64_t add_words(std::uint64_t sum, byte_view bytes) {
+    std::size_t i = 0;
+    for (; i + 1 < bytes.size(); i += 2)
+        sum += u16(bytes, i);
+    if (i < bytes.size()) sum += std::uint64_t{u8(bytes, i)} << 8;
+    return sum;
+}
+
+std::uint16_t fold_checksum(std::uint64_t sum) {
+    while (sum >> 16 != 0)
+        sum = (sum & 0xffff) + (sum >> 16);
+    return static_cast<std::uint16_t>(~sum);
+}
+
+byte_view address_bytes(const ip_address& address) {
+    const byte_view all = std::as_bytes(std::span(address.bytes));
+    return address.is_v4() ? all.subspan(v4_offset) : all;
+}
+
+// Sum over the pseudo header of TCP and ICMPv6.
+std::uint64_t pseudo_header_sum(const ip_address& from, const ip_address& to, std::uint8_t protocol, std::size_t size) {
+    return add_words(add_words(protocol + size, address_bytes(from)), address_bytes(to));
+}
+
+// A reply under construction: an IP header without options and room for its payload.
+struct reply {
+    std::vector<std::byte>& out;
+    std::size_t             start;       // of the IP header in out
+    std::size_t             header_size; // of the IP header
+    std::size_t             payload_size;
+
+    unsigned char* header() const { return reinterpret_cast<unsigned char*>(out.data()) + start; }
+    unsigned char* payload() const { return header() + header_size; }
+    byte_view      header_view() const { return byte_view(out).subspan(start, header_size); }
+    byte_view      payload_view() const { return byte_view(out).subspan(start + header_size, payload_size); }
+};
+
+void fill_ipv4_header(const reply& packet, std::uint8_t protocol) {
+    unsigned char* header = packet.header();
+    header[0] = 0x45;
+    store_big_u16(header + 2, static_cast<std::uint16_t>(packet.header_size + packet.payload_size));
+    store_big_u16(header + 6, 0x4000); // do not fragment: the identification stays 0
+    header[8] = reply_hop_limit;
+    header[9] = protocol;
+}
+
+void fill_ipv6_header(const reply& packet, std::uint8_t protocol) {
+    unsigned char* header = packet.header();
+    header[0] = 0x60;
+    store_big_u16(header + 4, static_cast<std::uint16_t>(packet.payload_size));
+    header[6] = protocol;
+    header[7] = reply_hop_limit;
+}
+
+// Appends an IP header from the service to the caller and zeros for the payload.
+reply start_reply(const flow_tuple& flow, std::uint8_t protocol, std::size_t payload_size,
+                  std::vector<std::byte>& out) {
+    const bool        v4 = flow.source.address.is_v4();
+    const std::size_t header_size = v4 ? ipv4_header_size : ipv6_header_size;
+    const reply       packet{out, out.size(), header_size, payload_size};
+    out.resize(out.size() + header_size + payload_size);
+
+    v4 ? fill_ipv4_header(packet, protocol) : fill_ipv6_header(packet, protocol);
+    const byte_view from = address_bytes(flow.destination.address);
+    const byte_view to = address_bytes(flow.source.address);
+    std::copy(to.begin(), to.end(), out.begin() + static_cast<std::ptrdiff_t>(packet.start + header_size - to.size()));
+    std::copy(from.begin(), from.end(),
+              out.begin() + static_cast<std::ptrdiff_t>(packet.start + header_size - to.size() - from.size()));
+    if (v4) store_big_u16(packet.header() + 10, fold_checksum(add_words(0, packet.header_view())));
+    return packet;
+}
+
+// Replies need both addresses in one IP version.
+bool can_reply(const packet_info& packet) {
+    return !packet.icmp_error && packet.flow.source.address.is_v4() == packet.flow.destination.address.is_v4();
+}
+
+// The packet without bytes that follow it in the buffer.
+byte_view trim(byte_view inner) {
+    std::size_t size = inner.size();
+    if (inner.size() >= ipv4_header_size && u8(inner, 0) >> 4 == 4) size = u16(inner, 2);
+    if (inner.size() >= ipv6_header_size && u8(inner, 0) >> 4 == 6) size = ipv6_header_size + u16(inner, 4);
+    return inner.first(std::min(size, inner.size()));
+}
+
+} // namespace
+
+std::string_view to_string(packet_error error) {
+    switch (error) {
+    case packet_error::truncated:
+        return "truncated";
+    case packet_error::bad_gue_header:
+        return "bad GUE header";
+    case packet_error::bad_ip_header:
+        return "bad IP header";
+    case packet_error::fragment:
+        return "fragment";
+    case packet_error::unsupported_protocol:
+        return "unsupported protocol";
+    case packet_error::bad_transport_header:
+        return "bad transport header";
+    }
+    return "unknown";
+}
+
+flow_key make_flow_key(const flow_tuple& flow, std::uint64_t hash_seed) {
+    constexpr std::size_t                                 address_size = sizeof(ip_address::bytes);
+    std::array<unsigned char, 1 + 2 * (address_size + 2)> bytes; // NOLINT: every byte is written below
+    bytes[0] = static_cast<unsigned char>(flow.protocol);
+    std::copy_n(flow.source.address.bytes.data(), address_size, bytes.data() + 1);
+    store_big_u16(bytes.data() + 1 + address_size, flow.source.port);
+    std::copy_n(flow.destination.address.bytes.data(), address_size, bytes.data() + 3 + address_size);
+    store_big_u16(bytes.data() + 3 + 2 * address_size, flow.destination.port);
+    const XXH128_hash_t hash = XXH3_128bits_withSeed(bytes.data(), bytes.size(), hash_seed);
+    return {hash.high64, hash.low64};
+}
+
+gue_header make_gue_header(bool inner_is_v4) {
+    return {std::byte{0}, std::byte{inner_is_v4 ? protocol_ipv4 : protocol_ipv6}, std::byte{0}, std::byte{0}};
+}
+
+result<byte_view, packet_error> decapsulate(byte_view udp_payload) {
+    if (udp_payload.size() < gue_header_size) return packet_error::truncated;
+    // Variant, control bit, length of optional fields and flags: all zero.
+    if (u8(udp_payload, 0) != 0 || u16(udp_payload, 2) != 0) return packet_error::bad_gue_header;
+    const std::uint8_t protocol = u8(udp_payload, 1);
+    if (protocol != protocol_ipv4 && protocol != protocol_ipv6) return packet_error::bad_gue_header;
+    const byte_view inner = udp_payload.subspan(gue_header_size);
+    if (inner.empty()) return packet_error::truncated;
+    if (u8(inner, 0) >> 4 != (protocol == protocol_ipv4 ? 4 : 6)) return packet_error::bad_ip_header;
+    return inner;
+}
+
+result<packet_info, packet_error> parse_packet(byte_view inner) {
+    const auto parsed = parse_ip(inner, extent::whole);
+    if (!parsed) return parsed.error();
+    const ip_packet& ip = parsed.value();
+    if (!usable_source(ip.source)) return packet_error::bad_ip_header;
+    const bool v4 = ip.source.is_v4();
+    if (ip.protocol == static_cast<std::uint8_t>(transport::tcp)) return parse_tcp(ip);
+    if (ip.protocol == static_cast<std::uint8_t>(transport::udp)) return parse_udp(ip);
+    if (ip.protocol == (v4 ? protocol_icmp : protocol_icmpv6)) return parse_icmp(ip, v4);
+    return packet_error::unsupported_protocol;
+}
+
+void append_tcp_reset(const packet_info& packet, std::vector<std::byte>& out) {
+    if (packet.flow.protocol != transport::tcp || packet.rst || !can_reply(packet)) return;
+    const auto     protocol = static_cast<std::uint8_t>(transport::tcp);
+    const reply    reset = start_reply(packet.flow, protocol, tcp_header_size, out);
+    unsigned char* tcp = reset.payload();
+    store_big_u16(tcp, packet.flow.destination.port);
+    store_big_u16(tcp + 2, packet.flow.source.port);
+    tcp[12] = tcp_header_size / 4 << 4;
+    if (packet.acknowledgement != 0) {
+        store_big_u32(tcp + 4, packet.acknowledgement);
+        tcp[13] = tcp_flag_rst;
+    } else {
+        // Without ACK, or for an acknowledgement of 0, where this form has the sequence number that is due as well.
+        const std::uint32_t length = packet.payload_size + (packet.syn ? 1U : 0U) + (packet.fin ? 1U : 0U);
+        store_big_u32(tcp + 8, packet.sequence + length);
+        tcp[13] = tcp_flag_rst | tcp_flag_ack;
+    }
+    const std::uint64_t sum =
+        pseudo_header_sum(packet.flow.destination.address, packet.flow.source.address, protocol, tcp_header_size);
+    store_big_u16(tcp + 16, fold_checksum(add_words(sum, reset.payload_view())));
+}
+
+void append_port_unreachable(byte_view inner, const packet_info& packet, std::vector<std::byte>& out) {
+    if (!can_reply(packet)) return;
+    const bool         v4 = packet.flow.source.address.is_v4();
+    const std::uint8_t protocol = v4 ? protocol_icmp : protocol_icmpv6;
+    const std::size_t  room = v4 ? max_icmp_packet - ipv4_header_size : max_icmpv6_packet - ipv6_header_size;
+    const byte_view    whole = trim(inner);
+    const byte_view    quote = whole.first(std::min(whole.size(), room - icmp_header_size));
+    const reply        error = start_reply(packet.flow, protocol, icmp_header_size + quote.size(), out);
+    unsigned char*     icmp = error.payload();
+    icmp[0] = v4 ? 3 : 1; // destination unreachable
+    icmp[1] = v4 ? 3 : 4; // port unreachable
+    std::copy_n(raw(quote), quote.size(), icmp + icmp_header_size);
+    const std::uint64_t sum = v4 ? 0
+                                 : pseudo_header_sum(packet.flow.destination.address, packet.flow.source.address,
+                                                     protocol, error.payload_size);
+    store_big_u16(icmp + 2, fold_checksum(add_words(sum, error.payload_view())));
+}
+
+} // namespace tamarack
