Add the codec of relay frames

The header is 124 bytes in Boost.Endian buffers, followed by the inner packet and 8 bytes of SipHash-2-4. The MAC is checked before the fields, so that only holders of a key learn what a field check says. Fields outside the ranges that relay.h gives are refused: kinds, hops, route, owner, acknowledgement, placement, and a packet where there must be one or none.

--- /dev/null
+++ b/tamarack/relay.cpp
@@ -0,0 +1,204 @@
+// Wire form of relay frames. All numbers are big-endian; the fixed header has no padding.
+//
+// The MAC is checked before the fields, so that only holders of a key learn what a field check says.
+#include "tamarack/relay.h"
+
+#include <algorithm>
+#include <boost/endian/buffers.hpp>
+#include <cstring>
+#include <sodium.h>
+
+namespace tamarack {
+
+namespace {
+
+using boost::endian::big_uint16_buf_t;
+using boost::endian::big_uint32_buf_t;
+using boost::endian::big_uint64_buf_t;
+
+constexpr std::uint8_t frame_version = 1;
+constexpr std::uint8_t flag_established = 0x01;
+
+static_assert(relay_mac_size == crypto_shorthash_BYTES);
+static_assert(sizeof(relay_key) == crypto_shorthash_KEYBYTES);
+
+struct wire_endpoint {
+    std::array<std::uint8_t, 16> address;
+    big_uint16_buf_t             port;
+};
+
+struct wire_header {
+    std::uint8_t                                   version;
+    std::uint8_t                                   kind;
+    std::uint8_t                                   hops;
+    std::uint8_t                                   route_length;
+    std::uint8_t                                   flags;
+    std::uint8_t                                   reserved; // 0
+    big_uint16_buf_t                               generation;
+    big_uint32_buf_t                               sender;
+    big_uint64_buf_t                               sender_life;
+    big_uint32_buf_t                               owner;
+    std::array<big_uint32_buf_t, max_route_length> route;
+    big_uint32_buf_t                               place_sequence;
+    big_uint32_buf_t                               acknowledged_highest;
+    big_uint64_buf_t                               acknowledged_earlier;
+    big_uint64_buf_t                               revision;
+    big_uint64_buf_t                               flow_high;
+    big_uint64_buf_t                               flow_low;
+    big_uint32_buf_t                               backend_server;
+    big_uint32_buf_t                               service;
+    wire_endpoint                                  tunnel;
+    wire_endpoint                                  fabric;
+};
+
+constexpr std::size_t wire_header_size = 124;
+static_assert(sizeof(wire_header) == wire_header_size && alignof(wire_header) == 1);
+
+using relay_mac = std::array<unsigned char, relay_mac_size>;
+
+relay_mac make_mac(byte_view message, const relay_key& key) {
+    relay_mac mac{};
+    crypto_shorthash(mac.data(), reinterpret_cast<const unsigned char*>(message.data()), message.size(),
+                     reinterpret_cast<const unsigned char*>(key.data()));
+    return mac;
+}
+
+bool mac_matches(byte_view message, byte_view received, const relay_key& key) {
+    return sodium_memcmp(make_mac(message, key).data(), received.data(), relay_mac_size) == 0;
+}
+
+wire_endpoint to_wire(const endpoint& item) {
+    return {item.address.bytes, big_uint16_buf_t(item.port)};
+}
+
+endpoint from_wire(const wire_endpoint& item) {
+    return {ip_address{item.address}, item.port.value()};
+}
+
+wire_header to_wire(const relay_header& header) {
+    wire_header wire{};
+    wire.version = frame_version;
+    wire.kind = static_cast<std::uint8_t>(header.kind);
+    wire.hops = header.hops;
+    wire.route_length = header.route_length;
+    wire.flags = header.placement.established ? flag_established : std::uint8_t{0};
+    wire.generation = header.placement.generation;
+    wire.sender = header.sender;
+    wire.sender_life = header.sender_life;
+    wire.owner = header.owner;
+    std::copy(header.route.begin(), header.route.end(), wire.route.begin());
+    wire.place_sequence = header.place_sequence;
+    wire.acknowledged_highest = header.acknowledgement.highest;
+    wire.acknowledged_earlier = header.acknowledgement.earlier;
+    wire.revision = header.revision;
+    wire.flow_high = header.flow.high;
+    wire.flow_low = header.flow.low;
+    wire.backend_server = header.placement.backend_server;
+    wire.service = header.placement.service;
+    wire.tunnel = to_wire(header.placement.tunnel);
+    wire.fabric = to_wire(header.fabric);
+    return wire;
+}
+
+relay_header from_wire(const wire_header& wire) {
+    relay_header header;
+    header.kind = static_cast<relay_kind>(wire.kind);
+    header.sender = wire.sender.value();
+    header.sender_life = wire.sender_life.value();
+    header.owner = wire.owner.value();
+    header.hops = wire.hops;
+    header.route_length = wire.route_length;
+    std::transform(wire.route.begin(), wire.route.end(), header.route.begin(),
+                   [](const big_uint32_buf_t& id) { return id.value(); });
+    header.place_sequence = wire.place_sequence.value();
+    header.acknowledgement = {wire.acknowledged_highest.value(), wire.acknowledged_earlier.value()};
+    header.revision = wire.revision.value();
+    header.flow = {wire.flow_high.value(), wire.flow_low.value()};
+    header.placement.backend_server = wire.backend_server.value();
+    header.placement.service = wire.service.value();
+    header.placement.tunnel = from_wire(wire.tunnel);
+    header.placement.generation = wire.generation.value();
+    header.placement.established = (wire.flags & flag_established) != 0;
+    header.fabric = from_wire(wire.fabric);
+    return header;
+}
+
+// Members up to route_length are given, the rest is 0.
+bool valid_route(const relay_header& header) {
+    if (header.route_length > max_route_length) return false;
+    const auto end = header.route.begin() + header.route_length;
+    return std::none_of(header.route.begin(), end, [](member_id id) { return id == 0; }) &&
+           std::all_of(end, header.route.end(), [](member_id id) { return id == 0; });
+}
+
+bool valid_placement(const relay_header& header) {
+    const placement_record& placement = header.placement;
+    const bool              needed = header.kind == relay_kind::adopt || header.kind == relay_kind::offer;
+    if (placement.backend_server == 0) return !needed && !placement.established;
+    return placement.service != 0 && placement.tunnel.port != 0;
+}
+
+bool valid_fields(const relay_header& header) {
+    const bool routed = header.kind == relay_kind::place || header.kind == relay_kind::lookup;
+    if (header.sender == 0 || header.hops > max_relay_hops) return false;
+    if (routed != (header.owner != 0)) return false;
+    if (!routed && header.route_length != 0) return false;
+    if (header.acknowledgement.highest == 0 && header.acknowledgement.earlier != 0) return false;
+    return valid_route(header) && valid_placement(header);
+}
+
+bool valid_kind(std::uint8_t kind) {
+    return kind >= static_cast<std::uint8_t>(relay_kind::forward) &&
+           kind <= static_cast<std::uint8_t>(relay_kind::offer);
+}
+
+} // namespace
+
+std::string_view to_string(relay_error error) {
+    switch (error) {
+    case relay_error::truncated:
+        return "truncated";
+    case relay_error::bad_version:
+        return "bad version";
+    case relay_error::bad_field:
+        return "bad field";
+    case relay_error::bad_mac:
+        return "bad MAC";
+    }
+    return "unknown";
+}
+
+void append_relay_frame(const relay_header& header, byte_view inner, const relay_keys& keys,
+                        std::vector<std::byte>& out) {
+    const wire_header wire = to_wire(header);
+    const auto        start = out.size();
+    const byte_view   fixed = std::as_bytes(std::span(&wire, 1));
+    out.reserve(start + wire_header_size + inner.size() + relay_mac_size);
+    out.insert(out.end(), fixed.begin(), fixed.end());
+    out.insert(out.end(), inner.begin(), inner.end());
+    const relay_mac mac = make_mac(byte_view(out).subspan(start), keys.signing);
+    const byte_view trailer = std::as_bytes(std::span(mac));
+    out.insert(out.end(), trailer.begin(), trailer.end());
+}
+
+result<relay_frame, relay_error> parse_relay_frame(byte_view datagram, const relay_keys& keys) {
+    if (datagram.size() < wire_header_size + relay_mac_size) return relay_error::truncated;
+    wire_header wire; // NOLINT: filled from the datagram
+    std::memcpy(&wire, datagram.data(), wire_header_size);
+    if (wire.version != frame_version) return relay_error::bad_version;
+
+    const byte_view message = datagram.first(datagram.size() - relay_mac_size);
+    const byte_view mac = datagram.last(relay_mac_size);
+    if (!mac_matches(message, mac, keys.signing) &&
+        !(keys.also_accepted && mac_matches(message, mac, *keys.also_accepted)))
+        return relay_error::bad_mac;
+
+    if (!valid_kind(wire.kind) || wire.reserved != 0 || (wire.flags & ~unsigned{flag_established}) != 0)
+        return relay_error::bad_field;
+    const relay_frame frame{from_wire(wire), message.subspan(wire_header_size)};
+    if (!valid_fields(frame.header)) return relay_error::bad_field;
+    if (frame.inner.empty() != (frame.header.kind == relay_kind::adopt)) return relay_error::bad_field;
+    return frame;
+}
+
+} // namespace tamarack
