--- a/tamarack/ownership.h
+++ b/tamarack/ownership.h
@@ -27,6 +27,8 @@
     // Ranks the members that are alive or suspect; leaving and dead members own nothing.
     explicit ownership(std::span<const member> members);
     ~ownership();
+    ownership(const ownership&) = delete;
+    ownership& operator=(const ownership&) = delete;
     ownership(ownership&&) noexcept;
     ownership& operator=(ownership&&) noexcept;
 
