--- a/tamarack/flow_table.h
+++ b/tamarack/flow_table.h
@@ -43,23 +43,27 @@
 
     explicit flow_table(const flow_table_settings& settings);
     ~flow_table();
+    flow_table(const flow_table&) = delete;
+    flow_table& operator=(const flow_table&) = delete;
     flow_table(flow_table&&) noexcept;
     flow_table& operator=(flow_table&&) noexcept;
 
     // The pointer is valid until the next insert, erase or expire. Touches nothing.
     placement* find(const flow_key& key);
 
-    // Inserts a placement for a key that is not present. When the cap or the service's share is reached it first evicts
-    // one half-open, else closing flow of the same service, else (only when another service exceeds its share) of that
-    // service; nullptr if nothing may give way. Established flows are never evicted for a new one.
+    // Inserts a placement for a key that is not present; a present one wins and is returned unchanged. When the cap or
+    // the service's share is reached it first evicts one half-open, else closing flow of the same service, else (only
+    // when another service exceeds its share) of that service; nullptr if nothing may give way. Established flows are
+    // never evicted for a new one.
     placement* insert(const flow_key& key, const placement& value, steady_time now);
 
     void erase(const flow_key& key);
 
-    // Marks use at the given time; call it for each packet of the flow.
+    // Marks use at the given time; call it for each packet of the flow, after changing the placement. Changes in place
+    // of state, backend_server or service are counted from the next touch, scan or expire that meets the placement.
     void touch(placement& item, steady_time now);
 
-    // True when the state's timeout has passed since the last touch. UDP flows use udp_idle_timeout.
+    // True when the state's timeout has passed since the last touch, to within a tick. UDP flows use udp_idle_timeout.
     bool expired(const placement& item, transport protocol, steady_time now) const;
 
     // Erases expired placements, looking at no more than max_slots slots after the last position; returns how many were
@@ -67,7 +71,8 @@
     std::size_t expire(steady_time now, std::size_t max_slots, transport (*protocol_of)(service_id, const void*),
                        const void* context);
 
-    // Visits up to max_slots slots after the last position of the visitor (a position of its own).
+    // Visits up to max_slots slots after the last position of the visitor (a position of its own); capacity() or more
+    // visits every slot once. The visitor may change or erase the placement that it is given.
     struct visitor {
         virtual ~visitor() = default;
         virtual void visit(const flow_key& key, placement& item) = 0;
@@ -76,7 +81,8 @@
 
     std::size_t   size() const;
     std::size_t   capacity() const;                   // hard cap
-    std::size_t   memory_bytes() const;               // allocated
+    std::size_t   slot_count() const;                 // more than capacity(); what expire and scan step through
+    std::size_t   memory_bytes() const;               // allocated, whether used yet or not
     std::size_t   count(backend_server_id id) const;  // placements held for a backend server
     std::size_t   service_count(service_id id) const; // placements held for a service
     std::uint64_t evictions() const;
