--- a/tamarack/flow_table.cpp
+++ b/tamarack/flow_table.cpp
@@ -488,14 +488,12 @@
 // Public interface
 //----------------------------------------------------------------------------------------------------------------------
 
-namespace {
+namespace {} // namespace
 
-std::uint32_t ticks_of(steady_time now) {
-    return static_cast<std::uint32_t>(now.time_since_epoch() / flow_table::tick_length);
+std::uint32_t flow_table::ticks_of(steady_time now) {
+    return static_cast<std::uint32_t>(now.time_since_epoch() / tick_length);
 }
 
-} // namespace
-
 flow_table::flow_table(const flow_table_settings& settings) : impl_(std::make_unique<impl>(settings)) {}
 flow_table::~flow_table() = default;
 flow_table::flow_table(flow_table&&) noexcept = default;
@@ -536,12 +534,15 @@
 
 bool flow_table::expired(const placement& item, transport protocol, steady_time now) const {
     const flow_table_settings& limits = impl_->settings;
-    // The difference is signed, so that a placement touched after the given time is not taken for a very old one.
-    const auto                 elapsed = static_cast<std::int32_t>(ticks_of(now) - item.last_seen);
     duration                   timeout = protocol == transport::udp ? limits.udp_idle_timeout : limits.idle_timeout;
     if (protocol == transport::tcp && item.state == flow_state::half_open) timeout = limits.half_open_timeout;
     if (protocol == transport::tcp && item.state == flow_state::closing) timeout = limits.closing_timeout;
-    return elapsed * tick_length >= timeout;
+    return idle_time(item, now) >= timeout;
+}
+
+duration flow_table::idle_time(const placement& item, steady_time now) const {
+    // The difference is signed, so that a placement touched after the given time is not taken for a very old one.
+    return static_cast<std::int32_t>(ticks_of(now) - item.last_seen) * tick_length;
 }
 
 std::size_t flow_table::expire(steady_time now, std::size_t                                   max_slots,
--- a/tamarack/flow_table.h
+++ b/tamarack/flow_table.h
@@ -18,14 +18,15 @@
 struct placement {
     backend_server_id backend_server = 0;
     service_id        service = 0;
-    member_id         other_holder = 0;   // the member that has acknowledged the placement; 0: proposed
-    member_id         pending_holder = 0; // the member that the last place frame was sent to
-    std::uint32_t     place_sequence = 0; // of that frame
-    std::uint32_t     last_seen = 0;      // ticks of the table's clock, see flow_table::tick_length
-    std::uint32_t     last_sequence = 0;  // TCP, for dead path detection
+    std::uint32_t     other_holder = 0;       // token of the member and life that has acknowledged it; 0: proposed
+    member_id         pending_holder = 0;     // the member that the last place frame was sent to
+    std::uint32_t     place_sequence = 0;     // of that frame
+    std::uint32_t     last_seen = 0;          // ticks of the table's clock, see flow_table::tick_length
+    std::uint16_t     last_sequence_hash = 0; // TCP, for dead path detection
+    std::uint16_t     repeats_since = 0;      // first of the repeats, low 16 bits of the ticks
     std::uint16_t     generation = 1;
     flow_state        state = flow_state::half_open;
-    std::uint8_t      repeats = 0; // of last_sequence with payload
+    std::uint8_t      repeats = 0; // of one sequence number with payload
 };
 
 struct flow_table_settings {
@@ -64,7 +65,11 @@
     void touch(placement& item, steady_time now);
 
     // True when the state's timeout has passed since the last touch, to within a tick. UDP flows use udp_idle_timeout.
-    bool expired(const placement& item, transport protocol, steady_time now) const;
+    bool                 expired(const placement& item, transport protocol, steady_time now) const;
+    // Time since the last touch.
+    duration             idle_time(const placement& item, steady_time now) const;
+    // The time in ticks, as last_seen holds it.
+    static std::uint32_t ticks_of(steady_time now);
 
     // Erases expired placements, looking at no more than max_slots slots after the last position; returns how many were
     // erased. Repeated calls cover the whole table. protocol_of tells the transport of a service.
--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <deque>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace tamarack {
 
@@ -130,8 +131,9 @@
         state_ = std::move(state);
         index_.emplace(*state_);
         members_.clear();
+        live_tokens_.clear();
         for (const auto& item : state_->members)
-            members_.emplace(item.id, item);
+            note_member(item);
         for (const auto& item : state_->members)
             sequences_.note_life(item.id, item.life);
         newest_revision_ = std::max(newest_revision_, revision);
@@ -220,6 +222,23 @@
         return packet;
     }
 
+    void note_member(const member& item) {
+        members_[item.id] = item;
+        if (item.id != settings_.self) live_tokens_.insert(token(item.id, item.life));
+    }
+
+    // Stands for one life of a member, so that a placement held by a process that has restarted does not count as held.
+    // Never 0. Two tokens are equal by chance once in 2^31.
+    static std::uint32_t token(member_id id, incarnation life) {
+        const std::uint64_t mixed = (life ^ (std::uint64_t{id} << 40U)) * 0x9e3779b97f4a7c15U;
+        return static_cast<std::uint32_t>(mixed >> 32U) | 1U;
+    }
+
+    std::uint32_t token_of(member_id id) const {
+        const member* known = peer(id);
+        return known == nullptr ? 0 : token(id, known->life);
+    }
+
     const member* peer(member_id id) const {
         const auto found = members_.find(id);
         return found == members_.end() ? nullptr : &found->second;
@@ -333,7 +352,8 @@
     bool may_deliver_as_second(const packet_context& packet, const placement& item) const {
         if (packet.responsible.second != settings_.self || packet.changes_state()) return false;
         // Another owner than the one that shares this placement must learn it from an offer.
-        return item.state == flow_state::established && item.other_holder == packet.responsible.owner();
+        return item.state == flow_state::established && item.other_holder != 0 &&
+               item.other_holder == token_of(packet.responsible.owner());
     }
 
     void relay_to_owner(packet_context& packet, placement* item, offered_placement offered) {
@@ -412,7 +432,7 @@
     }
 
     // Stores a placement that another balancer decided; null if there is no room.
-    placement* store(const packet_context& packet, const placement_record& record, member_id other_holder) {
+    placement* store(const packet_context& packet, const placement_record& record, std::uint32_t other_holder) {
         placement value;
         value.backend_server = record.backend_server;
         value.service = record.service;
@@ -425,7 +445,7 @@
         return item;
     }
 
-    placement* replace(const packet_context& packet, const placement_record& record, member_id other_holder) {
+    placement* replace(const packet_context& packet, const placement_record& record, std::uint32_t other_holder) {
         table_.erase(packet.key);
         return store(packet, record, other_holder);
     }
@@ -468,9 +488,9 @@
     bool confirmed(const packet_context& packet, placement& item) {
         const member_id second = other_of_pair(packet);
         if (!reachable(second)) return true;
-        if (item.other_holder == second) return true;
+        if (item.other_holder == token_of(second)) return true;
         if (item.pending_holder != second || !sequences_.acknowledged(second, item.place_sequence)) return false;
-        item.other_holder = second;
+        item.other_holder = token_of(second);
         return true;
     }
 
@@ -617,7 +637,9 @@
         send_on_route(packet, header, path);
     }
 
+    // Remembered here too, since the last hop may answer: a later choice for the same SYN would break "not run".
     void propose_refusal(packet_context& packet) {
+        if (packet.info.syn) refusals_.remember(packet.key, packet.info.sequence, packet.now);
         const route path = placing_route(packet, true);
         if (path.length == 0) return refuse(packet);
         send_on_route(packet, make_header(packet, relay_kind::place, path.members[0]), path);
@@ -651,6 +673,12 @@
             ++counters_.frames_stale_sender;
             return false;
         }
+        if (known != nullptr && header.sender_life > known->life) {
+            member restarted = *known;
+            restarted.life = header.sender_life;
+            live_tokens_.erase(token(known->id, known->life));
+            note_member(restarted);
+        }
         sequences_.note_life(header.sender, header.sender_life);
         sequences_.apply(header.sender, header.acknowledgement);
         newest_revision_ = std::max(newest_revision_, header.revision);
@@ -730,13 +758,13 @@
         }
         if (item == nullptr && !record.retried && !record.established && not_selectable(record))
             return choose_instead(packet, header);
-        if (item == nullptr) item = store(packet, record, header.owner);
+        if (item == nullptr) item = store(packet, record, token_of(header.owner));
         if (item == nullptr && !record.established) {
             ++counters_.dropped_table_full;
             return;
         }
         if (item == nullptr) return deliver_to(packet, record.service, record.tunnel);
-        item->other_holder = header.owner;
+        item->other_holder = token_of(header.owner);
         sequences_.received(header.owner, header.place_sequence);
         update_state(packet, *item);
         deliver_placed(packet, *item);
@@ -784,7 +812,7 @@
         const bool same =
             item != nullptr && item->backend_server == record.backend_server && item->generation == record.generation;
         if (same) {
-            item->other_holder = header.sender;
+            item->other_holder = token_of(header.sender);
             return;
         }
         const bool decided = item != nullptr && item->other_holder != 0 && item->generation == record.generation;
@@ -797,7 +825,7 @@
         value.backend_server = record.backend_server;
         value.service = record.service;
         value.generation = record.generation;
-        value.other_holder = header.sender;
+        value.other_holder = token_of(header.sender);
         value.state = record.retried ? flow_state::established : flow_state::half_open;
         if (table_.insert(header.flow, value, now) == nullptr) return;
         ++counters_.flows_adopted;
@@ -832,25 +860,25 @@
     }
 
     // Dead path: the caller repeats the same bytes and nothing makes it go on.
-    bool stalled(const packet_context& packet, placement& item) const {
+    static bool stalled(const packet_context& packet, placement& item) {
         const packet_info& info = packet.info;
-        if (info.flow.protocol != transport::tcp || info.payload_size < min_stalled_payload || packet.changes_state())
+        if (info.flow.protocol != transport::tcp || info.payload_size < min_stalled_payload || packet.changes_state()) {
             return false;
-        if (info.sequence != item.last_sequence || item.repeats == 0) {
-            item.last_sequence = info.sequence;
+        }
+        const auto now_ticks = static_cast<std::uint16_t>(flow_table::ticks_of(packet.now));
+        // 16 bits of a multiplicative hash: several repeats in a row are not equal by chance.
+        const auto hash = static_cast<std::uint16_t>((info.sequence * 0x9e3779b1U) >> 16U);
+        if (hash != item.last_sequence_hash || item.repeats == 0) {
+            item.last_sequence_hash = hash;
             item.repeats = 1;
-            item.repeats_since = tick_of(packet.now);
+            item.repeats_since = now_ticks;
             return false;
         }
         if (item.repeats <= stall_repeats) ++item.repeats;
-        const auto elapsed = (tick_of(packet.now) - item.repeats_since) * flow_table::tick_length;
+        const auto elapsed = static_cast<std::uint16_t>(now_ticks - item.repeats_since) * flow_table::tick_length;
         return item.repeats > stall_repeats && elapsed >= stall_time;
     }
 
-    std::uint32_t tick_of(steady_time now) const {
-        return static_cast<std::uint32_t>((now - started_) / flow_table::tick_length);
-    }
-
     void end_stalled_flow(const packet_context& packet, placement& item) {
         if (!answer_caller(packet)) return;
         ++counters_.flows_stalled;
@@ -863,17 +891,17 @@
     // Maintenance
     //------------------------------------------------------------------------------------------------------------------
 
-    bool known_elsewhere(const placement& item) const { return reachable(item.other_holder); }
+    bool known_elsewhere(const placement& item) const { return live_tokens_.contains(item.other_holder); }
 
     // The present holder that should learn of a placement; 0: none has to.
     member_id missing_holder(const flow_key& key, const placement& item) const {
         const holders& pair = state_->owners.present->of(bucket_of(key));
         if (pair.owner() == settings_.self || pair.second == settings_.self) {
             const member_id other = pair.owner() == settings_.self ? pair.second : pair.owner();
-            return reachable(other) && item.other_holder != other ? other : 0;
+            return reachable(other) && item.other_holder != token_of(other) ? other : 0;
         }
-        const bool shared =
-            item.other_holder != 0 && (item.other_holder == pair.owner() || item.other_holder == pair.second);
+        const bool shared = item.other_holder != 0 &&
+                            (item.other_holder == token_of(pair.owner()) || item.other_holder == token_of(pair.second));
         return !shared && reachable(pair.owner()) ? pair.owner() : 0;
     }
 
@@ -910,21 +938,21 @@
         if (held != nullptr) {
             if (held->backend_server != item.record.backend_server || held->generation != item.record.generation)
                 return false;
-            held->other_holder = peer_id;
+            held->other_holder = token_of(peer_id);
             return true;
         }
         placement value;
         value.backend_server = item.record.backend_server;
         value.service = item.record.service;
         value.generation = item.record.generation;
-        value.other_holder = peer_id;
+        value.other_holder = token_of(peer_id);
         value.state = flow_state::established;
         return table_.insert(item.flow, value, time_.steady_now()) != nullptr;
     }
 
     void acknowledge_replicated(member_id peer_id, std::span<const flow_key> flows) {
         for (const auto& key : flows) {
-            if (placement* item = table_.find(key)) item->other_holder = peer_id;
+            if (placement* item = table_.find(key)) item->other_holder = token_of(peer_id);
         }
     }
 
@@ -939,10 +967,10 @@
     };
 
     void note_acknowledgement(placement& item) const {
-        if (item.other_holder != item.pending_holder &&
-            sequences_.acknowledged(item.pending_holder, item.place_sequence)) {
-            item.other_holder = item.pending_holder;
-        }
+        const std::uint32_t pending = token_of(item.pending_holder);
+        if (pending == 0) return;
+        if (item.other_holder == pending || !sequences_.acknowledged(item.pending_holder, item.place_sequence)) return;
+        item.other_holder = pending;
     }
 
     std::size_t unreplicated_placements() {
@@ -996,9 +1024,10 @@
     steady_time                                       last_tick_;
     bool                                              paused_ = false;
     steady_time                                       paused_at_{};
-    std::shared_ptr<const forwarding_state>           state_;   // null until the first publish
-    std::optional<service_index>                      index_;   // of state_
-    std::unordered_map<member_id, member>             members_; // of state_
+    std::shared_ptr<const forwarding_state>           state_;       // null until the first publish
+    std::optional<service_index>                      index_;       // of state_
+    std::unordered_map<member_id, member>             members_;     // of state_
+    std::unordered_set<std::uint32_t>                 live_tokens_; // of members_ without this balancer
     place_sequences                                   sequences_;
     refusal_memory_table                              refusals_;
     std::unordered_map<service_id, rate_state>        service_rates_;
--- a/tamarack/ownership.h
+++ b/tamarack/ownership.h
@@ -57,4 +57,8 @@
 // Makes the new ranking present if it differs from the old one in any bucket; drops the ones that are too old.
 ownership_history advance(const ownership_history& history, std::shared_ptr<const ownership> next, steady_time now);
 
+// History for a balancer that has just started: the views before the recent starts, told by the members' incarnations.
+// Without it, several balancers that start together would not know whom to ask for the placements of their buckets.
+ownership_history reconstruct_history(std::span<const member> members, wall_time now, steady_time steady_now);
+
 } // namespace tamarack
--- /dev/null
+++ b/tamarack/ownership_history.cpp
@@ -0,0 +1,52 @@
+// Previous rankings for a balancer that has not seen them itself.
+#include "tamarack/ownership.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+// Views that are reconstructed: routes have room for the holders of two of them.
+constexpr std::size_t max_reconstructed = 3;
+
+incarnation milliseconds_of(wall_time time) {
+    return static_cast<incarnation>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
+// Starts within the kept time, latest first.
+std::vector<incarnation> recent_starts(std::span<const member> members, wall_time now) {
+    const incarnation        oldest = milliseconds_of(now - previous_view_lifetime);
+    std::vector<incarnation> starts;
+    for (const auto& item : members) {
+        if (item.life >= oldest) starts.push_back(item.life);
+    }
+    std::sort(starts.begin(), starts.end(), std::greater<>());
+    starts.erase(std::unique(starts.begin(), starts.end()), starts.end());
+    return starts;
+}
+
+std::shared_ptr<const ownership> ranking_before(std::span<const member> members, incarnation start) {
+    std::vector<member> older;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(older),
+                 [&](const member& item) { return item.life < start; });
+    return older.empty() ? nullptr : std::make_shared<ownership>(older);
+}
+
+} // namespace
+
+ownership_history reconstruct_history(std::span<const member> members, wall_time now, steady_time steady_now) {
+    ownership_history result;
+    result.present = std::make_shared<ownership>(members);
+    result.present_since = steady_now;
+    auto starts = recent_starts(members, now);
+    // The view before all recent starts matters most when many balancers start together.
+    if (starts.size() > max_reconstructed) starts.erase(starts.begin() + max_reconstructed - 1, starts.end() - 1);
+    for (const auto start : starts) {
+        if (auto ranking = ranking_before(members, start)) result.previous.push_back({std::move(ranking), steady_now});
+    }
+    return result;
+}
+
+} // namespace tamarack
--- a/tamarack/place_sequence.cpp
+++ b/tamarack/place_sequence.cpp
@@ -60,8 +60,9 @@
 void place_sequences::note_life(member_id peer, incarnation life) {
     peer_state& state = peers_[peer];
     if (life <= state.life) return;
-    // The first life heard of must not discard numbers that were given out before any frame of the peer arrived.
-    if (state.life != 0) state = {};
+    // Numbers go on, so that an acknowledgement of the new life cannot be taken for one of an old frame.
+    state.confirmed.reset();
+    state.seen = {};
     state.life = life;
 }
 
--- a/tamarack/relay.cpp
+++ b/tamarack/relay.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::uint8_t frame_version = 1;
 constexpr std::uint8_t flag_established = 0x01;
+constexpr std::uint8_t flag_retried = 0x02;
+constexpr std::uint8_t known_flags = flag_established | flag_retried;
 
 static_assert(relay_mac_size == crypto_shorthash_BYTES);
 static_assert(sizeof(relay_key) == crypto_shorthash_KEYBYTES);
@@ -81,7 +83,8 @@
     wire.kind = static_cast<std::uint8_t>(header.kind);
     wire.hops = header.hops;
     wire.route_length = header.route_length;
-    wire.flags = header.placement.established ? flag_established : std::uint8_t{0};
+    if (header.placement.established) wire.flags |= flag_established;
+    if (header.placement.retried) wire.flags |= flag_retried;
     wire.generation = header.placement.generation;
     wire.sender = header.sender;
     wire.sender_life = header.sender_life;
@@ -119,6 +122,7 @@
     header.placement.tunnel = from_wire(wire.tunnel);
     header.placement.generation = wire.generation.value();
     header.placement.established = (wire.flags & flag_established) != 0;
+    header.placement.retried = (wire.flags & flag_retried) != 0;
     header.fabric = from_wire(wire.fabric);
     return header;
 }
@@ -134,7 +138,7 @@
 bool valid_placement(const relay_header& header) {
     const placement_record& placement = header.placement;
     const bool              needed = header.kind == relay_kind::adopt || header.kind == relay_kind::offer;
-    if (placement.backend_server == 0) return !needed && !placement.established;
+    if (placement.backend_server == 0) return !needed && !placement.established && !placement.retried;
     return placement.service != 0 && placement.tunnel.port != 0;
 }
 
@@ -193,7 +197,7 @@
         !(keys.also_accepted && mac_matches(message, mac, *keys.also_accepted)))
         return relay_error::bad_mac;
 
-    if (!valid_kind(wire.kind) || wire.reserved != 0 || (wire.flags & ~unsigned{flag_established}) != 0)
+    if (!valid_kind(wire.kind) || wire.reserved != 0 || (wire.flags & ~unsigned{known_flags}) != 0)
         return relay_error::bad_field;
     const relay_frame frame{from_wire(wire), message.subspan(wire_header_size)};
     if (!valid_fields(frame.header)) return relay_error::bad_field;
--- a/tests/forwarder_mesh.h
+++ b/tests/forwarder_mesh.h
@@ -25,7 +25,7 @@
 
 class forwarder_mesh {
 public:
-    explicit forwarder_mesh(std::size_t hosts, std::size_t backend_servers = 4) {
+    explicit forwarder_mesh(std::size_t host_count, std::size_t backend_servers = 4) {
         set_violations_fatal(true);
         services_.revision = 1;
         services_.next_id = 2;
@@ -36,11 +36,10 @@
         services_.services.push_back(board);
         for (std::size_t i = 0; i < backend_servers; ++i)
             add_backend();
-        for (std::size_t i = 0; i < hosts; ++i)
+        for (std::size_t i = 0; i < host_count; ++i)
             add_host();
         publish_all();
-        time.advance(10s); // past the grace time after the start
-        tick_all();
+        wait(10s); // past the grace time after the start
     }
 
     void add_backend() {
@@ -54,7 +53,7 @@
     std::size_t add_host() {
         member self;
         self.id = static_cast<member_id>(hosts.size() + 1);
-        self.life = 1;
+        self.life = static_cast<incarnation>(time.wall_now().time_since_epoch() / 1ms);
         self.failure_domain = "domain-" + std::to_string(hosts.size() % 3);
         self.relay = {ip_address::v4(0x7f010001), static_cast<std::uint16_t>(4000 + self.id)};
         members.push_back(self);
@@ -92,6 +91,8 @@
         for (const auto& item : members) {
             if (item.state != member_state::dead) state.members.push_back(item);
         }
+        if (!history_[host].present)
+            history_[host] = reconstruct_history(state.members, time.wall_now(), time.steady_now());
         history_[host] = advance(history_[host], std::make_shared<ownership>(state.members), time.steady_now());
         state.owners = history_[host];
         return state;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -53,6 +53,7 @@
         header.place_sequence = b;
         header.placement.generation = static_cast<std::uint16_t>(b);
         header.placement.established = b % 2 == 0;
+        header.placement.retried = b % 3 == 0;
         header.hops = static_cast<std::uint8_t>(a % (max_relay_hops + 1U));
         auto inner = std::vector<std::byte>(1, std::byte{0x60});
         for (const std::uint8_t byte : bytes)
