--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -136,7 +136,7 @@
             note_member(item);
         for (const auto& item : state_->members)
             sequences_.note_life(item.id, item.life);
-        newest_revision_ = std::max(newest_revision_, revision);
+        if (revision >= newest_revision_.revision) newest_revision_ = {revision, 0};
     }
 
     void receive_from_fabric(byte_view udp_payload, const endpoint& fabric, action_buffer& out) {
@@ -681,7 +681,7 @@
         }
         sequences_.note_life(header.sender, header.sender_life);
         sequences_.apply(header.sender, header.acknowledgement);
-        newest_revision_ = std::max(newest_revision_, header.revision);
+        if (header.revision > newest_revision_.revision) newest_revision_ = {header.revision, header.sender};
         return true;
     }
 
@@ -1033,7 +1033,7 @@
     std::unordered_map<service_id, rate_state>        service_rates_;
     std::unordered_map<backend_server_id, rate_state> server_rates_;
     std::unordered_map<backend_server_id, endpoint>   learned_tunnels_; // at most max_learned_tunnels
-    revision_number                                   newest_revision_ = 0;
+    seen_revision                                     newest_revision_;
     std::size_t                                       replication_position_ = 0;
     std::vector<std::byte>                            scratch_;
     forwarder_counters                                counters_;
@@ -1062,7 +1062,7 @@
     impl_->tick(out);
 }
 
-revision_number forwarder::newest_revision_seen() const {
+forwarder::seen_revision forwarder::newest_revision_seen() const {
     return impl_->newest_revision_;
 }
 std::map<member_id, std::vector<replicated_placement>> forwarder::placements_to_replicate(std::size_t limit) {
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -106,8 +106,12 @@
     // Expires placements in small steps; call it every 10 to 100 ms.
     void tick(action_buffer& out);
 
-    // Newest revision seen in a relay frame, for the control thread to ask for.
-    revision_number newest_revision_seen() const;
+    // Newest revision seen in a relay frame, and who sent it, for the control thread to ask for.
+    struct seen_revision {
+        revision_number revision = 0;
+        member_id       sender = 0; // 0: this balancer's own
+    };
+    seen_revision newest_revision_seen() const;
 
     // Up to limit established placements without a packet for a second that a present holder other than this balancer
     // is not known to have, grouped by that holder. A later call returns others.
--- a/tamarack/relay.cpp
+++ b/tamarack/relay.cpp
@@ -205,4 +205,11 @@
     return frame;
 }
 
+std::optional<flow_key> peek_flow_key(byte_view datagram) {
+    if (datagram.size() < sizeof(wire_header)) return std::nullopt;
+    wire_header wire;
+    std::memcpy(&wire, datagram.data(), sizeof wire);
+    return flow_key{wire.flow_high.value(), wire.flow_low.value()};
+}
+
 } // namespace tamarack
--- a/tamarack/relay.h
+++ b/tamarack/relay.h
@@ -81,4 +81,7 @@
 
 result<relay_frame, relay_error> parse_relay_frame(byte_view datagram, const relay_keys& keys);
 
+// Flow key of a frame that has not been verified yet, to choose the partition that verifies it.
+std::optional<flow_key> peek_flow_key(byte_view datagram);
+
 } // namespace tamarack
