--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -7,6 +7,7 @@
 //   traffic thread: with_forwarder
 #pragma once
 
+#include "tamarack/configuration.h"
 #include "tamarack/forwarder.h"
 #include "tamarack/platform.h"
 
@@ -53,34 +54,6 @@
     std::optional<load_report> load;
 };
 
-// A change that an operator asks for.
-struct change_request {
-    std::string     operation_id;
-    std::string     operator_name;
-    revision_number base_revision = 0; // 0: no conflict detection
-    bool            dry_run = false;
-    change          what;
-};
-
-enum class change_status : std::uint8_t {
-    accepted,          // committed, or found committed under the same operation id
-    valid,             // dry run: would be accepted
-    invalid,           // findings say why; not committed
-    conflict,          // the service was changed after base_revision; not committed
-    store_unavailable, // not committed
-    outcome_unknown,   // may be committed; repeat with the same operation id
-};
-
-std::string_view to_string(change_status status);
-
-struct change_result {
-    std::string                  operation_id;
-    change_status                status = change_status::accepted;
-    revision_number              revision = 0; // produced (accepted) or known (otherwise)
-    findings                     problems;
-    std::optional<change_record> conflicting; // the change that came in between
-};
-
 struct control_actions {
     std::vector<datagram>      datagrams; // to send from the control socket
     std::vector<probe_request> probes;
--- a/tamarack/tamarack.h
+++ b/tamarack/tamarack.h
@@ -65,6 +65,7 @@
     bool                             is_v4() const;
     std::string                      to_string() const;
     friend bool                      operator==(const ip_address&, const ip_address&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on a defaulted comparison
     friend auto                      operator<=>(const ip_address&, const ip_address&) = default;
     static std::optional<ip_address> parse(std::string_view text); // numeric forms only, no names
     static ip_address                v4(std::uint32_t host_order);
@@ -76,6 +77,7 @@
 
     std::string                    to_string() const; // "10.0.0.1:443", "[2001:db8::1]:443"
     friend bool                    operator==(const endpoint&, const endpoint&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on a defaulted comparison
     friend auto                    operator<=>(const endpoint&, const endpoint&) = default;
     static std::optional<endpoint> parse(std::string_view text);
 };
@@ -161,14 +163,20 @@
     transport   protocol = transport::tcp;
     endpoint    address;
     flow_limits limits;
+
+    friend bool operator==(const create_service&, const create_service&) = default;
 };
 struct change_service {
     std::string service;
     flow_limits limits;
+
+    friend bool operator==(const change_service&, const change_service&) = default;
 };
-struct delete_service {
+struct delete_service { // refused while it has backend servers
     std::string service;
-}; // refused while it has backend servers
+
+    friend bool operator==(const delete_service&, const delete_service&) = default;
+};
 struct join_backend {
     std::string   service;
     std::string   backend_server;
@@ -176,23 +184,33 @@
     endpoint      health;
     std::uint32_t weight = 100;
     flow_limits   limits;
+
+    friend bool operator==(const join_backend&, const join_backend&) = default;
 };
 struct drain_backend {
     std::string service;
     std::string backend_server;
+
+    friend bool operator==(const drain_backend&, const drain_backend&) = default;
 };
 struct undrain_backend {
     std::string service;
     std::string backend_server;
+
+    friend bool operator==(const undrain_backend&, const undrain_backend&) = default;
 };
-struct leave_backend {
+struct leave_backend { // removes it; drain first
     std::string service;
     std::string backend_server;
-}; // removes it; drain first
+
+    friend bool operator==(const leave_backend&, const leave_backend&) = default;
+};
 struct weigh_backend {
     std::string   service;
     std::string   backend_server;
     std::uint32_t weight = 100;
+
+    friend bool operator==(const weigh_backend&, const weigh_backend&) = default;
 };
 
 using change = std::variant<create_service, change_service, delete_service, join_backend, drain_backend,
@@ -206,6 +224,9 @@
     revision_number base_revision = 0; // what the operator had seen; 0: not given
     revision_number revision = 0;      // what the change produced
     change          what;
+    std::uint64_t   fingerprint = 0; // of the configuration that the change produced
+
+    friend bool operator==(const change_record&, const change_record&) = default;
 };
 
 //----------------------------------------------------------------------------------------------------------------------
