Add the control channel and the guards for calls

The envelope carries sender, life, sequence number and recipient under a 16-byte keyed BLAKE2b MAC. The recipient is part of it, so that a datagram captured on its way to one balancer is refused by all others. Each class of message leaves a reserve in the token bucket for the classes above it, so that failure detection is never starved.

control_keys and datagram move from node.h to control_channel.h, which owns them; node.h includes it.

--- /dev/null
+++ b/tamarack/control_channel.h
@@ -0,0 +1,203 @@
+// Authenticated datagrams between the control threads of balancers: envelope, replay protection, control budget.
+//
+// The payload is opaque here; membership, health and configuration define theirs. The channel does no I/O: seal() gives
+// the bytes to send, open() takes received bytes. See docs/design.md sections 2.5 and 2.6.
+//
+//   envelope (big endian)  version 1 | type 1 | sender 4 | life 8 | sequence 4 | recipient 4 | payload | MAC 16
+#pragma once
+
+#include "tamarack/resilience.h"
+#include "tamarack/result.h"
+#include "tamarack/tamarack.h"
+
+#include <bitset>
+#include <deque>
+
+namespace tamarack {
+
+//----------------------------------------------------------------------------------------------------------------------
+// Keys and datagrams
+//----------------------------------------------------------------------------------------------------------------------
+
+using control_key = std::array<std::byte, 32>;
+
+struct control_keys {
+    control_key                signing{};
+    std::optional<control_key> also_accepted; // during a rotation
+};
+
+struct datagram {
+    endpoint               to;
+    std::vector<std::byte> bytes;
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// Messages
+//----------------------------------------------------------------------------------------------------------------------
+
+// Values are part of the protocol. A receiver ignores types that it does not know. 0 is not valid.
+enum class message_type : std::uint8_t {
+    ping = 1,
+    ping_request = 2,
+    acknowledgement = 3,
+    membership_updates = 4, // unsolicited
+    membership_request = 5, // digests of the sender's members; asks for the records that differ
+    membership_records = 6,
+    health = 7,
+    configuration_digest = 16,
+    configuration_request = 17,
+    configuration_delta = 18,
+    configuration_chunk = 19,
+    placements = 24,
+    placements_stored = 25,
+};
+
+// Who may still send when the budget runs short. Each class leaves a reserve for the classes above it.
+enum class message_priority : std::uint8_t {
+    urgent, // failure detection
+    high,   // membership changes, configuration
+    normal, // health changes, whole lists of members
+    low,    // load, placements of quiet flows
+};
+
+inline constexpr std::size_t envelope_header_size = 22; // bytes
+inline constexpr std::size_t control_mac_size = 16;     // bytes
+inline constexpr std::size_t datagram_overhead = 28;    // bytes of IPv4 and UDP header that each datagram counts with
+// The smallest MTU of IPv6 (1,280 bytes) less its IP and UDP headers, so that no datagram is ever fragmented.
+inline constexpr std::size_t max_control_datagram = 1'232;
+inline constexpr std::size_t max_control_payload = max_control_datagram - envelope_header_size - control_mac_size;
+
+// 3,584 bytes a second and a burst of 5,120 keep any 10 s within 40,960 bytes = 10 x 4 KB.
+inline constexpr double        control_rate = 3'584;  // bytes a second
+inline constexpr double        control_burst = 5'120; // bytes
+inline constexpr duration      control_window = std::chrono::seconds(10);
+inline constexpr std::uint64_t control_window_limit = 40'960; // bytes
+
+// Tokens that a message must leave in the bucket, by message_priority.
+inline constexpr std::array<double, 4> control_reserves = {0, 512, 1'024, 2'048}; // bytes
+
+inline constexpr std::size_t replay_window = 1'024; // sequence numbers
+inline constexpr std::size_t max_senders = 4'096;   // 15 times the members of a cluster at the expected size
+
+//----------------------------------------------------------------------------------------------------------------------
+// Errors
+//----------------------------------------------------------------------------------------------------------------------
+
+enum class seal_error : std::uint8_t {
+    over_budget,        // try again later, with up-to-date content
+    too_long,           // payload over max_control_payload
+    sequence_exhausted, // 2^32 messages under one life
+};
+
+enum class open_error : std::uint8_t {
+    truncated,
+    too_long,
+    bad_version,
+    bad_mac,
+    bad_field,       // type, sender or life 0
+    wrong_recipient, // addressed to another member
+    own_id,          // from a process under this member id
+    superseded,      // a newer life of the sender is known
+    replayed,        // sequence number seen, or too old for the window
+    too_many_senders,
+    count,
+};
+
+std::string_view to_string(seal_error error);
+std::string_view to_string(open_error error);
+
+// The fields after error are set only when the MAC is correct.
+struct open_failure {
+    open_error  error = open_error::truncated;
+    member_id   sender = 0;
+    incarnation life = 0;       // of the sender
+    incarnation newest = 0;     // superseded: the newest life known
+    bool        fresh = false;  // superseded: not a replay as far as the windows tell
+    duration    since_newest{}; // superseded: since the newest life was first heard
+};
+
+struct envelope {
+    message_type  type = message_type::ping;
+    member_id     sender = 0;
+    incarnation   life = 0;
+    std::uint32_t sequence = 0;
+    member_id     recipient = 0; // 0: any, for a contact whose id is not known yet
+    byte_view     payload;       // a view into the received datagram
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// Channel
+//----------------------------------------------------------------------------------------------------------------------
+
+struct control_channel_settings {
+    member_id    self = 0;
+    incarnation  life = 0;
+    std::string  cluster = "default"; // part of the key derivation: clusters never hear each other
+    control_keys keys;
+};
+
+struct control_channel_counters {
+    std::uint64_t                datagrams_sent = 0;
+    std::uint64_t                bytes_sent = 0; // with datagram_overhead
+    std::uint64_t                datagrams_received = 0;
+    std::uint64_t                bytes_received = 0; // with datagram_overhead; rejected ones too
+    std::array<std::uint64_t, 4> over_budget{};      // by message_priority
+    std::array<std::uint64_t, static_cast<std::size_t>(open_error::count)> rejected{}; // by open_error
+};
+
+class control_channel {
+public:
+    // The clock must outlive the channel.
+    control_channel(const control_channel_settings& settings, const clock& time);
+
+    // The datagram's bytes, which must then be sent: they are charged to the budget.
+    result<std::vector<std::byte>, seal_error> seal(message_type type, message_priority priority, byte_view payload,
+                                                    member_id recipient = 0);
+    // True if a payload of this size passes the budget now.
+    bool                                       has_budget(message_priority priority, std::size_t payload_size) const;
+
+    result<envelope, open_failure> open(byte_view datagram);
+
+    void set_keys(const control_keys& keys);
+
+    member_id                       self() const { return settings_.self; }
+    incarnation                     life() const { return settings_.life; }
+    const control_channel_counters& counters() const { return counters_; }
+
+private:
+    using mac_key = std::array<unsigned char, 32>;
+
+    // Sequence numbers received of one life of a sender. Bit i of seen: highest - i was received.
+    struct life_window {
+        incarnation                life = 0;
+        std::uint32_t              highest = 0;
+        std::bitset<replay_window> seen;
+
+        bool accept(std::uint32_t sequence);
+    };
+    // The newest life, and the one before it, by which two processes under one id are told from late datagrams.
+    struct sender_state {
+        life_window newest;
+        life_window previous;
+        steady_time newest_since{};
+    };
+
+    void         derive_keys();
+    bool         verified(byte_view datagram) const;
+    open_failure rejected(open_failure failure);
+    open_failure superseded(sender_state& state, const envelope& message);
+    void         charge(std::size_t size, steady_time now);
+
+    control_channel_settings                          settings_;
+    const clock&                                      time_;
+    mac_key                                           signing_{};
+    std::optional<mac_key>                            also_accepted_;
+    std::uint32_t                                     next_sequence_ = 1;
+    token_bucket                                      budget_;
+    std::deque<std::pair<steady_time, std::uint64_t>> sent_;               // of the last control_window
+    std::uint64_t                                     sent_in_window_ = 0; // sum of sent_; at most control_window_limit
+    std::map<member_id, sender_state>                 senders_;            // at most max_senders
+    control_channel_counters                          counters_;
+};
+
+} // namespace tamarack
--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -7,6 +7,7 @@
 //   traffic thread: with_forwarder
 #pragma once
 
+#include "tamarack/control_channel.h"
 #include "tamarack/forwarder.h"
 #include "tamarack/platform.h"
 
@@ -14,13 +15,6 @@
 
 namespace tamarack {
 
-using control_key = std::array<std::byte, 32>;
-
-struct control_keys {
-    control_key                signing{};
-    std::optional<control_key> also_accepted; // during a rotation
-};
-
 struct node_settings {
     member                self;                // life is set from the clock when it is 0
     std::string           cluster = "default"; // prefix of the keys in the platform's service
@@ -34,11 +28,6 @@
     bool                  use_store = true; // false: no platform; configuration comes from peers only
 };
 
-struct datagram {
-    endpoint               to;
-    std::vector<std::byte> bytes;
-};
-
 struct probe_request {
     std::uint64_t     id = 0;
     backend_server_id backend_server = 0;
