--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -101,6 +101,8 @@
     // The clock must outlive the node.
     node(const node_settings& settings, const clock& time, std::uint64_t random_seed);
     ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
 
     // Events. Call them from the control thread only.
     void            receive_control(byte_view datagram, const endpoint& from);
