Read the command language with Boost.Spirit X3

Commands become typed values; a change is shown in the words that make it, so that the audit trail can be entered again. The grammar notes the furthest place at which a token did not fit: this gives the column and the expected words of an error, and the completion of the prompt.

'change service' keeps the limits that it does not name: it gives a change_limits instead of a change_service, whose limits are complete.

--- /dev/null
+++ b/tamarack/command.cpp
@@ -0,0 +1,449 @@
+// The grammar of the command language.
+#include "tamarack/command.h"
+
+#include <boost/spirit/home/x3.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace tamarack {
+
+namespace {
+
+namespace x3 = boost::spirit::x3;
+
+constexpr std::uint32_t max_weight = 1'000;
+
+//----------------------------------------------------------------------------------------------------------------------
+// Context of a parse
+//----------------------------------------------------------------------------------------------------------------------
+
+// Parts of the command read so far. The words that begin a command decide which of them it uses.
+struct draft {
+    std::string                  service;
+    std::string                  backend_server;
+    std::string                  operator_name;
+    transport                    protocol = transport::tcp;
+    endpoint                     address; // service address, tunnel or caller
+    endpoint                     other;   // health or destination
+    std::uint32_t                weight = 100;
+    std::optional<std::uint32_t> max_flows;
+    std::optional<std::uint32_t> max_rate;
+    wall_time                    since{};
+    duration                     age{};
+    std::optional<command>       done;
+
+    flow_limits limits() const { return {max_flows.value_or(0), max_rate.value_or(0)}; }
+};
+
+// The furthest place at which a token did not fit, and all tokens that were tried there.
+struct progress {
+    const char*              furthest = nullptr;
+    std::vector<expectation> expected;
+
+    void failed(const char* place, const expectation& wanted) {
+        if (furthest != nullptr && place < furthest) return;
+        if (place != furthest) expected.clear();
+        furthest = place;
+        if (std::ranges::find(expected, wanted) == expected.end()) expected.push_back(wanted);
+    }
+};
+
+struct draft_tag;
+struct progress_tag;
+
+//----------------------------------------------------------------------------------------------------------------------
+// Tokens
+//----------------------------------------------------------------------------------------------------------------------
+
+// Parses its subject after blanks and notes a failure in the progress.
+template <class Subject>
+struct token_parser : x3::unary_parser<Subject, token_parser<Subject>> {
+    using base = x3::unary_parser<Subject, token_parser<Subject>>;
+    static const bool is_pass_through_unary = true;
+    static const bool handles_container = Subject::handles_container;
+
+    token_parser(const Subject& inner, expectation what) : base(inner), wanted(std::move(what)) {}
+
+    template <class Iterator, class Context, class Rule_context, class Attribute>
+    bool parse(Iterator& first, const Iterator& last, const Context& context, Rule_context& rule_context,
+               Attribute& attribute) const {
+        Iterator place = first;
+        x3::skip_over(place, last, context);
+        const Iterator start = place;
+        if (this->subject.parse(place, last, context, rule_context, attribute)) {
+            first = place;
+            return true;
+        }
+        x3::get<progress_tag>(context).failed(start, wanted);
+        return false;
+    }
+
+    expectation wanted;
+};
+
+template <class Subject>
+auto token(expected_kind kind, std::string text, const Subject& subject) {
+    return token_parser<typename x3::extension::as_parser<Subject>::value_type>(x3::as_parser(subject),
+                                                                                {kind, std::move(text)});
+}
+
+// x3::blank asserts that characters are ASCII.
+const auto blank = x3::char_(" \t");
+const auto name_character = x3::char_("a-zA-Z0-9._-");
+const auto name_text = x3::raw[x3::lexeme[x3::char_("a-zA-Z0-9") >> *name_character]];
+const auto address_text = x3::raw[x3::lexeme[+x3::char_("0-9a-fA-F.:[]")]];
+const auto time_text = x3::raw[x3::lexeme[+x3::char_("0-9a-zA-Z:-")]];
+
+auto word(const char* text) {
+    return token(expected_kind::word, text, x3::omit[x3::lexeme[x3::lit(text) >> !name_character]]);
+}
+
+std::string text_of(const auto& context) {
+    const auto& range = x3::_attr(context);
+    return std::string(range.begin(), range.end());
+}
+
+auto name(expected_kind kind, const char* description, std::string draft::*member) {
+    return token(
+        kind, description,
+        name_text[([member](const auto& context) { x3::get<draft_tag>(context).*member = text_of(context); })]);
+}
+
+auto address(const char* description, endpoint draft::*member) {
+    return token(expected_kind::other, description, address_text[([member](const auto& context) {
+                     const auto read = endpoint::parse(text_of(context));
+                     x3::_pass(context) = read && read->port != 0;
+                     x3::get<draft_tag>(context).*member = read.value_or(endpoint());
+                 })]);
+}
+
+template <class Member>
+auto number(std::uint32_t high, Member member) {
+    return token(expected_kind::other, "a number from 0 to " + std::to_string(high),
+                 x3::lexeme[x3::uint32 >> !name_character][([=](const auto& context) {
+                     x3::_pass(context) = x3::_attr(context) <= high;
+                     x3::get<draft_tag>(context).*member = x3::_attr(context);
+                 })]);
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Times
+//----------------------------------------------------------------------------------------------------------------------
+
+std::optional<duration> parse_age(std::string_view text) {
+    constexpr std::uint32_t longest = 100'000; // of any unit; days then stay within the range of duration
+    std::uint32_t           count = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (error != std::errc{} || end + 1 != text.data() + text.size() || count == 0 || count > longest)
+        return std::nullopt;
+    switch (text.back()) {
+    case 's':
+        return std::chrono::seconds(count);
+    case 'm':
+        return std::chrono::minutes(count);
+    case 'h':
+        return std::chrono::hours(count);
+    case 'd':
+        return std::chrono::days(count);
+    default:
+        return std::nullopt;
+    }
+}
+
+// Reads digits of a fixed number and the separator after them.
+std::optional<int> take_digits(std::string_view& text, std::size_t digits, char separator) {
+    int value = 0;
+    if (text.size() < digits) return std::nullopt;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + digits, value);
+    if (error != std::errc{} || end != text.data() + digits || value < 0) return std::nullopt;
+    text.remove_prefix(digits);
+    if (text.empty()) return value;
+    if (text.front() != separator) return std::nullopt;
+    text.remove_prefix(1);
+    return value;
+}
+
+std::optional<duration> parse_time_of_day(std::string_view text) {
+    if (!text.ends_with('Z')) return std::nullopt;
+    text.remove_suffix(1);
+    const bool with_seconds = text.size() > std::string_view("10:30").size();
+    const auto hour = take_digits(text, 2, ':');
+    const auto minute = take_digits(text, 2, ':');
+    const auto second = with_seconds ? take_digits(text, 2, '\0') : 0;
+    if (!hour || !minute || !second || !text.empty()) return std::nullopt;
+    if (*hour > 23 || *minute > 59 || *second > 59) return std::nullopt;
+    return std::chrono::hours(*hour) + std::chrono::minutes(*minute) + std::chrono::seconds(*second);
+}
+
+// "2026-12-04", "2026-12-04T10:30Z" or "2026-12-04T10:30:00Z"
+std::optional<wall_time> parse_time(std::string_view text) {
+    const auto year = take_digits(text, 4, '-');
+    const auto month = take_digits(text, 2, '-');
+    const bool only_date = text.size() == 2;
+    const auto day = take_digits(text, 2, 'T');
+    if (!year || !month || !day || *year < 1970 || *year > 2200) return std::nullopt;
+    const std::chrono::year_month_day date{std::chrono::year(*year), std::chrono::month(static_cast<unsigned>(*month)),
+                                           std::chrono::day(static_cast<unsigned>(*day))};
+    const auto                        time_of_day = only_date ? duration() : parse_time_of_day(text);
+    if (!date.ok() || !time_of_day) return std::nullopt;
+    return wall_time(std::chrono::sys_days(date)) + *time_of_day;
+}
+
+const auto read_time = [](const auto& context) {
+    const std::string text = text_of(context);
+    const auto        age = parse_age(text);
+    const auto        since = parse_time(text);
+    x3::_pass(context) = age || since;
+    draft& parts = x3::get<draft_tag>(context);
+    parts.age = age.value_or(duration());
+    parts.since = since.value_or(wall_time());
+};
+
+//----------------------------------------------------------------------------------------------------------------------
+// Commands
+//----------------------------------------------------------------------------------------------------------------------
+
+const auto service = name(expected_kind::service_name, "the name of a service", &draft::service);
+const auto backend_server_name =
+    name(expected_kind::backend_server_name, "the name of a backend server", &draft::backend_server);
+const auto new_service = name(expected_kind::other, "a name of letters, digits, '.', '_', '-'", &draft::service);
+const auto new_backend_server =
+    name(expected_kind::other, "a name of letters, digits, '.', '_', '-'", &draft::backend_server);
+const auto operator_of_change = name(expected_kind::other, "the name of an operator", &draft::operator_name);
+const auto time_of_change = token(
+    expected_kind::other, "a time such as 2026-12-04, 2026-12-04T10:30Z, 90s, 15m, 2h or 7d", time_text[read_time]);
+
+const auto service_address = address("the service's ADDRESS:PORT", &draft::address);
+const auto tunnel_address = address("the tunnel's ADDRESS:PORT", &draft::address);
+const auto health_address = address("the health endpoint's ADDRESS:PORT", &draft::other);
+const auto caller_address = address("the caller's ADDRESS:PORT", &draft::address);
+const auto destination = address("the service's ADDRESS:PORT", &draft::other);
+
+const auto set_tcp = [](const auto& context) { x3::get<draft_tag>(context).protocol = transport::tcp; };
+const auto set_udp = [](const auto& context) { x3::get<draft_tag>(context).protocol = transport::udp; };
+const auto protocol = word("tcp")[set_tcp] | word("udp")[set_udp];
+
+const auto weight_value = number(max_weight, &draft::weight);
+const auto max_flows = word("max-flows") >> number(UINT32_MAX, &draft::max_flows);
+const auto max_rate = word("max-rate") >> number(UINT32_MAX, &draft::max_rate);
+const auto limits = -max_flows >> -max_rate;
+
+// Ends a command: make builds it from the parts.
+template <class Make>
+auto finish(Make make) {
+    return token(expected_kind::other, "the end of the command", x3::eoi[([make](const auto& context) {
+                     draft& parts = x3::get<draft_tag>(context);
+                     parts.done = command(make(parts));
+                 })]);
+}
+
+template <class Command>
+auto finish_plain() {
+    return finish([](const draft& /*parts*/) { return Command(); });
+}
+
+const auto
+    create_command = word("create") >> word("service") >> new_service >> protocol >> service_address >> limits >>
+                     finish([](const draft& parts) {
+                         return change(create_service{parts.service, parts.protocol, parts.address, parts.limits()});
+                     });
+
+const auto change_command = word("change") >> word("service") >> service >> ((max_flows >> -max_rate) | max_rate) >>
+                            finish([](const draft& parts) {
+                                return change_limits{parts.service, parts.max_flows, parts.max_rate};
+                            });
+
+const auto delete_command = word("delete") >> word("service") >> service >>
+                            finish([](const draft& parts) { return change(delete_service{parts.service}); });
+
+const auto join_command = word("join") >> service >> new_backend_server >> word("tunnel") >> tunnel_address >>
+                          -(word("health") >> health_address) >> -(word("weight") >> weight_value) >> limits >>
+                          finish([](const draft& parts) {
+                              return change(join_backend{parts.service, parts.backend_server, parts.address,
+                                                         parts.other, parts.weight, parts.limits()});
+                          });
+
+const auto drain_command = word("drain") >> service >> backend_server_name >> finish([](const draft& parts) {
+                               return change(drain_backend{parts.service, parts.backend_server});
+                           });
+
+const auto undrain_command = word("undrain") >> service >> backend_server_name >> finish([](const draft& parts) {
+                                 return change(undrain_backend{parts.service, parts.backend_server});
+                             });
+
+const auto leave_command = word("leave") >> service >> backend_server_name >> finish([](const draft& parts) {
+                               return change(leave_backend{parts.service, parts.backend_server});
+                           });
+
+const auto weight_command = word("weight") >> service >> backend_server_name >> weight_value >>
+                            finish([](const draft& parts) {
+                                return change(weigh_backend{parts.service, parts.backend_server, parts.weight});
+                            });
+
+std::optional<std::string> given(const std::string& text) {
+    return text.empty() ? std::nullopt : std::optional(text);
+}
+
+const auto
+    history_query = word("history") >> -(word("service") >> service) >> -(word("operator") >> operator_of_change) >>
+                    -(word("since") >> time_of_change) >> finish([](const draft& parts) {
+                        return show_history{given(parts.service), given(parts.operator_name), parts.since, parts.age};
+                    });
+
+const auto show_query = word("show") >> ((word("services") >> finish_plain<show_services>()) |
+                                         (word("service") >> service >>
+                                          finish([](const draft& parts) { return show_service{parts.service}; })) |
+                                         (word("backend-servers") >> -service >> finish([](const draft& parts) {
+                                              return show_backend_servers{given(parts.service)};
+                                          })) |
+                                         (word("balancers") >> finish_plain<show_balancers>()) |
+                                         (word("health") >> finish_plain<show_health>()) | history_query |
+                                         (word("counters") >> finish_plain<show_counters>()) |
+                                         (word("flows") >> finish_plain<show_flows>()));
+
+const auto arrow = token(expected_kind::word, "->", x3::lit("->"));
+
+const auto explain_query = word("explain") >> caller_address >> arrow >> destination >> -protocol >>
+                           finish([](const draft& parts) {
+                               return explain_flow{{parts.protocol, parts.address, parts.other}};
+                           });
+
+const auto any_command = create_command | change_command | delete_command | join_command | drain_command |
+                         undrain_command | leave_command | weight_command | show_query | explain_query |
+                         (word("watch") >> finish_plain<watch_cluster>()) | (word("help") >> finish_plain<show_help>());
+
+struct attempt {
+    draft    parts;
+    progress tried;
+};
+
+attempt run(std::string_view line) {
+    attempt     state;
+    const char* first = line.data();
+    const char* last = line.data() + line.size();
+    const auto  grammar = x3::with<draft_tag>(state.parts)[x3::with<progress_tag>(state.tried)[any_command]];
+    if (!x3::phrase_parse(first, last, grammar, blank)) state.parts.done.reset();
+    return state;
+}
+
+std::string limits_text(const flow_limits& set) {
+    std::string text;
+    if (set.max_flows != 0) text += " max-flows " + std::to_string(set.max_flows);
+    if (set.max_new_flows_per_second != 0) text += " max-rate " + std::to_string(set.max_new_flows_per_second);
+    return text;
+}
+
+struct change_writer {
+    std::string operator()(const create_service& what) const {
+        return "create service " + what.service + " " + std::string(to_string(what.protocol)) + " " +
+               what.address.to_string() + limits_text(what.limits);
+    }
+    std::string operator()(const change_service& what) const {
+        return "change service " + what.service + " max-flows " + std::to_string(what.limits.max_flows) + " max-rate " +
+               std::to_string(what.limits.max_new_flows_per_second);
+    }
+    std::string operator()(const delete_service& what) const { return "delete service " + what.service; }
+    std::string operator()(const join_backend& what) const {
+        const std::string health = what.health.port == 0 ? "" : " health " + what.health.to_string();
+        return "join " + what.service + " " + what.backend_server + " tunnel " + what.tunnel.to_string() + health +
+               " weight " + std::to_string(what.weight) + limits_text(what.limits);
+    }
+    std::string operator()(const drain_backend& what) const { return "drain " + names(what); }
+    std::string operator()(const undrain_backend& what) const { return "undrain " + names(what); }
+    std::string operator()(const leave_backend& what) const { return "leave " + names(what); }
+    std::string operator()(const weigh_backend& what) const {
+        return "weight " + names(what) + " " + std::to_string(what.weight);
+    }
+
+    static std::string names(const auto& what) { return what.service + " " + what.backend_server; }
+};
+
+} // namespace
+
+finding command_error::to_finding() const {
+    std::string list;
+    for (const expectation& each : expected) {
+        if (!list.empty()) list += &each == &expected.back() ? " or " : ", ";
+        list += each.kind == expected_kind::word ? "'" + each.text + "'" : each.text;
+    }
+    const std::string message = found.empty() ? "the command is not complete" : "'" + found + "' does not fit here";
+    return {"column " + std::to_string(column), message, list};
+}
+
+result<command, command_error> parse_command(std::string_view line) {
+    attempt state = run(line);
+    if (state.parts.done) return std::move(*state.parts.done);
+    const auto        start = static_cast<std::size_t>(state.tried.furthest - line.data());
+    const std::size_t size = std::min(line.find_first_of(" \t", start), line.size()) - start;
+    return command_error{start + 1, std::string(line.substr(start, size)), std::move(state.tried.expected)};
+}
+
+std::vector<expectation> expected_after(std::string_view text) {
+    const attempt state = run(text);
+    if (state.tried.furthest != text.data() + text.size()) return {};
+    return state.tried.expected;
+}
+
+std::string service_in(std::string_view text) {
+    return run(text).parts.service;
+}
+
+std::string to_text(const change& what) {
+    return std::visit(change_writer(), what);
+}
+
+std::string to_text(wall_time time) {
+    const auto                        day = std::chrono::floor<std::chrono::days>(time);
+    const std::chrono::year_month_day date(day);
+    const std::chrono::hh_mm_ss       clock_time(std::chrono::floor<std::chrono::seconds>(time - day));
+    std::array<char, 64>              text{};
+    const int                         size =
+        std::snprintf(text.data(), text.size(), "%04d-%02u-%02uT%02d:%02d:%02dZ", static_cast<int>(date.year()),
+                      static_cast<unsigned>(date.month()), static_cast<unsigned>(date.day()),
+                      static_cast<int>(clock_time.hours().count()), static_cast<int>(clock_time.minutes().count()),
+                      static_cast<int>(clock_time.seconds().count()));
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
+std::string command_help() {
+    return R"(Changes
+  create service NAME tcp|udp ADDRESS:PORT [max-flows N] [max-rate N]
+      adds a service; max-rate is new flows a second
+  change service NAME [max-flows N] [max-rate N]
+      sets the limits that are named; 0 means unlimited
+  delete service NAME
+      removes a service that has no backend servers
+  join SERVICE NAME tunnel ADDRESS:PORT [health ADDRESS:PORT] [weight N] [max-flows N] [max-rate N]
+      adds a backend server; without health it is not probed; the weight is 0 to 1000, ordinarily 100
+  drain SERVICE NAME
+      gives a backend server no new flows; it keeps those it has
+  undrain SERVICE NAME
+      gives it new flows again
+  leave SERVICE NAME
+      removes a backend server; drain it first
+  weight SERVICE NAME N
+      sets the share of new flows
+
+Queries
+  show services
+  show service NAME
+  show backend-servers [SERVICE]
+  show balancers
+  show health
+  show history [service NAME] [operator NAME] [since TIME]
+      recent changes; TIME is 2026-12-04, 2026-12-04T10:30Z (UTC), or an age such as 90s, 15m, 2h, 7d
+  show counters
+  show flows
+  explain ADDRESS:PORT -> ADDRESS:PORT [tcp|udp]
+      where a flow from a caller to a service goes, and why
+  watch
+      live view
+  help
+
+IPv6 addresses stand in brackets: [2001:db8::1]:443
+)";
+}
+
+} // namespace tamarack
