Number the log events and write them in one line form

The table gives number, severity and meaning; docs/events.md is written from it and checked by a test. Values that are not plain words are quoted, so that text of an operator or a peer cannot forge a field or a line. T9001 uses the same form now.

--- /dev/null
+++ b/tamarack/events.cpp
@@ -0,0 +1,144 @@
+// Table of events and their line form.
+#include "tamarack/events.h"
+
+#include <algorithm>
+#include <array>
+#include <glog/logging.h>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::array descriptions = std::to_array<event_description>({
+    {event::starting, severity::info, "starting", "The daemon has read its settings."},
+    {event::listening, severity::info, "listening", "A port is open. `port`: fabric, relay, control or admin."},
+    {event::stop_requested, severity::info, "stop requested",
+     "A graceful stop begins: the balancer announces that it leaves and waits until others hold its flows. `by`: a "
+     "signal or an operator. A second request ends the wait."},
+    {event::stopped, severity::info, "stopped",
+     "The daemon ends. `unreplicated`: flows that no other balancer holds; they break unless it is 0."},
+    {event::pause_detected, severity::warning, "pause detected",
+     "A thread did not run for `milliseconds`. Packets queued meanwhile were discarded; their senders repeat them. "
+     "Look for an overloaded or suspended host."},
+    {event::socket_failed, severity::error, "socket failed",
+     "A socket could not be opened or used, see `reason`. At the start the daemon ends."},
+    {event::thread_failed, severity::error, "thread failed", "A thread ended by an exception; the daemon ends."},
+
+    {event::settings_problem, severity::error, "settings problem",
+     "One problem of the settings file. All of them are logged."},
+    {event::settings_reread, severity::info, "settings reread",
+     "SIGHUP: the file was read; `in_force` lists the keys that changed and took effect."},
+    {event::setting_needs_restart, severity::warning, "setting needs a restart",
+     "SIGHUP: the key was changed in the file, but the old value stays until a restart."},
+    {event::settings_kept, severity::error, "settings kept",
+     "SIGHUP: the file has problems, so everything stays as it was."},
+    {event::no_platform, severity::warning, "no platform",
+     "[platform] address is none: the configuration comes from peers only, and changes are refused."},
+
+    {event::change_accepted, severity::info, "change accepted", "An operator's change was committed as `revision`."},
+    {event::change_refused, severity::warning, "change refused",
+     "An operator's change was not committed; `status` and `reason` say why."},
+    {event::change_unknown, severity::warning, "change outcome unknown",
+     "The store did not answer in time. Repeat the command with the same operation id."},
+    {event::revision_in_force, severity::info, "revision in force", "This balancer forwards by a newer configuration."},
+
+    {event::member_changed, severity::info, "member state changed", "This balancer's view of another balancer."},
+
+    {event::backend_server_out, severity::warning, "backend server out",
+     "Probes failed: it gets no new flows, and its flows are reset once it has been out for 10 s."},
+    {event::backend_server_back, severity::info, "backend server back", "Probes succeed again."},
+
+    {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
+    {event::calls_overloaded, severity::warning, "administration calls overloaded",
+     "Too many calls wait for the control thread; further ones are refused."},
+
+    {event::store_unavailable, severity::warning, "store unavailable",
+     "The platform's key-value service does not answer. Forwarding goes on; changes are refused."},
+    {event::store_available, severity::info, "store available", "The platform's key-value service answers again."},
+
+    {event::invariant_violated, severity::error, "invariant violated",
+     "The program contradicts one of its promises: a fault of the program. Report it with the lines around it."},
+});
+
+const event_description& describe(event number) {
+    const auto* found = std::ranges::find(descriptions, number, &event_description::number);
+    return found == descriptions.end() ? descriptions.back() : *found;
+}
+
+bool is_plain(char letter) {
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') ||
+           std::string_view("._:/@+,[]-").find(letter) != std::string_view::npos;
+}
+
+void append_quoted(std::string& line, std::string_view value) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    line += '"';
+    for (const char letter : value) {
+        const auto code = static_cast<unsigned char>(letter);
+        if (letter == '"' || letter == '\\') {
+            line += '\\';
+            line += letter;
+        } else if (code < 0x20 || code == 0x7f) {
+            line += "\\x";
+            line += digits[code >> 4U];
+            line += digits[code & 0xfU];
+        } else {
+            line += letter;
+        }
+    }
+    line += '"';
+}
+
+} // namespace
+
+std::string_view to_string(severity level) {
+    switch (level) {
+    case severity::info:
+        return "info";
+    case severity::warning:
+        return "warning";
+    case severity::error:
+        return "error";
+    }
+    return "unknown";
+}
+
+std::span<const event_description> event_table() {
+    return descriptions;
+}
+
+std::string format_event(event number, std::initializer_list<event_field> fields) {
+    std::string line = "T" + std::to_string(static_cast<unsigned>(number)) + " " + std::string(describe(number).text);
+    for (const event_field& field : fields) {
+        line += " " + field.key + "=";
+        if (!field.value.empty() && std::ranges::all_of(field.value, is_plain)) {
+            line += field.value;
+        } else {
+            append_quoted(line, field.value);
+        }
+    }
+    return line;
+}
+
+void log_event(event number, std::initializer_list<event_field> fields, const char* file, int line) {
+    const auto level = static_cast<google::LogSeverity>(describe(number).level); // glog counts from info, too
+    google::LogMessage(file, line, level).stream() << format_event(number, fields);
+}
+
+std::string event_reference() {
+    std::string text =
+        "# Log events\n\n"
+        "<!-- Written by `tamarackd --reference=events`; a test compares it with the table of events. -->\n\n"
+        "Each event is one line on standard error: glog's prefix, the number, the text, and fields as `key=value`. A "
+        "value "
+        "that is not a plain\nword is quoted.\n\n"
+        "| Number | Severity | Text | Meaning |\n|---|---|---|---|\n";
+    for (const event_description& each : descriptions) {
+        text += "| T" + std::to_string(static_cast<unsigned>(each.number)) + " | " +
+                std::string(to_string(each.level)) + " | " + std::string(each.text) + " | " +
+                std::string(each.meaning) + " |\n";
+    }
+    return text;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tamarack/events.h
@@ -0,0 +1,83 @@
+// Numbered log events, written through glog in one line form:
+//
+//   T4001 member state changed member_id=7 state=suspect failure_domain=north
+//
+// docs/events.md is the catalogue. A number keeps its meaning for good; a retired number is not used again.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+enum class event : std::uint16_t {
+    starting = 1001,
+    listening = 1002,
+    stop_requested = 1003,
+    stopped = 1004,
+    pause_detected = 1005,
+    socket_failed = 1006,
+    thread_failed = 1007,
+
+    settings_problem = 2001,
+    settings_reread = 2002,
+    setting_needs_restart = 2003,
+    settings_kept = 2004,
+    no_platform = 2005,
+
+    change_accepted = 3001,
+    change_refused = 3002,
+    change_unknown = 3003,
+    revision_in_force = 3004,
+
+    member_changed = 4001,
+
+    backend_server_out = 5001,
+    backend_server_back = 5002,
+
+    call_refused = 7001,
+    calls_overloaded = 7002,
+
+    store_unavailable = 8001,
+    store_available = 8002,
+
+    invariant_violated = 9001,
+};
+
+enum class severity : std::uint8_t { info, warning, error };
+
+std::string_view to_string(severity level);
+
+struct event_description {
+    event            number;
+    severity         level;
+    std::string_view text;
+    std::string_view meaning; // and what to do, for the catalogue
+};
+
+std::span<const event_description> event_table();
+
+struct event_field {
+    std::string key;
+    std::string value;
+
+    event_field(std::string_view name, std::string_view text) : key(name), value(text) {}
+    event_field(std::string_view name, const char* text) : key(name), value(text) {}
+    event_field(std::string_view name, const std::string& text) : key(name), value(text) {}
+    event_field(std::string_view name, std::uint64_t number) : key(name), value(std::to_string(number)) {}
+};
+
+// The line without glog's prefix. Values that are not plain words are quoted, so that a value cannot forge a field.
+std::string format_event(event number, std::initializer_list<event_field> fields);
+
+// The place in the source is that of the caller (std::source_location is unknown to clang 14, which lints the code).
+void log_event(event number, std::initializer_list<event_field> fields, const char* file = __builtin_FILE(),
+               int line = __builtin_LINE());
+
+// The text of docs/events.md.
+std::string event_reference();
+
+} // namespace tamarack
--- a/tamarack/invariant.cpp
+++ b/tamarack/invariant.cpp
@@ -1,6 +1,8 @@
 // Counters of violated invariants.
 #include "tamarack/invariant.h"
 
+#include "tamarack/events.h"
+
 #include <glog/logging.h>
 
 namespace tamarack {
@@ -45,8 +47,11 @@
     if (condition) [[likely]]
         return;
     violation_counts.at(static_cast<std::size_t>(what)).fetch_add(1, std::memory_order_relaxed);
-    if (violations_fatal) LOG(FATAL) << "T9001 invariant " << to_string(what) << " violated: " << detail;
-    LOG_EVERY_N(ERROR, 1000) << "T9001 invariant " << to_string(what) << " violated: " << detail;
+    const auto line = [&] {
+        return format_event(event::invariant_violated, {{"invariant", to_string(what)}, {"detail", detail}});
+    };
+    if (violations_fatal) LOG(FATAL) << line();
+    LOG_EVERY_N(ERROR, 1000) << line();
 }
 
 std::uint64_t violations(invariant what) {
