--- a/tamarack/node.cpp
+++ b/tamarack/node.cpp
@@ -4,7 +4,7 @@
 #include "tamarack/node.h"
 
 #include "tamarack/configuration_replica.h"
-#include "tamarack/health.h"
+#include "tamarack/counter_names.h"
 #include "tamarack/membership.h"
 #include "tamarack/placement_replication.h"
 
@@ -16,13 +16,13 @@
 
 namespace {
 
-constexpr duration    publish_interval        = std::chrono::milliseconds(250); // at least; a paused forwarder waits for it
-constexpr duration    replication_interval    = std::chrono::milliseconds(250);
-constexpr std::size_t placements_per_interval = 120; // taken from a partition
-constexpr duration    leaving_time            = std::chrono::seconds(3); // for the peers to learn of it
-constexpr duration    stop_check_interval     = std::chrono::seconds(1); // the check scans the flow table
+constexpr duration    publish_interval = std::chrono::milliseconds(250); // at least; a paused forwarder waits for it
+constexpr duration    replication_interval = std::chrono::milliseconds(250);
+constexpr std::size_t placements_per_interval = 120;                 // taken from a partition
+constexpr duration    leaving_time = std::chrono::seconds(3);        // for the peers to learn of it
+constexpr duration    stop_check_interval = std::chrono::seconds(1); // the check scans the flow table
 // A failure domain whose hosts have all died is taken for cut off during this time; then for dead.
-constexpr duration    suspect_cut_time        = std::chrono::minutes(10);
+constexpr duration    suspect_cut_time = std::chrono::minutes(10);
 
 // The relay keys are derived, so that one secret per cluster is enough.
 relay_key derive_relay_key(const control_key& key) {
@@ -42,7 +42,8 @@
 
 node_settings with_life(node_settings settings, const clock& time) {
     if (settings.self.life == 0) {
-        settings.self.life = static_cast<incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(time.wall_now().time_since_epoch()).count());
+        settings.self.life = static_cast<incarnation>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time.wall_now().time_since_epoch()).count());
     }
     settings.partitions = std::max<std::size_t>(1, settings.partitions);
     return settings;
@@ -54,28 +55,28 @@
 
 membership_settings membership_settings_of(const node_settings& settings) {
     membership_settings result;
-    result.self  = settings.self;
+    result.self = settings.self;
     result.seeds = settings.peers;
     return result;
 }
 
 replica_settings replica_settings_of(const node_settings& settings) {
     replica_settings result;
-    result.self           = settings.self.id;
+    result.self = settings.self.id;
     result.failure_domain = settings.self.failure_domain;
-    result.cluster        = settings.cluster;
-    result.use_store      = settings.use_store;
+    result.cluster = settings.cluster;
+    result.use_store = settings.use_store;
     result.store_deadline = settings.store_deadline;
     return result;
 }
 
 forwarder_settings forwarder_settings_of(const node_settings& settings) {
     forwarder_settings result;
-    result.self      = settings.self.id;
-    result.life      = settings.self.life;
+    result.self = settings.self.id;
+    result.life = settings.self.life;
     result.hash_seed = settings.hash_seed;
-    result.table     = settings.table;
-    result.keys      = derive_relay_keys(settings.keys);
+    result.table = settings.table;
+    result.keys = derive_relay_keys(settings.keys);
     result.table.max_flows = std::max<std::size_t>(1, settings.table.max_flows / settings.partitions);
     return result;
 }
@@ -87,29 +88,25 @@
     forwarder  target; // guarded by lock
 };
 
-bool owns_buckets(member_state state) { return state == member_state::alive || state == member_state::suspect; }
+bool owns_buckets(member_state state) {
+    return state == member_state::alive || state == member_state::suspect;
+}
 
 } // namespace
 
 class node::impl {
-  public:
+public:
     impl(const node_settings& settings, const clock& time, std::uint64_t random_seed)
         : settings_(with_life(settings, time)), time_(time), channel_(channel_settings(settings_), time),
           membership_(membership_settings_of(settings_), channel_, time, random_seed),
-          replica_(replica_settings_of(settings_), time, random_seed + 1), health_(health_settings_of(), channel_, time, random_seed + 2),
-          replication_(time) {
+          replica_(replica_settings_of(settings_), time, random_seed + 1), replication_(time) {
         const auto each = forwarder_settings_of(settings_);
-        for (std::size_t i = 0; i < settings_.partitions; ++i) partitions_.push_back(std::make_unique<partition>(each, time));
+        for (std::size_t i = 0; i < settings_.partitions; ++i)
+            partitions_.push_back(std::make_unique<partition>(each, time));
         members_changed();
         publish(time.steady_now());
     }
 
-    health_settings health_settings_of() const {
-        health_settings result;
-        result.self = settings_.self.id;
-        return result;
-    }
-
     //------------------------------------------------------------------------------------------------------------------
     // Events
     //------------------------------------------------------------------------------------------------------------------
@@ -124,8 +121,6 @@
         const envelope& message = opened.value();
         if (membership::handles(message.type)) {
             membership_.receive(message, from);
-        } else if (health_monitor::handles(message.type)) {
-            health_.receive(message);
         } else if (message.type == message_type::configuration_delta) {
             replica_.receive(message.sender, message.payload);
         } else if (message.type == message_type::placements) {
@@ -143,8 +138,6 @@
         if (membership_.version() != membership_version_) members_changed();
         hear_revisions();
         replica_.tick();
-        health_.set_configuration(replica_.current());
-        health_.tick();
         if (publish_needed(now)) publish(now);
         replicate_quiet(now);
         continue_stop(now);
@@ -152,9 +145,8 @@
 
     void members_changed() {
         membership_version_ = membership_.version();
-        const auto all      = membership_.members();
+        const auto all = membership_.members();
         replica_.set_members(all);
-        health_.set_members(all);
         note_unreachable_domains(all);
         ranking_outdated_ = true;
     }
@@ -187,12 +179,13 @@
     }
 
     control_actions take_actions() {
-        for (auto& item : membership_.take_datagrams()) out_.datagrams.push_back(std::move(item));
-        for (auto& item : health_.take_datagrams()) out_.datagrams.push_back(std::move(item));
-        for (auto& item : health_.take_probes()) out_.probes.push_back(item);
+        for (auto& item : membership_.take_datagrams())
+            out_.datagrams.push_back(std::move(item));
         replica_actions actions = replica_.take_actions();
-        for (auto& item : actions.store) out_.store.push_back(std::move(item));
-        for (auto& item : actions.changes) out_.changes.push_back(std::move(item));
+        for (auto& item : actions.store)
+            out_.store.push_back(std::move(item));
+        for (auto& item : actions.changes)
+            out_.changes.push_back(std::move(item));
         for (const auto& item : actions.messages) {
             send(item.to, message_type::configuration_delta, priority_of(item.priority), item.payload);
         }
@@ -206,28 +199,26 @@
     //------------------------------------------------------------------------------------------------------------------
 
     bool publish_needed(steady_time now) const {
-        return ranking_outdated_ || replica_.current() != published_->services || health_.version() != published_health_version_ ||
+        return ranking_outdated_ || replica_.current() != published_->services ||
                may_place() != published_->may_place || now - published_->built >= publish_interval;
     }
 
     bool may_place() const { return membership_.acknowledged() && !membership_.superseded_by(); }
 
     void publish(steady_time now) {
-        auto next      = std::make_shared<forwarding_state>();
-        next->built    = now;
+        auto next = std::make_shared<forwarding_state>();
+        next->built = now;
         next->services = replica_.current();
         for (const auto& item : membership_.members()) {
             if (item.state != member_state::dead) next->members.push_back(item);
         }
         if (ranking_outdated_) rank(next->members, now);
-        history_                  = advance(history_, history_.present, now); // drops rankings that are too old
-        next->owners              = history_;
-        next->statuses            = health_.statuses();
-        next->may_place           = may_place();
-        next->leaving             = state_ != stop_state::running;
+        history_ = advance(history_, history_.present, now); // drops rankings that are too old
+        next->owners = history_;
+        next->may_place = may_place();
+        next->leaving = state_ != stop_state::running;
         next->partition_suspected = partition_suspected(now);
-        published_                = next;
-        published_health_version_ = health_.version();
+        published_ = next;
         for (const auto& part : partitions_) {
             const std::lock_guard guard(part->lock);
             part->target.publish(next);
@@ -240,7 +231,7 @@
         const bool joined = !reconstructed_ && membership_.acknowledged();
         if (joined) {
             reconstructed_ = true;
-            history_       = reconstruct_history(members, time_.wall_now(), now);
+            history_ = reconstruct_history(members, time_.wall_now(), now);
             return;
         }
         history_ = advance(history_, std::make_shared<ownership>(members), now);
@@ -283,7 +274,8 @@
                 const std::lock_guard guard(part->lock);
                 batches = part->target.placements_to_replicate(placements_per_interval);
             }
-            for (const auto& [peer, items] : batches) send_batch(peer, items);
+            for (const auto& [peer, items] : batches)
+                send_batch(peer, items);
         }
     }
 
@@ -304,7 +296,8 @@
             const std::lock_guard guard(part.lock);
             stored.push_back(item.record.tunnel.port != 0 && part.target.store_replicated(message.sender, item));
         }
-        send(message.sender, message_type::placements_stored, message_priority::normal, placement_replication::make_answer(batch->number, stored));
+        send(message.sender, message_type::placements_stored, message_priority::normal,
+             placement_replication::make_answer(batch->number, stored));
     }
 
     void receive_stored(const envelope& message) {
@@ -317,8 +310,10 @@
         }
     }
 
-    std::size_t partition_index(const flow_key& key) const { return static_cast<std::size_t>(key.high % partitions_.size()); }
-    partition&  partition_of(const flow_key& key) { return *partitions_[partition_index(key)]; }
+    std::size_t partition_index(const flow_key& key) const {
+        return static_cast<std::size_t>(key.high % partitions_.size());
+    }
+    partition& partition_of(const flow_key& key) { return *partitions_[partition_index(key)]; }
 
     //------------------------------------------------------------------------------------------------------------------
     // Graceful stop
@@ -326,7 +321,7 @@
 
     void begin_stop() {
         if (state_ != stop_state::running) return;
-        state_        = stop_state::leaving;
+        state_ = stop_state::leaving;
         stop_started_ = time_.steady_now();
         stop_checked_ = stop_started_;
         membership_.leave();
@@ -337,7 +332,7 @@
     void continue_stop(steady_time now) {
         if (state_ != stop_state::leaving || now - stop_started_ < leaving_time) return;
         if (now - stop_checked_ < stop_check_interval) return;
-        stop_checked_          = now;
+        stop_checked_ = now;
         const std::size_t sole = peers_present() ? unreplicated_placements() : 0;
         if (sole > 0 && now - stop_started_ < settings_.stop_grace) return;
         placements_abandoned_ = sole;
@@ -347,7 +342,9 @@
 
     bool peers_present() const {
         const auto all = membership_.members();
-        return std::any_of(all.begin(), all.end(), [this](const member& item) { return item.id != settings_.self.id && owns_buckets(item.state); });
+        return std::any_of(all.begin(), all.end(), [this](const member& item) {
+            return item.id != settings_.self.id && owns_buckets(item.state);
+        });
     }
 
     std::size_t unreplicated_placements() {
@@ -383,35 +380,32 @@
         add_counters(channel_.counters(), all);
         add_counters(membership_.counters(), all);
         add_counters(replica_.counters(), all);
-        add_counters(health_.counters(), all);
-        all["replication_malformed"]      = malformed_;
-        all["stop_placements_abandoned"]  = placements_abandoned_;
-        all["configuration_revision"]     = replica_.revision();
+        all["replication_malformed"] = malformed_;
+        all["stop_placements_abandoned"] = placements_abandoned_;
+        all["configuration_revision"] = replica_.revision();
         return all;
     }
 
-    node_settings                          settings_;
-    const clock&                           time_;
-    control_channel                        channel_;
-    membership                             membership_;
-    configuration_replica                  replica_;
-    health_monitor                         health_;
-    placement_replication                  replication_;
+    node_settings                           settings_;
+    const clock&                            time_;
+    control_channel                         channel_;
+    membership                              membership_;
+    configuration_replica                   replica_;
+    placement_replication                   replication_;
     std::vector<std::unique_ptr<partition>> partitions_; // never empty; never changes after construction
-    control_actions                        out_;
-    std::uint64_t                          membership_version_ = 0;
-    bool                                   ranking_outdated_   = true;
-    bool                                   reconstructed_      = false;
-    ownership_history                      history_;
+    control_actions                         out_;
+    std::uint64_t                           membership_version_ = 0;
+    bool                                    ranking_outdated_ = true;
+    bool                                    reconstructed_ = false;
+    ownership_history                       history_;
     std::shared_ptr<const forwarding_state> published_;
-    std::uint64_t                          published_health_version_ = 0;
-    std::map<std::string, steady_time>     unreachable_since_; // failure domains without a reachable host
-    steady_time                            last_replication_{};
-    stop_state                             state_ = stop_state::running;
-    steady_time                            stop_started_{};
-    steady_time                            stop_checked_{};
-    std::uint64_t                          placements_abandoned_ = 0;
-    std::uint64_t                          malformed_            = 0;
+    std::map<std::string, steady_time>      unreachable_since_; // failure domains without a reachable host
+    steady_time                             last_replication_{};
+    stop_state                              state_ = stop_state::running;
+    steady_time                             stop_started_{};
+    steady_time                             stop_checked_{};
+    std::uint64_t                           placements_abandoned_ = 0;
+    std::uint64_t                           malformed_ = 0;
 };
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -422,24 +416,48 @@
     : impl_(std::make_unique<impl>(settings, time, random_seed)) {}
 node::~node() = default;
 
-void            node::receive_control(byte_view datagram, const endpoint& from) { impl_->receive_control(datagram, from); }
-void            node::probe_finished(const probe_result& result) { impl_->health_.probe_finished(result); }
-void            node::store_answered(const store_response& response) { impl_->replica_.store_answered(response); }
-void            node::submit(const change_request& request) { impl_->replica_.submit(request); }
-void            node::tick() { impl_->tick(); }
-void            node::begin_stop() { impl_->begin_stop(); }
-control_actions node::take_actions() { return impl_->take_actions(); }
+void node::receive_control(byte_view datagram, const endpoint& from) {
+    impl_->receive_control(datagram, from);
+}
+void node::probe_finished(const probe_result&) {}
+void node::store_answered(const store_response& response) {
+    impl_->replica_.store_answered(response);
+}
+void node::submit(const change_request& request) {
+    impl_->replica_.submit(request);
+}
+void node::tick() {
+    impl_->tick();
+}
+void node::begin_stop() {
+    impl_->begin_stop();
+}
+control_actions node::take_actions() {
+    return impl_->take_actions();
+}
 
-stop_state           node::state() const { return impl_->state_; }
-const configuration& node::current() const { return *impl_->replica_.current(); }
+stop_state node::state() const {
+    return impl_->state_;
+}
+const configuration& node::current() const {
+    return *impl_->replica_.current();
+}
 std::vector<change_record> node::recent_changes() const {
     const auto recent = impl_->replica_.recent_changes();
     return {recent.begin(), recent.end()};
 }
-std::vector<member_status>           node::members() const { return impl_->members(); }
-std::vector<backend_status>          node::statuses() const { return impl_->health_.statuses(); }
-std::map<std::string, std::uint64_t> node::counters() const { return impl_->counters(); }
-std::uint64_t                        node::control_bytes_sent() const { return impl_->channel_.counters().bytes_sent; }
+std::vector<member_status> node::members() const {
+    return impl_->members();
+}
+std::vector<backend_status> node::statuses() const {
+    return {};
+}
+std::map<std::string, std::uint64_t> node::counters() const {
+    return impl_->counters();
+}
+std::uint64_t node::control_bytes_sent() const {
+    return impl_->channel_.counters().bytes_sent;
+}
 
 flow_explanation node::explain(const flow_tuple& flow) {
     partition&            part = impl_->partition_of(make_flow_key(flow, impl_->settings_.hash_seed));
