Keep flows that were opened on both sides of a healing cut

Cause: balancers of the cut failure domain placed flows under views of a few members; the others had never seen those rankings, found nobody to ask and reset the flows, also because a bucket whose holders stayed the same counted as settled. The node now ranks the members that came back as one more earlier view, and resets nothing for lack of a placement within 10 s of a heal or 2 s of any change.

--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -288,8 +288,10 @@
     // Time for which the ranking of the bucket has stayed the same, as far as the kept views tell.
     bool settled(const packet_context& packet) const {
         if (state_->partition_suspected) return false;
-        if (packet.now - started_ < settings_.reset_grace) return false;
-        return !recently_changed(packet);
+        if (packet.now - started_ < settings_.reset_grace || packet.now < state_->no_reset_before) return false;
+        // Another balancer may have acted on a view that is still changing, even if this bucket's holders stay the same
+        // here.
+        return packet.now - state_->owners.present_since >= settings_.settle_time;
     }
 
     bool recently_changed(const packet_context& packet) const {
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -21,9 +21,10 @@
     ownership_history                    owners;   // present is never null
     std::vector<member>                  members;  // all that are not dead, this balancer included
     std::vector<backend_status>          statuses; // in order of id; a missing one is available and neutral
-    bool may_place = true;                         // false: started, or paused, and not yet acknowledged by a peer
-    bool leaving = false;                          // graceful stop in progress
-    bool partition_suspected = false;              // all members of some failure domain are unreachable
+    bool        may_place = true;                  // false: started, or paused, and not yet acknowledged by a peer
+    bool        leaving = false;                   // graceful stop in progress
+    steady_time no_reset_before{};           // no flow is reset for lack of a placement before; set after a healed cut
+    bool        partition_suspected = false; // all members of some failure domain are unreachable
 };
 
 // See tamarack/selection.h.
@@ -36,7 +37,7 @@
     flow_table_settings table;
     relay_keys          keys;
     duration reset_grace = std::chrono::seconds(3); // after the start no flow is reset for lack of a placement
-    duration settle_time = std::chrono::seconds(2); // after a change of the ranking
+    duration settle_time = std::chrono::seconds(2); // after a change of any ranking
     duration dead_server_grace =
         std::chrono::seconds(10);                // a backend server is out this long before its flows are reset
     std::uint32_t    replies_per_second = 1'000; // refusals, resets and ICMP for packets without a placement
--- a/tamarack/node.cpp
+++ b/tamarack/node.cpp
@@ -22,6 +22,8 @@
 constexpr duration    leaving_time = std::chrono::seconds(3);        // for the peers to learn of it
 constexpr duration    stop_check_interval = std::chrono::seconds(1); // the check scans the flow table
 // A failure domain whose hosts have all died is taken for cut off during this time; then for dead.
+// After a healed cut, balancers act on views that are still being merged; their placements are found by then.
+constexpr duration    views_merge_time = std::chrono::seconds(10);
 constexpr duration    suspect_cut_time = std::chrono::minutes(10);
 
 // The relay keys are derived, so that one secret per cluster is enough.
@@ -40,10 +42,14 @@
     return derived;
 }
 
+incarnation milliseconds_of(wall_time time) {
+    return static_cast<incarnation>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
 node_settings with_life(node_settings settings, const clock& time) {
     if (settings.self.life == 0) {
-        settings.self.life = static_cast<incarnation>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(time.wall_now().time_since_epoch()).count());
+        settings.self.life = milliseconds_of(time.wall_now());
     }
     settings.partitions = std::max<std::size_t>(1, settings.partitions);
     return settings;
@@ -88,6 +94,13 @@
     forwarder  target; // guarded by lock
 };
 
+// What the node remembers of a member from view to view.
+struct member_presence {
+    incarnation                life = 0; // 0: not seen before
+    bool                       ranked = false;
+    std::optional<steady_time> returned; // came back under the same life
+};
+
 bool owns_buckets(member_state state) {
     return state == member_state::alive || state == member_state::suspect;
 }
@@ -212,10 +225,17 @@
         for (const auto& item : membership_.members()) {
             if (item.state != member_state::dead) next->members.push_back(item);
         }
-        if (ranking_outdated_) rank(next->members, now);
+        if (ranking_outdated_) {
+            note_returned(membership_.members(), now);
+            rank(next->members, now);
+        }
         history_ = advance(history_, history_.present, now); // drops rankings that are too old
         next->owners = history_;
+        if (returned_.ranking && now - returned_.replaced < previous_view_lifetime) {
+            next->owners.previous.insert(next->owners.previous.begin(), returned_);
+        }
         next->may_place = may_place();
+        if (returned_.ranking) next->no_reset_before = returned_.replaced + views_merge_time;
         next->leaving = state_ != stop_state::running;
         next->partition_suspected = partition_suspected(now);
         published_ = next;
@@ -225,8 +245,35 @@
         }
     }
 
+    // Members that come back under the same life, or that have run unseen for a while: the other side of a healed cut.
+    // Flows placed there are held by the pair of a ranking of those members, which this balancer has never seen.
+    void note_returned(std::span<const member> all, steady_time now) {
+        std::vector<member> returned;
+        bool                changed = false;
+        for (const auto& item : all) {
+            member_presence& presence = presence_[item.id];
+            const bool       ranked = owns_buckets(item.state);
+            if (ranked && !presence.ranked && came_back(item, presence)) {
+                presence.returned = now;
+                changed = true;
+            }
+            presence.ranked = ranked;
+            presence.life = item.life;
+            if (ranked && presence.returned && now - *presence.returned < previous_view_lifetime)
+                returned.push_back(item);
+        }
+        if (changed) returned_ = {std::make_shared<ownership>(returned), now};
+    }
+
+    bool came_back(const member& item, const member_presence& before) const {
+        if (item.id == settings_.self.id) return false;
+        if (before.life != 0) return before.life == item.life;
+        return item.life < milliseconds_of(time_.wall_now() - previous_view_lifetime);
+    }
+
     void rank(std::span<const member> members, steady_time now) {
         ranking_outdated_ = false;
+
         // A balancer that has just joined has not seen the earlier rankings.
         const bool joined = !reconstructed_ && membership_.acknowledged();
         if (joined) {
@@ -398,6 +445,8 @@
     bool                                    ranking_outdated_ = true;
     bool                                    reconstructed_ = false;
     ownership_history                       history_;
+    std::map<member_id, member_presence>    presence_;
+    ownership_history::entry returned_; // ranking of the members that came back within previous_view_lifetime
     std::shared_ptr<const forwarding_state> published_;
     std::map<std::string, steady_time>      unreachable_since_; // failure domains without a reachable host
     steady_time                             last_replication_{};
