Parse packets in place and hash flows by whole words

Parsing filled an intermediate value and copied it; it now fills the result. The flow key's bytes were written at odd offsets, so that the hash's word reads waited for several stores; the fields are now whole words (which changes the key's value).

--- a/tamarack/packet.cpp
+++ b/tamarack/packet.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <boost/endian/conversion.hpp>
+#include <cstring>
 
 namespace tamarack {
 
@@ -22,6 +23,8 @@
 constexpr std::uint8_t protocol_hop_by_hop = 0;
 constexpr std::uint8_t protocol_icmp = 1;
 constexpr std::uint8_t protocol_ipv4 = 4;
+constexpr std::uint8_t protocol_tcp = 6;
+constexpr std::uint8_t protocol_udp = 17;
 constexpr std::uint8_t protocol_ipv6 = 41;
 constexpr std::uint8_t protocol_fragment = 44;
 constexpr std::uint8_t protocol_icmpv6 = 58;
@@ -67,6 +70,27 @@
     return load_big_u32(raw(view) + offset);
 }
 
+// Nothing, or why a packet is refused.
+using failure = std::optional<packet_error>;
+
+// An IP header without its addresses, which go to the flow, and the bytes after it.
+struct ip_packet {
+    bool         v4 = true;
+    std::uint8_t protocol = 0;
+    byte_view    payload;
+};
+
+// A quoted packet is the start of a packet: its length field may exceed the bytes present, and a first fragment still
+// has the ports.
+enum class extent : std::uint8_t { whole, quoted };
+
+ip_address v4_address(byte_view view, std::size_t offset) {
+    ip_address address;
+    address.bytes[v4_offset - 2] = address.bytes[v4_offset - 1] = 0xff;
+    std::copy_n(raw(view) + offset, 4, address.bytes.begin() + v4_offset);
+    return address;
+}
+
 ip_address v6_address(byte_view view, std::size_t offset) {
     ip_address address;
     std::copy_n(raw(view) + offset, address.bytes.size(), address.bytes.begin());
@@ -74,27 +98,15 @@
 }
 
 // Whether a reply may be sent to the address: unspecified, multicast and broadcast sources are forged.
-bool usable_source(const ip_address& address) {
-    if (!address.is_v4()) return address.bytes[0] != 0xff && address != ip_address{};
+bool usable_source(const ip_address& address, bool v4) {
+    if (!v4) return address.bytes[0] != 0xff && address != ip_address{};
     const std::uint32_t value = load_big_u32(address.bytes.data() + v4_offset);
     return value != 0 && value >> 28 != 0xe && value != 0xffffffff;
 }
 
-// An IP header, and the bytes after it.
-struct ip_packet {
-    ip_address   source;
-    ip_address   destination;
-    std::uint8_t protocol = 0;
-    byte_view    payload;
-};
-
-// A quoted packet is the start of a packet: its length field may exceed the bytes present, and a first fragment still
-// has the ports.
-enum class extent : std::uint8_t { whole, quoted };
-
-result<ip_packet, packet_error> parse_ipv4(byte_view bytes, extent part) {
+failure read_ipv4(byte_view bytes, extent part, ip_packet& ip, flow_tuple& flow) {
     if (bytes.size() < ipv4_header_size) return packet_error::truncated;
-    const std::size_t header_size = std::size_t{u8(bytes, 0) & 0x0fU} * 4;
+    const std::size_t header_size = (u8(bytes, 0) & 0x0fU) * std::size_t{4};
     const std::size_t total_size = u16(bytes, 2);
     if (header_size < ipv4_header_size || total_size < header_size) return packet_error::bad_ip_header;
     if (bytes.size() < header_size) return packet_error::truncated;
@@ -105,84 +117,80 @@
     if ((fragment & 0x1fffU) != 0) return packet_error::fragment;
     if (more_fragments && part == extent::whole) return packet_error::fragment;
 
-    ip_packet packet;
-    packet.source = ip_address::v4(u32(bytes, 12));
-    packet.destination = ip_address::v4(u32(bytes, 16));
-    packet.protocol = u8(bytes, 9);
-    packet.payload = bytes.first(std::min(bytes.size(), total_size)).subspan(header_size);
-    return packet;
+    flow.source.address = v4_address(bytes, 12);
+    flow.destination.address = v4_address(bytes, 16);
+    ip = {true, u8(bytes, 9), bytes.first(std::min(bytes.size(), total_size)).subspan(header_size)};
+    return {};
+}
+
+// Skips hop-by-hop and destination options.
+failure skip_extension_headers(ip_packet& ip) {
+    for (std::size_t seen = 0;; ++seen) {
+        if (ip.protocol == protocol_fragment) return packet_error::fragment;
+        const bool hop_by_hop = ip.protocol == protocol_hop_by_hop;
+        if (!hop_by_hop && ip.protocol != protocol_destination_options) return {};
+        if (hop_by_hop && seen > 0) return packet_error::bad_ip_header; // RFC 8200: only the first one
+        if (seen == max_extension_headers) return packet_error::unsupported_protocol;
+        if (ip.payload.size() < 8) return packet_error::truncated;
+        const std::size_t size = (std::size_t{u8(ip.payload, 1)} + 1) * 8;
+        if (ip.payload.size() < size) return packet_error::truncated;
+        ip.protocol = u8(ip.payload, 0);
+        ip.payload = ip.payload.subspan(size);
+    }
 }
 
-result<ip_packet, packet_error> parse_ipv6(byte_view bytes, extent part) {
+failure read_ipv6(byte_view bytes, extent part, ip_packet& ip, flow_tuple& flow) {
     if (bytes.size() < ipv6_header_size) return packet_error::truncated;
     const std::size_t total_size = ipv6_header_size + u16(bytes, 4);
     if (bytes.size() < total_size && part == extent::whole) return packet_error::truncated;
 
-    ip_packet packet;
-    packet.source = v6_address(bytes, 8);
-    packet.destination = v6_address(bytes, 24);
+    flow.source.address = v6_address(bytes, 8);
+    flow.destination.address = v6_address(bytes, 24);
     // IPv4-mapped addresses do not occur on the wire; accepting them would let an IPv6 packet pass for an IPv4 flow.
-    if (packet.source.is_v4() || packet.destination.is_v4()) return packet_error::bad_ip_header;
-    packet.protocol = u8(bytes, 6);
-    packet.payload = bytes.first(std::min(bytes.size(), total_size)).subspan(ipv6_header_size);
-
-    for (std::size_t seen = 0;; ++seen) {
-        if (packet.protocol == protocol_fragment) return packet_error::fragment;
-        const bool hop_by_hop = packet.protocol == protocol_hop_by_hop;
-        if (!hop_by_hop && packet.protocol != protocol_destination_options) return packet;
-        if (hop_by_hop && seen > 0) return packet_error::bad_ip_header; // RFC 8200: only the first one
-        if (seen == max_extension_headers) return packet_error::unsupported_protocol;
-        if (packet.payload.size() < 8) return packet_error::truncated;
-        const std::size_t size = (std::size_t{u8(packet.payload, 1)} + 1) * 8;
-        if (packet.payload.size() < size) return packet_error::truncated;
-        packet.protocol = u8(packet.payload, 0);
-        packet.payload = packet.payload.subspan(size);
-    }
+    if (flow.source.address.is_v4() || flow.destination.address.is_v4()) return packet_error::bad_ip_header;
+    ip = {false, u8(bytes, 6), bytes.first(std::min(bytes.size(), total_size)).subspan(ipv6_header_size)};
+    return skip_extension_headers(ip);
 }
 
-result<ip_packet, packet_error> parse_ip(byte_view bytes, extent part) {
+failure read_ip(byte_view bytes, extent part, ip_packet& ip, flow_tuple& flow) {
     if (bytes.empty()) return packet_error::truncated;
-    switch (u8(bytes, 0) >> 4) {
-    case 4:
-        return parse_ipv4(bytes, part);
-    case 6:
-        return parse_ipv6(bytes, part);
-    default:
-        return packet_error::bad_ip_header;
-    }
+    const unsigned version = u8(bytes, 0) >> 4U;
+    if (version == 4) return read_ipv4(bytes, part, ip, flow);
+    if (version == 6) return read_ipv6(bytes, part, ip, flow);
+    return packet_error::bad_ip_header;
 }
 
-result<packet_info, packet_error> parse_tcp(const ip_packet& ip) {
-    const byte_view segment = ip.payload;
+failure read_tcp(byte_view segment, packet_info& info) {
     if (segment.size() < tcp_header_size) return packet_error::truncated;
-    const std::size_t header_size = std::size_t{static_cast<std::uint8_t>(u8(segment, 12) >> 4)} * 4;
+    const std::size_t header_size = (u8(segment, 12) >> 4U) * std::size_t{4};
     if (header_size < tcp_header_size) return packet_error::bad_transport_header;
     if (segment.size() < header_size) return packet_error::truncated;
 
     const std::uint8_t flags = u8(segment, 13);
     const bool         acknowledges = (flags & tcp_flag_ack) != 0;
-    packet_info        info;
-    info.flow = {transport::tcp, {ip.source, u16(segment, 0)}, {ip.destination, u16(segment, 2)}};
+    info.flow.protocol = transport::tcp;
+    info.flow.source.port = u16(segment, 0);
+    info.flow.destination.port = u16(segment, 2);
     info.syn = (flags & tcp_flag_syn) != 0 && !acknowledges;
     info.fin = (flags & tcp_flag_fin) != 0;
     info.rst = (flags & tcp_flag_rst) != 0;
     info.sequence = u32(segment, 4);
     info.acknowledgement = acknowledges ? u32(segment, 8) : 0;
     info.payload_size = static_cast<std::uint32_t>(segment.size() - header_size);
-    return info;
+    return {};
 }
 
-result<packet_info, packet_error> parse_udp(const ip_packet& ip) {
-    const byte_view datagram = ip.payload;
+failure read_udp(byte_view datagram, packet_info& info) {
     if (datagram.size() < udp_header_size) return packet_error::truncated;
     const std::size_t size = u16(datagram, 4);
     if (size < udp_header_size) return packet_error::bad_transport_header;
     if (datagram.size() < size) return packet_error::truncated;
 
-    packet_info info;
-    info.flow = {transport::udp, {ip.source, u16(datagram, 0)}, {ip.destination, u16(datagram, 2)}};
+    info.flow.protocol = transport::udp;
+    info.flow.source.port = u16(datagram, 0);
+    info.flow.destination.port = u16(datagram, 2);
     info.payload_size = static_cast<std::uint32_t>(size - udp_header_size);
-    return info;
+    return {};
 }
 
 // Errors about packets on their way to the caller. Source quench and redirect (4, 5) are obsolete or unsafe to follow.
@@ -192,27 +200,34 @@
 }
 
 // The quoted packet was sent by the backend server in the name of the service, so the flow is the quoted one swapped.
-result<packet_info, packet_error> parse_icmp(const ip_packet& ip, bool v4) {
+failure read_icmp(const ip_packet& ip, packet_info& info) {
     if (ip.payload.size() < icmp_header_size) return packet_error::truncated;
-    if (!is_icmp_error(u8(ip.payload, 0), v4)) return packet_error::unsupported_protocol;
-
-    const byte_view bytes = ip.payload.subspan(icmp_header_size);
-    const auto      parsed = parse_ip(bytes, extent::quoted);
-    if (!parsed) return parsed.error();
-    const ip_packet& quoted = parsed.value();
-    if (quoted.protocol != static_cast<std::uint8_t>(transport::tcp) &&
-        quoted.protocol != static_cast<std::uint8_t>(transport::udp))
-        return packet_error::unsupported_protocol;
+    if (!is_icmp_error(u8(ip.payload, 0), ip.v4)) return packet_error::unsupported_protocol;
+
+    ip_packet  quoted;
+    flow_tuple reply;
+    if (const failure failed = read_ip(ip.payload.subspan(icmp_header_size), extent::quoted, quoted, reply))
+        return failed;
+    if (quoted.protocol != protocol_tcp && quoted.protocol != protocol_udp) return packet_error::unsupported_protocol;
     if (quoted.payload.size() < quoted_transport_size) return packet_error::truncated;
     // An error is sent to the source of the packet it quotes; anything else is forged.
-    if (quoted.source != ip.destination) return packet_error::bad_transport_header;
+    if (reply.source.address != info.flow.destination.address) return packet_error::bad_transport_header;
 
-    packet_info info;
     info.icmp_error = true;
     info.flow.protocol = static_cast<transport>(quoted.protocol);
-    info.flow.source = {quoted.destination, u16(quoted.payload, 2)};
-    info.flow.destination = {quoted.source, u16(quoted.payload, 0)};
-    return info;
+    info.flow.source = {reply.destination.address, u16(quoted.payload, 2)};
+    info.flow.destination = {reply.source.address, u16(quoted.payload, 0)};
+    return {};
+}
+
+failure read_packet(byte_view inner, packet_info& info) {
+    ip_packet ip;
+    if (const failure failed = read_ip(inner, extent::whole, ip, info.flow)) return failed;
+    if (!usable_source(info.flow.source.address, ip.v4)) return packet_error::bad_ip_header;
+    if (ip.protocol == protocol_tcp) return read_tcp(ip.payload, info);
+    if (ip.protocol == protocol_udp) return read_udp(ip.payload, info);
+    if (ip.protocol == (ip.v4 ? protocol_icmp : protocol_icmpv6)) return read_icmp(ip, info);
+    return packet_error::unsupported_protocol;
 }
 
 // Sum of 16-bit words for the Internet checksum (RFC 1071), not yet folded.
@@ -322,13 +337,14 @@
 }
 
 flow_key make_flow_key(const flow_tuple& flow, std::uint64_t hash_seed) {
-    constexpr std::size_t                                 address_size = sizeof(ip_address::bytes);
-    std::array<unsigned char, 1 + 2 * (address_size + 2)> bytes; // NOLINT: every byte is written below
-    bytes[0] = static_cast<unsigned char>(flow.protocol);
-    std::copy_n(flow.source.address.bytes.data(), address_size, bytes.data() + 1);
-    store_big_u16(bytes.data() + 1 + address_size, flow.source.port);
-    std::copy_n(flow.destination.address.bytes.data(), address_size, bytes.data() + 3 + address_size);
-    store_big_u16(bytes.data() + 3 + 2 * address_size, flow.destination.port);
+    // Whole words in network byte order: the hash reads words, and a word made of several stores would stall it.
+    constexpr std::size_t                           address_size = sizeof(ip_address::bytes);
+    std::array<unsigned char, 2 * address_size + 8> bytes; // NOLINT: every byte is written below
+    std::memcpy(bytes.data(), flow.source.address.bytes.data(), address_size);
+    std::memcpy(bytes.data() + address_size, flow.destination.address.bytes.data(), address_size);
+    const std::uint64_t ports = std::uint64_t{flow.source.port} << 16U | flow.destination.port;
+    boost::endian::store_big_u64(bytes.data() + 2 * address_size,
+                                 ports << 32U | static_cast<std::uint64_t>(flow.protocol));
     const XXH128_hash_t hash = XXH3_128bits_withSeed(bytes.data(), bytes.size(), hash_seed);
     return {hash.high64, hash.low64};
 }
@@ -350,21 +366,14 @@
 }
 
 result<packet_info, packet_error> parse_packet(byte_view inner) {
-    const auto parsed = parse_ip(inner, extent::whole);
-    if (!parsed) return parsed.error();
-    const ip_packet& ip = parsed.value();
-    if (!usable_source(ip.source)) return packet_error::bad_ip_header;
-    const bool v4 = ip.source.is_v4();
-    if (ip.protocol == static_cast<std::uint8_t>(transport::tcp)) return parse_tcp(ip);
-    if (ip.protocol == static_cast<std::uint8_t>(transport::udp)) return parse_udp(ip);
-    if (ip.protocol == (v4 ? protocol_icmp : protocol_icmpv6)) return parse_icmp(ip, v4);
-    return packet_error::unsupported_protocol;
+    result<packet_info, packet_error> parsed{packet_info{}}; // filled in place, which spares a copy
+    if (const failure failed = read_packet(inner, parsed.assume_value())) parsed = *failed;
+    return parsed;
 }
 
 void append_tcp_reset(const packet_info& packet, std::vector<std::byte>& out) {
     if (packet.flow.protocol != transport::tcp || packet.rst || !can_reply(packet)) return;
-    const auto     protocol = static_cast<std::uint8_t>(transport::tcp);
-    const reply    reset = start_reply(packet.flow, protocol, tcp_header_size, out);
+    const reply    reset = start_reply(packet.flow, protocol_tcp, tcp_header_size, out);
     unsigned char* tcp = reset.payload();
     store_big_u16(tcp, packet.flow.destination.port);
     store_big_u16(tcp + 2, packet.flow.source.port);
@@ -379,7 +388,7 @@
         tcp[13] = tcp_flag_rst | tcp_flag_ack;
     }
     const std::uint64_t sum =
-        pseudo_header_sum(packet.flow.destination.address, packet.flow.source.address, protocol, tcp_header_size);
+        pseudo_header_sum(packet.flow.destination.address, packet.flow.source.address, protocol_tcp, tcp_header_size);
     store_big_u16(tcp + 16, fold_checksum(add_words(sum, reset.payload_view())));
 }
 
