Give each flow two groups of slots, and prefetch

With one home group and overflow into the next ones, displaced placements stayed displaced when room became free, so that searches grew longer under churn at the cap. A key now lies in one of two groups; inserting takes the emptier one, and where both are full moves a placement to its other group. A search reads two lines of tags and, as a rule, one slot, whether it finds something or not.

prefetch() lets a batch of packets wait for memory once instead of one after the other. The setting huge_pages (off) trades resident memory for fewer page walks.

--- a/tamarack/flow_table.cpp
+++ b/tamarack/flow_table.cpp
@@ -1,10 +1,10 @@
-// Flow table: open addressing over groups of 16 slots.
+// Flow table: open addressing over groups of 16 slots, with two groups for each key.
 //
-// Layout. A key has a home group. Its slot is the first free one in the home group or the groups after it. A byte per
-// slot (the tag) holds 8 bits of the key's hash, so that a search reads one line of tags, which stays in the
-// processor's cache, and then the slot itself. Each group counts the placements that passed over it because it was
-// full; a search ends at the first group without such placements. Erasing lowers these counts, so there are no
-// tombstones, and placements never move.
+// Layout. A key lies in one of its two groups. A byte per slot (the tag) holds 8 bits of the key's hash, so that a
+// search reads two lines of tags, which stay in the processor's cache, and then as a rule only the slot itself; the
+// same holds for a search without result. Inserting takes the emptier group. At 93% load both are full at times; then a
+// placement of one of them moves to its other group. Erasing frees the slot at once: there are no tombstones, and
+// searches do not grow longer under churn.
 //
 // Eviction. Half-open and closing placements are linked in two lists for each service, in the order in which they
 // entered the state; the oldest gives way. Lists are doubly linked through the slots' numbers with the list's head as a
@@ -12,19 +12,21 @@
 // generation its backend server, in place; the table files it anew when it next touches, visits or evicts it. An insert
 // files at most max_refiled placements anew, which bounds its work.
 //
-// Memory per slot: 48 bytes of key and placement, 1 of tag, 2 of account, 8 of links, and 4 per group. With
-// slots_per_flow that is 63.4 bytes for each flow of the cap.
+// Memory per slot: 48 bytes of key and placement, 1 of tag, 2 of account and 8 of links. With slots_per_flow that is
+// 63.4 bytes for each flow of the cap.
 #include "tamarack/flow_table.h"
 
 #include "tamarack/invariant.h"
 
 #include <algorithm>
 #include <bit>
-#include <cstdlib>
-#include <cstring>
 #include <limits>
 #include <new>
+#include <sys/mman.h>
 #include <unordered_map>
+#ifdef __SSE2__
+#include <emmintrin.h>
+#endif
 
 namespace tamarack {
 
@@ -55,75 +57,69 @@
     return state == flow_state::closing ? list_kind::closing : list_kind::none;
 }
 
-// Memory from the system that is not touched until it is used. Elements are zero or have to be constructed.
-template <class Item>
-class lazy_array {
+// Memory from the system: zero, and not touched until it is used.
+class page_memory {
 public:
-    explicit lazy_array(std::size_t count) : count_(count) {
-        // Large blocks of calloc are fresh pages of the system, which are zero without being written.
-        memory_.reset(std::calloc(count * sizeof(Item) + cache_line, 1));
-        if (!memory_) throw std::bad_alloc();
-        void*       start = memory_.get();
-        std::size_t room = count * sizeof(Item) + cache_line;
-        items_ = static_cast<Item*>(std::align(cache_line, count * sizeof(Item), start, room));
+    page_memory(std::size_t size, bool huge_pages) : size_(size) {
+        void* start = ::mmap(nullptr, size, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+        if (start == MAP_FAILED) throw std::bad_alloc();
+        start_ = start;
+        if (huge_pages) ::madvise(start, size, MADV_HUGEPAGE); // only a hint: without effect where not supported
+    }
+    page_memory(const page_memory&) = delete;
+    page_memory& operator=(const page_memory&) = delete;
+    ~page_memory() { ::munmap(start_, size_); }
+
+    std::size_t size() const { return size_; }
+    // Takes the next part, aligned to a cache line.
+    template <class Item>
+    Item* take(std::size_t count) {
+        Item* items = reinterpret_cast<Item*>(static_cast<std::byte*>(start_) + taken_);
+        taken_ += bytes_for<Item>(count);
+        return items;
+    }
+    template <class Item>
+    static constexpr std::size_t bytes_for(std::size_t count) {
+        return (count * sizeof(Item) + cache_line - 1) / cache_line * cache_line;
     }
-    Item&       operator[](std::size_t i) { return items_[i]; }
-    const Item& operator[](std::size_t i) const { return items_[i]; }
-    Item*       data() { return items_; }
-    std::size_t size() const { return count_; }
-    std::size_t bytes() const { return count_ * sizeof(Item) + cache_line; }
 
 private:
-    struct release {
-        void operator()(void* memory) const { std::free(memory); }
-    };
-    std::unique_ptr<void, release> memory_;
-    Item*                          items_ = nullptr;
-    std::size_t                    count_ = 0;
+    void*       start_ = nullptr;
+    std::size_t size_ = 0;
+    std::size_t taken_ = 0;
 };
 
+// The two groups of a key, and its tag.
 struct hashed_key {
-    std::size_t  home = 0; // group
-    std::uint8_t tag = 1;  // never 0
+    std::size_t  first = 0;
+    std::size_t  second = 0;
+    std::uint8_t tag = 1; // never 0
 };
 
 // The keys are hashes already; mixing again keeps the groups even when traffic partitions take a part of the bits.
 std::uint64_t mix(const flow_key& key) {
     std::uint64_t value = key.high ^ (key.low * 0x9e3779b97f4a7c15U);
-    value ^= value >> 32;
+    value ^= value >> 32U;
     return value * 0xd6e8feb86659fd93U;
 }
 
 // A tag for each of the group's slots; 0: free.
-using tag_group = std::array<std::uint8_t, group_size>;
-
-// Set of slots in a group: bit 8 * i + 7 of a word for slot i.
-struct slot_set {
-    std::array<std::uint64_t, 2> words{};
-
-    bool        empty() const { return (words[0] | words[1]) == 0; }
-    std::size_t first() const {
-        const std::size_t word = words[0] != 0 ? 0 : 1;
-        return word * 8 + static_cast<std::size_t>(std::countr_zero(words[word])) / 8;
-    }
-    void drop_first() {
-        std::uint64_t& word = words[0] != 0 ? words[0] : words[1];
-        word &= word - 1;
-    }
+struct alignas(group_size) tag_group {
+    std::array<std::uint8_t, group_size> tags;
 };
 
-// Slots whose tag equals the given one.
-slot_set matching(const tag_group& tags, std::uint8_t tag) {
-    constexpr std::uint64_t low_bits = 0x7f7f7f7f7f7f7f7fU;
-    slot_set                found;
-    for (std::size_t i = 0; i < found.words.size(); ++i) {
-        std::uint64_t word = 0;
-        std::memcpy(&word, tags.data() + 8 * i, sizeof word);
-        if constexpr (std::endian::native == std::endian::big) word = __builtin_bswap64(word);
-        word ^= 0x0101010101010101U * tag;
-        found.words[i] = ~(((word & low_bits) + low_bits) | word | low_bits); // the bytes that are zero
-    }
+// Bit i is set if the tag of slot i equals the given one.
+std::uint32_t matching(const tag_group& group, std::uint8_t tag) {
+#ifdef __SSE2__
+    const __m128i tags = _mm_load_si128(reinterpret_cast<const __m128i*>(group.tags.data()));
+    const __m128i equal = _mm_cmpeq_epi8(tags, _mm_set1_epi8(static_cast<char>(tag)));
+    return static_cast<std::uint32_t>(_mm_movemask_epi8(equal));
+#else
+    std::uint32_t found = 0;
+    for (std::size_t i = 0; i < group_size; ++i)
+        found |= (group.tags[i] == tag ? 1U : 0U) << i;
     return found;
+#endif
 }
 
 struct link {
@@ -165,23 +161,40 @@
 struct flow_table::impl {
     explicit impl(const flow_table_settings& wanted)
         : settings(wanted), cap(std::clamp<std::size_t>(wanted.max_flows, 1, largest_cap)),
-          service_share(
-              static_cast<std::size_t>(std::clamp(wanted.max_service_share, 0.0, 1.0) * static_cast<double>(cap))),
-          groups(static_cast<std::size_t>(static_cast<double>(cap) * slots_per_flow) / group_size + 1),
-          slots(groups * group_size), tags(groups), passed(groups), filings(groups * group_size),
-          links(groups * group_size) {
-        service_share = std::max<std::size_t>(service_share, 1);
+          service_share(share_in_flows(wanted.max_service_share, cap)), groups(groups_for(cap)),
+          slot_count(groups * group_size), memory(bytes_for(groups), wanted.huge_pages),
+          slots(memory.take<slot>(slot_count)), tags(memory.take<tag_group>(groups)),
+          filings(memory.take<filing>(slot_count)), links(memory.take<link>(slot_count)) {}
+
+    static std::size_t groups_for(std::size_t cap) {
+        return static_cast<std::size_t>(static_cast<double>(cap) * slots_per_flow) / group_size + 1;
+    }
+    static std::size_t bytes_for(std::size_t groups) {
+        const std::size_t count = groups * group_size;
+        return page_memory::bytes_for<slot>(count) + page_memory::bytes_for<tag_group>(groups) +
+               page_memory::bytes_for<filing>(count) + page_memory::bytes_for<link>(count);
+    }
+    static std::size_t share_in_flows(double share, std::size_t cap) {
+        const double flows = std::clamp(share, 0.0, 1.0) * static_cast<double>(cap);
+        return std::max<std::size_t>(static_cast<std::size_t>(flows), 1);
     }
 
     // Search
     hashed_key  hash(const flow_key& key) const;
     slot_number search(const flow_key& key) const;
+    template <class Examine>
+    slot_number match(const flow_key& key, Examine examine) const;
+    void        prefetch_slot(slot_number number) const;
     slot_number claim_slot(const hashed_key& hashed);
-    void        release_slot(slot_number number);
-    std::size_t next_group(std::size_t group) const { return group + 1 == groups ? 0 : group + 1; }
-    bool        used(slot_number number) const { return tags[number / group_size][number % group_size] != 0; }
+    bool        move_out(std::size_t group);
+    void        move_slot(slot_number from, slot_number to);
+    bool        used(slot_number number) const { return tag_of(number) != 0; }
     slot_number number_of(const placement& item) const;
 
+    std::uint8_t tag_of(slot_number number) const { return tags[number / group_size].tags[number % group_size]; }
+    void set_tag(slot_number number, std::uint8_t tag) { tags[number / group_size].tags[number % group_size] = tag; }
+    std::uint32_t free_in(std::size_t group) const { return matching(tags[group], 0); }
+
     // Accounts
     std::optional<std::size_t> open_account(service_id service, backend_server_id backend_server);
     void                       close_account(std::size_t number);
@@ -209,15 +222,16 @@
 
     static constexpr slot_number no_slot = std::numeric_limits<slot_number>::max();
 
-    flow_table_settings     settings;
-    std::size_t             cap;
-    std::size_t             service_share; // of the cap, in flows; at least 1
-    std::size_t             groups;
-    lazy_array<slot>        slots;
-    lazy_array<tag_group>   tags;
-    lazy_array<slot_number> passed; // per group: placements in later groups whose home is this group or an earlier one
-    lazy_array<filing>      filings;
-    lazy_array<link>        links;
+    flow_table_settings settings;
+    std::size_t         cap;
+    std::size_t         service_share; // of the cap, in flows; at least 1
+    std::size_t         groups;
+    std::size_t         slot_count;
+    page_memory         memory;  // of the arrays below
+    slot*               slots;   // constructed where the tag is not 0
+    tag_group*          tags;    // one per group
+    filing*             filings; // one per slot, as is
+    link*               links;   // valid while the placement is in a list
 
     std::size_t   size = 0; // never above cap
     std::uint64_t evictions = 0;
@@ -238,47 +252,87 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 hashed_key flow_table::impl::hash(const flow_key& key) const {
-    const std::uint64_t value = mix(key);
-    // The high bits select the group, the low ones the tag. Groups are fewer than 2^28, so 32 bits are enough.
-    const auto          tag = static_cast<std::uint8_t>(value);
-    return {static_cast<std::size_t>((value >> 32U) * groups >> 32U), tag == 0 ? std::uint8_t{1} : tag};
+    constexpr std::uint64_t low_half = 0xffffffff;
+    const std::uint64_t     value = mix(key);
+    // Groups are fewer than 2^28, so that 32 bits are enough for each.
+    const std::size_t       first = (value >> 32U) * groups >> 32U;
+    std::size_t             second = (value & low_half) * groups >> 32U;
+    if (second == first) second = first + 1 == groups ? 0 : first + 1;
+    const auto tag = static_cast<std::uint8_t>(value);
+    return {first, second, tag == 0 ? std::uint8_t{1} : tag};
+}
+
+// Calls examine for the slots whose tag equals the key's, until it returns true.
+template <class Examine>
+slot_number flow_table::impl::match(const flow_key& key, Examine examine) const {
+    const hashed_key    hashed = hash(key);
+    // Both groups are searched at once, since a branch on the group would be hard to predict.
+    const std::uint32_t in_first = matching(tags[hashed.first], hashed.tag);
+    const std::uint32_t in_second = matching(tags[hashed.second], hashed.tag);
+    for (std::uint32_t found = in_first | in_second << group_size; found != 0; found &= found - 1) {
+        const auto bit = static_cast<std::size_t>(std::countr_zero(found));
+        const auto group = bit < group_size ? hashed.first : hashed.second;
+        const auto number = static_cast<slot_number>(group * group_size + bit % group_size);
+        if (examine(number)) [[likely]]
+            return number;
+    }
+    return no_slot;
 }
 
 slot_number flow_table::impl::search(const flow_key& key) const {
-    const hashed_key hashed = hash(key);
-    std::size_t      group = hashed.home;
-    for (std::size_t i = 0; i < groups; ++i, group = next_group(group)) {
-        for (slot_set found = matching(tags[group], hashed.tag); !found.empty(); found.drop_first()) {
-            const auto  number = static_cast<slot_number>(group * group_size + found.first());
-            const slot& candidate = slots[number];
-            __builtin_prefetch(reinterpret_cast<const char*>(&candidate) + sizeof(slot) - 1); // may be the next line
-            if (candidate.key == key) [[likely]]
-                return number;
-        }
-        if (passed[group] == 0) break;
-    }
-    return no_slot;
+    return match(key, [&](slot_number number) {
+        prefetch_slot(number);
+        return slots[number].key == key;
+    });
+}
+
+// A slot may lie on two lines.
+void flow_table::impl::prefetch_slot(slot_number number) const {
+    __builtin_prefetch(&slots[number]);
+    __builtin_prefetch(reinterpret_cast<const char*>(&slots[number + 1]) - 1);
+    __builtin_prefetch(&filings[number]);
 }
 
-// Takes the first free slot at or after the home group. There is one, since the cap is below the number of slots.
+// Takes a free slot of the emptier group. Where both are full, one of their placements moves to its other group; with
+// 32 placements to choose from, and 7% of the slots free, one practically always can.
 slot_number flow_table::impl::claim_slot(const hashed_key& hashed) {
-    std::size_t group = hashed.home;
-    for (;; group = next_group(group)) {
-        const slot_set free = matching(tags[group], 0);
-        if (!free.empty()) {
-            const std::size_t place = free.first();
-            tags[group][place] = hashed.tag;
-            return static_cast<slot_number>(group * group_size + place);
-        }
-        ++passed[group];
+    const int   free_first = std::popcount(free_in(hashed.first));
+    const int   free_second = std::popcount(free_in(hashed.second));
+    std::size_t group = free_first >= free_second ? hashed.first : hashed.second;
+    if (free_first == 0 && free_second == 0 && !move_out(group)) {
+        group = hashed.second;
+        if (!move_out(group)) return no_slot;
+    }
+    const auto place = static_cast<std::size_t>(std::countr_zero(free_in(group)));
+    const auto number = static_cast<slot_number>(group * group_size + place);
+    set_tag(number, hashed.tag);
+    return number;
+}
+
+// Frees a slot of a full group. False if the other groups of all its placements are full too.
+bool flow_table::impl::move_out(std::size_t group) {
+    for (std::size_t place = 0; place < group_size; ++place) {
+        const auto          from = static_cast<slot_number>(group * group_size + place);
+        const hashed_key    hashed = hash(slots[from].key);
+        const std::size_t   other = hashed.first == group ? hashed.second : hashed.first;
+        const std::uint32_t free = free_in(other);
+        if (free == 0) continue;
+        move_slot(from,
+                  static_cast<slot_number>(other * group_size + static_cast<std::size_t>(std::countr_zero(free))));
+        return true;
     }
+    return false;
 }
 
-void flow_table::impl::release_slot(slot_number number) {
-    const std::size_t last = number / group_size;
-    for (std::size_t group = hash(slots[number].key).home; group != last; group = next_group(group))
-        --passed[group];
-    tags[last][number % group_size] = 0;
+void flow_table::impl::move_slot(slot_number from, slot_number to) {
+    std::construct_at(&slots[to], slots[from]);
+    set_tag(to, tag_of(from));
+    set_tag(from, 0);
+    filings[to] = filings[from];
+    if (filings[from].list() == list_kind::none) return;
+    links[to] = links[from];
+    node(links[to].previous).next = to;
+    node(links[to].next).previous = to;
 }
 
 slot_number flow_table::impl::number_of(const placement& item) const {
@@ -368,13 +422,13 @@
 
 // Numbers past the slots stand for the heads of the services' lists.
 link& flow_table::impl::node(slot_number number) {
-    if (number < links.size()) return links[number];
-    const std::size_t past = number - links.size();
+    if (number < slot_count) return links[number];
+    const std::size_t past = number - slot_count;
     return services[past / lists_per_service].heads[past % lists_per_service];
 }
 
 slot_number flow_table::impl::head(std::size_t service_index, list_kind list) const {
-    return static_cast<slot_number>(links.size() + service_index * lists_per_service + static_cast<std::size_t>(list));
+    return static_cast<slot_number>(slot_count + service_index * lists_per_service + static_cast<std::size_t>(list));
 }
 
 void flow_table::impl::enter_list(slot_number number, std::size_t service_index, list_kind list) {
@@ -423,7 +477,7 @@
 void flow_table::impl::remove(slot_number number) {
     leave_list(number);
     count_out(filings[number].account());
-    release_slot(number);
+    set_tag(number, 0);
     --size;
 }
 
@@ -474,12 +528,11 @@
 // Calls visit for the used slots among the next max_slots ones. The whole table counts as capacity() slots.
 template <class Visit>
 void flow_table::impl::walk(std::size_t& position, std::size_t max_slots, Visit visit) {
-    const std::size_t total = slots.size();
-    const std::size_t steps = max_slots >= cap ? total : max_slots;
-    if (position >= total) position = 0;
+    const std::size_t steps = max_slots >= cap ? slot_count : max_slots;
+    if (position >= slot_count) position = 0;
     for (std::size_t i = 0; i < steps; ++i) {
         const auto number = static_cast<slot_number>(position);
-        position = position + 1 == total ? 0 : position + 1;
+        position = position + 1 == slot_count ? 0 : position + 1;
         if (used(number)) visit(number);
     }
 }
@@ -506,14 +559,25 @@
     return number == impl::no_slot ? nullptr : &impl_->slots[number].value;
 }
 
+void flow_table::prefetch(const flow_key& key) const {
+    impl_->match(key, [this](slot_number number) {
+        impl_->prefetch_slot(number);
+        return true; // a second slot with the same tag is rare
+    });
+}
+
 placement* flow_table::insert(const flow_key& key, const placement& value, steady_time now) {
     if (placement* present = find(key)) return present;
     if (!impl_->make_room(value.service)) return nullptr;
-    const auto account = impl_->open_account(value.service, value.backend_server);
-    if (!account) return nullptr;
 
     const slot_number number = impl_->claim_slot(impl_->hash(key));
-    slot*             item = std::construct_at(&impl_->slots[number], slot{key, value});
+    if (number == impl::no_slot) return nullptr;
+    const auto account = impl_->open_account(value.service, value.backend_server);
+    if (!account) {
+        impl_->set_tag(number, 0);
+        return nullptr;
+    }
+    slot* item = std::construct_at(&impl_->slots[number], slot{key, value});
     item->value.last_seen = ticks_of(now);
     impl_->count_in(*account);
     impl_->filings[number] = filing(*account, list_for(value.state));
@@ -575,13 +639,12 @@
 }
 
 std::size_t flow_table::slot_count() const {
-    return impl_->slots.size();
+    return impl_->slot_count;
 }
 
 // The records of services and backend servers are not counted: they are few.
 std::size_t flow_table::memory_bytes() const {
-    return impl_->slots.bytes() + impl_->tags.bytes() + impl_->passed.bytes() + impl_->filings.bytes() +
-           impl_->links.bytes();
+    return impl_->memory.size();
 }
 
 std::size_t flow_table::count(backend_server_id id) const {
--- a/tamarack/flow_table.h
+++ b/tamarack/flow_table.h
@@ -35,6 +35,7 @@
     duration    idle_timeout = std::chrono::minutes(130); // over the usual TCP keep-alive time of 2 h
     duration    udp_idle_timeout = std::chrono::minutes(2);
     duration    closing_timeout = std::chrono::seconds(60);
+    bool        huge_pages = false; // faster at 10^5 flows and more; resident memory then grows in steps of 2 MB
 };
 
 class flow_table {
@@ -51,6 +52,10 @@
     // The pointer is valid until the next insert, erase or expire. Touches nothing.
     placement* find(const flow_key& key);
 
+    // Starts loading what find and touch will read. With a million flows nearly every find waits for memory; these
+    // waits overlap when the keys of a batch of packets are prefetched before the first of them is looked for.
+    void prefetch(const flow_key& key) const;
+
     // Inserts a placement for a key that is not present; a present one wins and is returned unchanged. When the cap or
     // the service's share is reached it first evicts one half-open, else closing flow of the same service, else (only
     // when another service exceeds its share) of that service; nullptr if nothing may give way. Established flows are
