--- a/tamarack/membership.cpp
+++ b/tamarack/membership.cpp
@@ -1028,8 +1028,6 @@
                        std::uint64_t random_seed)
     : impl_(std::make_unique<impl>(settings, channel, time, random_seed)) {}
 membership::~membership() = default;
-membership::membership(membership&&) noexcept = default;
-membership& membership::operator=(membership&&) noexcept = default;
 
 bool membership::handles(message_type type) {
     return type >= message_type::ping && type <= message_type::membership_records;
@@ -1109,7 +1107,8 @@
 }
 
 std::vector<member> membership::random_peers(std::size_t count) {
-    std::vector<member>    picked;
+    std::vector<member> picked;
+    picked.reserve(count);
     std::vector<member_id> ids;
     std::ranges::sample(impl_->present_, std::back_inserter(ids), static_cast<std::ptrdiff_t>(count), impl_->random_);
     for (const member_id id : ids)
--- a/tamarack/membership.h
+++ b/tamarack/membership.h
@@ -75,9 +75,9 @@
     // The channel and the clock must outlive the membership.
     membership(const membership_settings& settings, control_channel& channel, const clock& time,
                std::uint64_t random_seed);
+    membership(const membership&) = delete;
+    membership& operator=(const membership&) = delete;
     ~membership();
-    membership(membership&&) noexcept;
-    membership& operator=(membership&&) noexcept;
 
     // Events.
     static bool handles(message_type type);
