Use one rule for names

Settings, commands and the administration interface accept the same names: 1 to 64 letters, digits, '.', '_', '-', the first a letter or digit.

--- a/tamarack/command.cpp
+++ b/tamarack/command.cpp
@@ -106,9 +106,11 @@
 }
 
 auto name(expected_kind kind, const char* description, std::string draft::*member) {
-    return token(
-        kind, description,
-        name_text[([member](const auto& context) { x3::get<draft_tag>(context).*member = text_of(context); })]);
+    return token(kind, description, name_text[([member](const auto& context) {
+                     const std::string text = text_of(context);
+                     x3::_pass(context) = text.size() <= max_name_size;
+                     x3::get<draft_tag>(context).*member = text;
+                 })]);
 }
 
 auto address(const char* description, endpoint draft::*member) {
@@ -208,12 +210,12 @@
 const auto service = name(expected_kind::service_name, "the name of a service", &draft::service);
 const auto backend_server_name =
     name(expected_kind::backend_server_name, "the name of a backend server", &draft::backend_server);
-const auto new_service = name(expected_kind::other, "a name of letters, digits, '.', '_', '-'", &draft::service);
-const auto new_backend_server =
-    name(expected_kind::other, "a name of letters, digits, '.', '_', '-'", &draft::backend_server);
-const auto operator_of_change = name(expected_kind::other, "the name of an operator", &draft::operator_name);
-const auto time_of_change = token(
-    expected_kind::other, "a time such as 2026-12-04, 2026-12-04T10:30Z, 90s, 15m, 2h or 7d", time_text[read_time]);
+constexpr const char* new_name = "a name of 1 to 64 letters, digits, '.', '_', '-'";
+const auto            new_service = name(expected_kind::other, new_name, &draft::service);
+const auto            new_backend_server = name(expected_kind::other, new_name, &draft::backend_server);
+const auto            operator_of_change = name(expected_kind::other, "the name of an operator", &draft::operator_name);
+const auto            time_of_change = token(
+               expected_kind::other, "a time such as 2026-12-04, 2026-12-04T10:30Z, 90s, 15m, 2h or 7d", time_text[read_time]);
 
 const auto service_address = address("the service's ADDRESS:PORT", &draft::address);
 const auto tunnel_address = address("the tunnel's ADDRESS:PORT", &draft::address);
@@ -390,6 +392,13 @@
     return run(text).parts.service;
 }
 
+bool is_name(std::string_view text) {
+    if (text.size() > max_name_size) return false;
+    const char* first = text.data();
+    const char* last = text.data() + text.size();
+    return x3::parse(first, last, x3::omit[name_text] >> x3::eoi);
+}
+
 std::string to_text(const change& what) {
     return std::visit(change_writer(), what);
 }
--- a/tamarack/command.h
+++ b/tamarack/command.h
@@ -71,6 +71,11 @@
 // Service named in the text, for the completion of the names of its backend servers.
 std::string service_in(std::string_view text);
 
+inline constexpr std::size_t max_name_size = 64; // bytes
+
+// Names of services, backend servers, operators, operations: letters, digits, '.', '_', '-', first a letter or digit.
+bool is_name(std::string_view text);
+
 // The command that makes a change; parse_command reads it back.
 std::string to_text(const change& what);
 
--- a/tamarack/settings.cpp
+++ b/tamarack/settings.cpp
@@ -1,6 +1,8 @@
 // Settings: the table of keys, and the reading of an INI file by it.
 #include "tamarack/settings.h"
 
+#include "tamarack/command.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fstream>
@@ -20,8 +22,7 @@
 // Nothing when the value was taken over; else what is wrong with it, or an empty text when only its form is.
 using problem = std::optional<std::string>;
 
-constexpr mode_t      others_may_access = S_IRWXG | S_IRWXO;
-constexpr std::size_t longest_name = 64; // characters
+constexpr mode_t others_may_access = S_IRWXG | S_IRWXO;
 
 problem wrong_form() {
     return std::string();
@@ -38,11 +39,7 @@
 }
 
 problem read_name(std::string_view text, std::string& target) {
-    const auto accepted = [](char letter) {
-        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
-               (letter >= '0' && letter <= '9') || letter == '.' || letter == '_' || letter == '-';
-    };
-    if (text.empty() || text.size() > longest_name || !std::ranges::all_of(text, accepted)) return wrong_form();
+    if (!is_name(text)) return wrong_form();
     target = text;
     return std::nullopt;
 }
@@ -151,7 +148,7 @@
 
 template <class Field>
 key_row name_row(const key_head& head, Field field) {
-    return row_of(head, "1 to 64 letters, digits, '.', '_', '-'",
+    return row_of(head, "1 to 64 letters, digits, '.', '_', '-', the first a letter or digit",
                   [=](std::string_view text, target& into) { return read_name(text, field(into.settings)); });
 }
 
