Serve the administration interface over gRPC

Limits that a change does not name are filled in from the configuration, and the base revision is then that of the configuration, so that a change in between is a conflict.

--- /dev/null
+++ b/tamarack/admin_messages.cpp
@@ -0,0 +1,455 @@
+// Conversions between messages and types; nothing here decides anything.
+#include "tamarack/admin_messages.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace tamarack {
+
+namespace {
+
+// Texts of operators go into error messages and logs; longer ones are refused before they are looked at.
+constexpr std::size_t max_text_size = 256; // bytes
+
+// A text of a caller as it may stand in a message: short, and without bytes that could break a line or UTF-8.
+std::string shown(std::string_view text) {
+    std::string result(text.substr(0, max_text_size));
+    std::ranges::replace_if(
+        result, [](char letter) { return letter < ' ' || letter > '~'; }, '?');
+    return result;
+}
+
+using timestamp = google::protobuf::Timestamp;
+using proto_duration = google::protobuf::Duration;
+
+// Sets seconds and nanoseconds; the nanoseconds of both messages are not negative for times after 1970.
+void set_time(duration since_start, auto& message) {
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(since_start);
+    message.set_seconds(seconds.count());
+    message.set_nanos(static_cast<std::int32_t>((since_start - seconds).count()));
+}
+
+void set_time(wall_time time, timestamp& message) {
+    set_time(time.time_since_epoch(), message);
+}
+
+// Out of range values are clamped to what duration can hold (292 years).
+duration read_duration(const auto& message) {
+    constexpr std::int64_t limit = 9'000'000'000;
+    return std::chrono::seconds(std::clamp<std::int64_t>(message.seconds(), -limit, limit)) +
+           std::chrono::nanoseconds(message.nanos());
+}
+
+admin::Protocol message_of(transport protocol) {
+    return protocol == transport::tcp ? admin::TCP : admin::UDP;
+}
+
+void set_limits(const flow_limits& limits, admin::Limits& message) {
+    message.set_max_flows(limits.max_flows);
+    message.set_max_new_flows_per_second(limits.max_new_flows_per_second);
+}
+
+flow_limits read_limits(const admin::Limits& message) {
+    return {message.max_flows(), message.max_new_flows_per_second()};
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Requests of changes
+//----------------------------------------------------------------------------------------------------------------------
+
+struct change_setter {
+    admin::SubmitRequest& request;
+
+    void operator()(const create_service& what) const {
+        auto& message = *request.mutable_create_service();
+        message.set_service(what.service);
+        message.set_protocol(message_of(what.protocol));
+        message.set_address(what.address.to_string());
+        set_limits(what.limits, *message.mutable_limits());
+    }
+    void operator()(const change_service& what) const {
+        auto& message = *request.mutable_change_service();
+        message.set_service(what.service);
+        message.set_max_flows(what.limits.max_flows);
+        message.set_max_new_flows_per_second(what.limits.max_new_flows_per_second);
+    }
+    void operator()(const delete_service& what) const { request.mutable_delete_service()->set_service(what.service); }
+    void operator()(const join_backend& what) const {
+        auto& message = *request.mutable_join();
+        set_names(what, message);
+        message.set_tunnel(what.tunnel.to_string());
+        if (what.health.port != 0) message.set_health(what.health.to_string());
+        message.set_weight(what.weight);
+        set_limits(what.limits, *message.mutable_limits());
+    }
+    void operator()(const drain_backend& what) const { set_names(what, *request.mutable_drain()); }
+    void operator()(const undrain_backend& what) const { set_names(what, *request.mutable_undrain()); }
+    void operator()(const leave_backend& what) const { set_names(what, *request.mutable_leave()); }
+    void operator()(const weigh_backend& what) const {
+        set_names(what, *request.mutable_weight());
+        request.mutable_weight()->set_weight(what.weight);
+    }
+
+    static void set_names(const auto& what, auto& message) {
+        message.set_service(what.service);
+        message.set_backend_server(what.backend_server);
+    }
+};
+
+// Reads one request and collects what is wrong with it.
+class request_reader {
+public:
+    request_reader(const admin::SubmitRequest& request, const configuration& present)
+        : request_(request), present_(present) {}
+
+    result<change_request, findings> read() {
+        change_request made{request_.operation_id(), request_.operator_name(), request_.base_revision(),
+                            request_.dry_run(), read_change()};
+        check_name("operation_id", made.operation_id);
+        check_name("operator_name", made.operator_name);
+        if (problems_.empty()) check_words(made.what);
+        if (!problems_.empty()) return std::move(problems_);
+        if (request_.has_change_service() && made.base_revision == 0) made.base_revision = present_.revision;
+        return made;
+    }
+
+private:
+    change read_change() {
+        switch (request_.change_case()) {
+        case admin::SubmitRequest::kCreateService:
+            return read_create(request_.create_service());
+        case admin::SubmitRequest::kChangeService:
+            return read_limits_change(request_.change_service());
+        case admin::SubmitRequest::kDeleteService:
+            return delete_service{request_.delete_service().service()};
+        case admin::SubmitRequest::kJoin:
+            return read_join(request_.join());
+        case admin::SubmitRequest::kDrain:
+            return drain_backend{request_.drain().service(), request_.drain().backend_server()};
+        case admin::SubmitRequest::kUndrain:
+            return undrain_backend{request_.undrain().service(), request_.undrain().backend_server()};
+        case admin::SubmitRequest::kLeave:
+            return leave_backend{request_.leave().service(), request_.leave().backend_server()};
+        case admin::SubmitRequest::kWeight:
+            return weigh_backend{request_.weight().service(), request_.weight().backend_server(),
+                                 request_.weight().weight()};
+        case admin::SubmitRequest::CHANGE_NOT_SET:
+            break;
+        }
+        problems_.push_back({"change", "the request holds no change", "one of the changes"});
+        return delete_service{};
+    }
+
+    create_service read_create(const admin::CreateService& message) {
+        if (message.protocol() != admin::TCP && message.protocol() != admin::UDP)
+            problems_.push_back({"create_service.protocol", "unknown protocol", "TCP or UDP"});
+        return {message.service(), message.protocol() == admin::UDP ? transport::udp : transport::tcp,
+                read_endpoint("create_service.address", message.address()), read_limits(message.limits())};
+    }
+
+    change_service read_limits_change(const admin::ChangeService& message) {
+        if (!message.has_max_flows() && !message.has_max_new_flows_per_second())
+            problems_.push_back({"change_service", "no limit is set", "max_flows or max_new_flows_per_second"});
+        change_service what{message.service(), {}};
+        const auto     found = std::ranges::find(present_.services, message.service(), &service::name);
+        if (found != present_.services.end()) what.limits = found->limits;
+        if (message.has_max_flows()) what.limits.max_flows = message.max_flows();
+        if (message.has_max_new_flows_per_second())
+            what.limits.max_new_flows_per_second = message.max_new_flows_per_second();
+        return what;
+    }
+
+    join_backend read_join(const admin::Join& message) {
+        join_backend what{message.service(),
+                          message.backend_server(),
+                          read_endpoint("join.tunnel", message.tunnel()),
+                          {},
+                          100,
+                          read_limits(message.limits())};
+        if (!message.health().empty()) what.health = read_endpoint("join.health", message.health());
+        if (message.has_weight()) what.weight = message.weight();
+        return what;
+    }
+
+    endpoint read_endpoint(const char* place, const std::string& text) {
+        const auto read = text.size() > max_text_size ? std::nullopt : endpoint::parse(text);
+        if (!read || read->port == 0) problems_.push_back({place, "not an address", "ADDRESS:PORT"});
+        return read.value_or(endpoint());
+    }
+
+    void check_name(const char* place, const std::string& text) {
+        if (!is_name(text)) problems_.push_back({place, "not a name", "1 to 64 letters, digits, '.', '_', '-'"});
+    }
+
+    // The audit trail keeps a change in the command language; what cannot be read back is refused.
+    void check_words(const change& what) {
+        const std::string text = to_text(what);
+        const auto        read = parse_command(text);
+        if (read) return;
+        const finding problem = read.error().to_finding();
+        problems_.push_back({"'" + shown(text) + "' " + problem.place, shown(problem.message), problem.expected});
+    }
+
+    const admin::SubmitRequest& request_;
+    const configuration&        present_;
+    findings                    problems_;
+};
+
+admin::ChangeStatus message_of(change_status status) {
+    switch (status) {
+    case change_status::accepted:
+        return admin::ACCEPTED;
+    case change_status::valid:
+        return admin::VALID;
+    case change_status::invalid:
+        return admin::INVALID;
+    case change_status::conflict:
+        return admin::CONFLICT;
+    case change_status::store_unavailable:
+        return admin::STORE_UNAVAILABLE;
+    case change_status::outcome_unknown:
+        return admin::OUTCOME_UNKNOWN;
+    }
+    return admin::CHANGE_STATUS_UNSPECIFIED;
+}
+
+void set_record(const change_record& record, admin::ChangeRecord& message) {
+    message.set_operation_id(record.operation_id);
+    message.set_operator_name(record.operator_name);
+    set_time(record.time, *message.mutable_time());
+    message.set_base_revision(record.base_revision);
+    message.set_revision(record.revision);
+    message.set_command(to_text(record.what));
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Answers
+//----------------------------------------------------------------------------------------------------------------------
+
+// What the balancer knows of backend servers besides their configuration.
+struct backend_view {
+    std::map<backend_server_id, backend_status> statuses;
+    std::map<backend_server_id, std::uint64_t>  flows;
+    steady_time                                 now;
+};
+
+void set_backend_server(const backend_server& server, const backend_view& view, admin::BackendServer& message) {
+    message.set_id(server.id);
+    message.set_name(server.name);
+    message.set_tunnel(server.tunnel.to_string());
+    if (server.health.port != 0) message.set_health(server.health.to_string());
+    message.set_weight(server.weight);
+    message.set_state(std::string(to_string(server.state)));
+    set_time(server.joined, *message.mutable_joined());
+    if (server.state == backend_state::draining) set_time(server.draining_since, *message.mutable_draining_since());
+    set_limits(server.limits, *message.mutable_limits());
+    const auto           found = view.statuses.find(server.id);
+    const backend_status status = found == view.statuses.end() ? backend_status() : found->second;
+    message.set_available(status.available);
+    if (!status.available) set_time(view.now - status.out_since, *message.mutable_out_for());
+    message.set_load_penalty(status.load_penalty);
+    const auto held = view.flows.find(server.id);
+    message.set_flows_held(held == view.flows.end() ? 0 : held->second);
+}
+
+void set_service(const service& each, const backend_view& view, admin::Service& message) {
+    message.set_id(each.id);
+    message.set_name(each.name);
+    message.set_protocol(message_of(each.protocol));
+    message.set_address(each.address.to_string());
+    set_limits(each.limits, *message.mutable_limits());
+    message.set_changed_at(each.changed_at);
+    for (const backend_server& server : each.backend_servers)
+        set_backend_server(server, view, *message.add_backend_servers());
+}
+
+std::string_view service_of(const change& what) {
+    return std::visit([](const auto& each) -> std::string_view { return each.service; }, what);
+}
+
+std::string_view text_of(flow_state state) {
+    switch (state) {
+    case flow_state::half_open:
+        return "half_open";
+    case flow_state::established:
+        return "established";
+    case flow_state::closing:
+        return "closing";
+    }
+    return "unknown";
+}
+
+std::string text_of(const flow_key& key) {
+    std::array<char, 40> text{};
+    std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(key.high),
+                  static_cast<unsigned long long>(key.low));
+    return text.data();
+}
+
+} // namespace
+
+void set_change(const change& what, admin::SubmitRequest& request) {
+    std::visit(change_setter{request}, what);
+}
+
+void set_change(const change_limits& what, admin::SubmitRequest& request) {
+    auto& message = *request.mutable_change_service();
+    message.set_service(what.service);
+    if (what.max_flows) message.set_max_flows(*what.max_flows);
+    if (what.max_new_flows_per_second) message.set_max_new_flows_per_second(*what.max_new_flows_per_second);
+}
+
+admin::ShowHistoryRequest history_request(const show_history& query) {
+    admin::ShowHistoryRequest request;
+    request.set_service(query.service.value_or(""));
+    request.set_operator_name(query.operator_name.value_or(""));
+    if (query.since != wall_time()) set_time(query.since, *request.mutable_since());
+    if (query.age != duration()) set_time(query.age, *request.mutable_max_age());
+    return request;
+}
+
+admin::ExplainRequest explain_request(const explain_flow& query) {
+    admin::ExplainRequest request;
+    request.set_protocol(message_of(query.flow.protocol));
+    request.set_source(query.flow.source.to_string());
+    request.set_destination(query.flow.destination.to_string());
+    return request;
+}
+
+result<change_request, findings> read_request(const admin::SubmitRequest& request, const configuration& present) {
+    return request_reader(request, present).read();
+}
+
+admin::SubmitResponse message_of(const change_result& outcome) {
+    admin::SubmitResponse message;
+    message.set_status(message_of(outcome.status));
+    message.set_operation_id(outcome.operation_id);
+    message.set_revision(outcome.revision);
+    for (const finding& problem : outcome.problems) {
+        admin::Finding& added = *message.add_problems();
+        added.set_place(problem.place);
+        added.set_message(problem.message);
+        added.set_expected(problem.expected);
+    }
+    if (outcome.conflicting) set_record(*outcome.conflicting, *message.mutable_conflicting());
+    return message;
+}
+
+result<admin::ShowServicesResponse, no_such_name> answer(const admin::ShowServicesRequest& request,
+                                                         administered_balancer&            balancer) {
+    const configuration&        present = balancer.current();
+    backend_view                view{{}, balancer.flows().counts, balancer.time().steady_now()};
+    admin::ShowServicesResponse message;
+    for (const backend_status& status : balancer.statuses())
+        view.statuses.emplace(status.id, status);
+    message.set_balancer(balancer.self().id);
+    message.set_revision(present.revision);
+    set_time(present.accepted, *message.mutable_accepted());
+    for (const service& each : present.services) {
+        const bool wanted = request.service().empty() || request.service() == each.name;
+        if (wanted) set_service(each, view, *message.add_services());
+    }
+    if (!request.service().empty() && message.services().empty()) {
+        return "there is no service '" + shown(request.service()) + "' at revision " + std::to_string(present.revision);
+    }
+    return message;
+}
+
+admin::ShowBalancersResponse answer(const admin::ShowBalancersRequest& /*request*/, administered_balancer& balancer) {
+    admin::ShowBalancersResponse message;
+    for (const member_status& each : balancer.members()) {
+        admin::Balancer& added = *message.add_balancers();
+        added.set_id(each.who.id);
+        added.set_incarnation(each.who.life);
+        added.set_failure_domain(each.who.failure_domain);
+        added.set_control(each.who.control.to_string());
+        added.set_relay(each.who.relay.to_string());
+        added.set_admin(each.who.admin.to_string());
+        added.set_state(std::string(to_string(each.who.state)));
+        added.set_revision(each.revision);
+        added.set_answering(each.who.id == balancer.self().id);
+    }
+    return message;
+}
+
+admin::ShowHistoryResponse answer(const admin::ShowHistoryRequest& request, administered_balancer& balancer) {
+    admin::ShowHistoryResponse message;
+    wall_time                  since{};
+    if (request.has_since()) since = wall_time(read_duration(request.since()));
+    if (request.has_max_age()) since = std::max(since, balancer.time().wall_now() - read_duration(request.max_age()));
+    for (const change_record& record : balancer.recent_changes()) {
+        if (!request.service().empty() && request.service() != service_of(record.what)) continue;
+        if (!request.operator_name().empty() && request.operator_name() != record.operator_name) continue;
+        if (record.time >= since) set_record(record, *message.add_changes());
+    }
+    return message;
+}
+
+admin::ShowCountersResponse answer(const admin::ShowCountersRequest& /*request*/, administered_balancer& balancer) {
+    admin::ShowCountersResponse message;
+    const counter_map           counters = balancer.counters();
+    const distribution_map      distributions = balancer.distributions();
+    for (const auto& [name, value] : counters) {
+        admin::Counter& added = *message.add_counters();
+        added.set_name(name);
+        added.set_value(value);
+    }
+    for (const auto& [name, values] : distributions) {
+        admin::Distribution& added = *message.add_distributions();
+        added.set_name(name);
+        added.mutable_bounds()->Assign(values.bounds.begin(), values.bounds.end());
+        added.mutable_counts()->Assign(values.counts.begin(), values.counts.end());
+        added.set_sum(values.sum);
+    }
+    message.set_exposition(exposition_text(counters, distributions));
+    return message;
+}
+
+admin::ShowFlowsResponse answer(const admin::ShowFlowsRequest& /*request*/, administered_balancer& balancer) {
+    admin::ShowFlowsResponse message;
+    const flow_summary       flows = balancer.flows();
+    message.set_held(flows.held);
+    message.set_capacity(flows.capacity);
+    message.set_memory_bytes(flows.memory_bytes);
+    message.set_unreplicated(flows.unreplicated);
+    for (const service& each : balancer.current().services) {
+        for (const backend_server& server : each.backend_servers) {
+            const auto        found = flows.counts.find(server.id);
+            admin::FlowCount& added = *message.add_counts();
+            added.set_service(each.name);
+            added.set_backend_server(server.name);
+            added.set_flows(found == flows.counts.end() ? 0 : found->second);
+        }
+    }
+    return message;
+}
+
+result<admin::ExplainResponse, findings> answer(const admin::ExplainRequest& request, administered_balancer& balancer) {
+    findings   problems;
+    const auto read = [&](const char* place, const std::string& text) {
+        const auto address = text.size() > max_text_size ? std::nullopt : endpoint::parse(text);
+        if (!address) problems.push_back({place, "not an address", "ADDRESS:PORT"});
+        return address.value_or(endpoint());
+    };
+    const flow_tuple flow{request.protocol() == admin::UDP ? transport::udp : transport::tcp,
+                          read("source", request.source()), read("destination", request.destination())};
+    if (!problems.empty()) return problems;
+    const flow_explanation found = balancer.explain(flow);
+    admin::ExplainResponse message;
+    message.set_balancer(balancer.self().id);
+    message.set_flow_key(text_of(found.key));
+    message.set_bucket(static_cast<std::uint32_t>(found.bucket));
+    message.set_owner(found.responsible.owner());
+    message.set_second_holder(found.responsible.second);
+    message.mutable_ranks()->Assign(found.responsible.ranks.begin(), found.responsible.ranks.end());
+    message.set_service(found.service);
+    message.set_backend_server(found.backend_server);
+    message.set_reason(found.reason);
+    if (!found.held) return message;
+    message.mutable_held()->set_state(std::string(text_of(found.held->state)));
+    message.mutable_held()->set_other_holder(found.held->other_holder);
+    message.mutable_held()->set_generation(found.held->generation);
+    return message;
+}
+
+} // namespace tamarack
