Take names, text form and validation of changes from the configuration

Commands and the administration interface no longer have rules of their own: names have 1 to 63 characters, operators and operation ids are printable words. explain tells whether another balancer has acknowledged the placement.

--- a/tamarack/admin_messages.cpp
+++ b/tamarack/admin_messages.cpp
@@ -105,9 +105,7 @@
     result<change_request, findings> read() {
         change_request made{request_.operation_id(), request_.operator_name(), request_.base_revision(),
                             request_.dry_run(), read_change()};
-        check_name("operation_id", made.operation_id);
-        check_name("operator_name", made.operator_name);
-        if (problems_.empty()) check_words(made.what);
+        if (problems_.empty()) problems_ = validate(made);
         if (!problems_.empty()) return std::move(problems_);
         if (request_.has_change_service() && made.base_revision == 0) made.base_revision = present_.revision;
         return made;
@@ -151,8 +149,8 @@
         if (!message.has_max_flows() && !message.has_max_new_flows_per_second())
             problems_.push_back({"change_service", "no limit is set", "max_flows or max_new_flows_per_second"});
         change_service what{message.service(), {}};
-        const auto     found = std::ranges::find(present_.services, message.service(), &service::name);
-        if (found != present_.services.end()) what.limits = found->limits;
+        const service* found = find_service(present_, message.service());
+        if (found != nullptr) what.limits = found->limits;
         if (message.has_max_flows()) what.limits.max_flows = message.max_flows();
         if (message.has_max_new_flows_per_second())
             what.limits.max_new_flows_per_second = message.max_new_flows_per_second();
@@ -177,19 +175,6 @@
         return read.value_or(endpoint());
     }
 
-    void check_name(const char* place, const std::string& text) {
-        if (!is_name(text)) problems_.push_back({place, "not a name", "1 to 64 letters, digits, '.', '_', '-'"});
-    }
-
-    // The audit trail keeps a change in the command language; what cannot be read back is refused.
-    void check_words(const change& what) {
-        const std::string text = to_text(what);
-        const auto        read = parse_command(text);
-        if (read) return;
-        const finding problem = read.error().to_finding();
-        problems_.push_back({"'" + shown(text) + "' " + problem.place, shown(problem.message), problem.expected});
-    }
-
     const admin::SubmitRequest& request_;
     const configuration&        present_;
     findings                    problems_;
@@ -219,7 +204,7 @@
     set_time(record.time, *message.mutable_time());
     message.set_base_revision(record.base_revision);
     message.set_revision(record.revision);
-    message.set_command(to_text(record.what));
+    message.set_command(to_string(record.what));
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -263,10 +248,6 @@
         set_backend_server(server, view, *message.add_backend_servers());
 }
 
-std::string_view service_of(const change& what) {
-    return std::visit([](const auto& each) -> std::string_view { return each.service; }, what);
-}
-
 std::string_view text_of(flow_state state) {
     switch (state) {
     case flow_state::half_open:
@@ -447,7 +428,7 @@
     message.set_reason(found.reason);
     if (!found.held) return message;
     message.mutable_held()->set_state(std::string(text_of(found.held->state)));
-    message.mutable_held()->set_other_holder(found.held->other_holder);
+    message.mutable_held()->set_acknowledged(found.held->other_holder != 0);
     message.mutable_held()->set_generation(found.held->generation);
     return message;
 }
--- a/tamarack/admin_server.cpp
+++ b/tamarack/admin_server.cpp
@@ -133,7 +133,7 @@
 
 void log_outcome(const change_request& request, const change_result& outcome) {
     if (request.dry_run) return;
-    const std::string text = to_text(request.what);
+    const std::string text = to_string(request.what);
     switch (outcome.status) {
     case change_status::accepted:
         log_event(event::change_accepted, {{"operator", request.operator_name},
@@ -148,7 +148,7 @@
     default:
         log_event(event::change_refused, {{"operator", request.operator_name},
                                           {"operation", request.operation_id},
-                                          {"status", admin::ChangeStatus_Name(message_of(outcome).status())},
+                                          {"status", to_string(outcome.status)},
                                           {"reason", text_of(outcome.problems)},
                                           {"command", text}});
     }
@@ -217,7 +217,7 @@
         return run(context, [this, context, request, response](const call_handle&) -> std::optional<grpc::Status> {
             const auto name = operator_of(*context, request->operator_name());
             if (!name) return wrong_operator();
-            if (!is_name(*name)) return grpc::Status(grpc::INVALID_ARGUMENT, "operator_name: not a name");
+            if (!is_word(*name)) return grpc::Status(grpc::INVALID_ARGUMENT, "operator_name: not a name");
             balancer_.begin_stop(*name);
             response->set_state(std::string(state_text(balancer_.state())));
             return grpc::Status::OK;
--- a/tamarack/admin_view.cpp
+++ b/tamarack/admin_view.cpp
@@ -346,7 +346,7 @@
     text += "at balancer " + to_string(answer.balancer()) + ": ";
     if (!answer.has_held()) return text + "no placement is held\n";
     return text + "placement " + answer.held().state() + ", generation " + to_string(answer.held().generation()) +
-           ", other holder " + to_string(answer.held().other_holder()) + "\n";
+           (answer.held().acknowledged() ? ", also held by another balancer\n" : ", held by no other balancer yet\n");
 }
 
 std::string outcome_view(const admin::SubmitResponse& answer) {
--- a/tamarack/command.cpp
+++ b/tamarack/command.cpp
@@ -13,8 +13,6 @@
 
 namespace x3 = boost::spirit::x3;
 
-constexpr std::uint32_t max_weight = 1'000;
-
 //----------------------------------------------------------------------------------------------------------------------
 // Context of a parse
 //----------------------------------------------------------------------------------------------------------------------
@@ -94,6 +92,7 @@
 const auto name_character = x3::char_("a-zA-Z0-9._-");
 const auto name_text = x3::raw[x3::lexeme[x3::char_("a-zA-Z0-9") >> *name_character]];
 const auto address_text = x3::raw[x3::lexeme[+x3::char_("0-9a-fA-F.:[]")]];
+const auto word_text = x3::raw[x3::lexeme[+x3::char_('!', '~')]];
 const auto time_text = x3::raw[x3::lexeme[+x3::char_("0-9a-zA-Z:-")]];
 
 auto word(const char* text) {
@@ -210,7 +209,7 @@
 const auto service = name(expected_kind::service_name, "the name of a service", &draft::service);
 const auto backend_server_name =
     name(expected_kind::backend_server_name, "the name of a backend server", &draft::backend_server);
-constexpr const char* new_name = "a name of 1 to 64 letters, digits, '.', '_', '-'";
+constexpr const char* new_name = "a name of 1 to 63 letters, digits, '.', '_', '-'";
 const auto            new_service = name(expected_kind::other, new_name, &draft::service);
 const auto            new_backend_server = name(expected_kind::other, new_name, &draft::backend_server);
 const auto            operator_of_change = name(expected_kind::other, "the name of an operator", &draft::operator_name);
@@ -330,38 +329,6 @@
     return state;
 }
 
-std::string limits_text(const flow_limits& set) {
-    std::string text;
-    if (set.max_flows != 0) text += " max-flows " + std::to_string(set.max_flows);
-    if (set.max_new_flows_per_second != 0) text += " max-rate " + std::to_string(set.max_new_flows_per_second);
-    return text;
-}
-
-struct change_writer {
-    std::string operator()(const create_service& what) const {
-        return "create service " + what.service + " " + std::string(to_string(what.protocol)) + " " +
-               what.address.to_string() + limits_text(what.limits);
-    }
-    std::string operator()(const change_service& what) const {
-        return "change service " + what.service + " max-flows " + std::to_string(what.limits.max_flows) + " max-rate " +
-               std::to_string(what.limits.max_new_flows_per_second);
-    }
-    std::string operator()(const delete_service& what) const { return "delete service " + what.service; }
-    std::string operator()(const join_backend& what) const {
-        const std::string health = what.health.port == 0 ? "" : " health " + what.health.to_string();
-        return "join " + what.service + " " + what.backend_server + " tunnel " + what.tunnel.to_string() + health +
-               " weight " + std::to_string(what.weight) + limits_text(what.limits);
-    }
-    std::string operator()(const drain_backend& what) const { return "drain " + names(what); }
-    std::string operator()(const undrain_backend& what) const { return "undrain " + names(what); }
-    std::string operator()(const leave_backend& what) const { return "leave " + names(what); }
-    std::string operator()(const weigh_backend& what) const {
-        return "weight " + names(what) + " " + std::to_string(what.weight);
-    }
-
-    static std::string names(const auto& what) { return what.service + " " + what.backend_server; }
-};
-
 } // namespace
 
 finding command_error::to_finding() const {
@@ -399,8 +366,9 @@
     return x3::parse(first, last, x3::omit[name_text] >> x3::eoi);
 }
 
-std::string to_text(const change& what) {
-    return std::visit(change_writer(), what);
+bool is_word(std::string_view text) {
+    const auto printable = [](char letter) { return letter > ' ' && letter <= '~'; };
+    return !text.empty() && text.size() <= max_operator_name_size && std::ranges::all_of(text, printable);
 }
 
 std::string to_text(wall_time time) {
--- a/tamarack/command.h
+++ b/tamarack/command.h
@@ -1,11 +1,10 @@
-// The operators' command and query language: one line of text to one typed command, and back.
+// The operators' command and query language: one line of text to one typed command. to_string(change) is the way back.
 //
 // docs/commands.md lists the commands. The grammar is written with Boost.Spirit X3; an error points at the column and
 // says what was expected there, and the same knowledge gives the completion of the prompt.
 #pragma once
 
-#include "tamarack/result.h"
-#include "tamarack/tamarack.h"
+#include "tamarack/configuration.h"
 
 namespace tamarack {
 
@@ -71,13 +70,11 @@
 // Service named in the text, for the completion of the names of its backend servers.
 std::string service_in(std::string_view text);
 
-inline constexpr std::size_t max_name_size = 64; // bytes
-
-// Names of services, backend servers, operators, operations: letters, digits, '.', '_', '-', first a letter or digit.
+// Names of services and backend servers: 1 to 63 letters, digits, '.', '_', '-', first a letter or digit.
 bool is_name(std::string_view text);
 
-// The command that makes a change; parse_command reads it back.
-std::string to_text(const change& what);
+// Names of operators and ids of operations: 1 to 64 printable ASCII characters without spaces.
+bool is_word(std::string_view text);
 
 // "2026-12-04T10:30:00Z"
 std::string to_text(wall_time time);
--- a/tamarack/settings.cpp
+++ b/tamarack/settings.cpp
@@ -148,7 +148,7 @@
 
 template <class Field>
 key_row name_row(const key_head& head, Field field) {
-    return row_of(head, "1 to 64 letters, digits, '.', '_', '-', the first a letter or digit",
+    return row_of(head, "1 to 63 letters, digits, '.', '_', '-', the first a letter or digit",
                   [=](std::string_view text, target& into) { return read_name(text, field(into.settings)); });
 }
 
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -74,13 +74,13 @@
 BOOST_AUTO_TEST_CASE(changes_are_read_back_as_shown) {
     const bool passed = rc::check([] {
         const change      what = arbitrary_change();
-        const std::string text = to_text(what);
+        const std::string text = to_string(what);
         const auto        read = parse_command(text);
         RC_ASSERT(read.has_value());
         RC_ASSERT(std::holds_alternative<change>(read.value()));
         const change& again = std::get<change>(read.value());
         RC_ASSERT(again.index() == what.index());
-        RC_ASSERT(to_text(again) == text);
+        RC_ASSERT(to_string(again) == text);
     });
     BOOST_TEST(passed);
 }
@@ -103,7 +103,7 @@
     const auto rate = query<change_limits>("change service board max-rate 0");
     BOOST_TEST(!rate.max_flows.has_value());
     BOOST_TEST(rate.max_new_flows_per_second.value() == 0U);
-    const auto shown = query<change_limits>(to_text(change(change_service{"board", {3, 0}})));
+    const auto shown = query<change_limits>(to_string(change(change_service{"board", {3, 0}})));
     BOOST_TEST(shown.max_flows.value() == 3U);
     BOOST_TEST(shown.max_new_flows_per_second.value() == 0U);
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -119,7 +119,7 @@
         "d.ini:1 member_id: the key stands before the first section",
         "d.ini:3 [balancer] member_id: '0' is not accepted (expected 1 to 4294967295)",
         "d.ini:4 [balancer] member_id: the key is already set in line 3",
-        "d.ini:5 [balancer] failure_domain: 'a b' is not accepted (expected 1 to 64 letters",
+        "d.ini:5 [balancer] failure_domain: 'a b' is not accepted (expected 1 to 63 letters",
         "d.ini:6 [balancer] traffic_threads: '65' is not accepted (expected 1 to 64)",
         "d.ini:7 [balancer] relay_address: peers cannot send to 0.0.0.0:6081",
         "d.ini:10 [balancer] colour: unknown key (expected member_id, failure_domain",
