--- a/tamarack/command.cpp
+++ b/tamarack/command.cpp
@@ -212,9 +212,14 @@
 constexpr const char* new_name = "a name of 1 to 63 letters, digits, '.', '_', '-'";
 const auto            new_service = name(expected_kind::other, new_name, &draft::service);
 const auto            new_backend_server = name(expected_kind::other, new_name, &draft::backend_server);
-const auto            operator_of_change = name(expected_kind::other, "the name of an operator", &draft::operator_name);
-const auto            time_of_change = token(
-               expected_kind::other, "a time such as 2026-12-04, 2026-12-04T10:30Z, 90s, 15m, 2h or 7d", time_text[read_time]);
+const auto            read_operator = [](const auto& context) {
+    const std::string text = text_of(context);
+    x3::_pass(context) = is_word(text);
+    x3::get<draft_tag>(context).operator_name = text;
+};
+const auto operator_of_change = token(expected_kind::other, "the name of an operator", word_text[read_operator]);
+const auto time_of_change = token(
+    expected_kind::other, "a time such as 2026-12-04, 2026-12-04T10:30Z, 90s, 15m, 2h or 7d", time_text[read_time]);
 
 const auto service_address = address("the service's ADDRESS:PORT", &draft::address);
 const auto tunnel_address = address("the tunnel's ADDRESS:PORT", &draft::address);
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -116,9 +116,9 @@
     BOOST_TEST(flow.source.to_string() == "[::1]:5");
     BOOST_TEST(flow.destination.to_string() == "10.0.0.1:80");
     BOOST_TEST((flow.protocol == transport::udp));
-    const auto history = query<show_history>("show history service s operator o since 2026-12-04T10:30:05Z");
+    const auto history = query<show_history>("show history service s operator o@x since 2026-12-04T10:30:05Z");
     BOOST_TEST(history.service.value() == "s");
-    BOOST_TEST(history.operator_name.value() == "o");
+    BOOST_TEST(history.operator_name.value() == "o@x");
     BOOST_TEST(to_text(history.since) == "2026-12-04T10:30:05Z");
     BOOST_TEST((query<show_history>("show history since 3d").age == std::chrono::days(3)));
     BOOST_TEST(to_text(query<show_history>("show history since 2024-02-29").since) == "2024-02-29T00:00:00Z");
