--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -351,8 +351,18 @@
         relay_to_owner(packet, item, offered);
     }
 
+    // Both holders must see a packet now and then, or the copy of the one that sees none expires. The first packet in
+    // each quarter of the idle timeout goes through both.
+    bool refresh_due(const packet_context& packet, const placement& item) const {
+        const bool udp = packet.info.flow.protocol == transport::udp;
+        const auto timeout = udp ? settings_.table.udp_idle_timeout : settings_.table.idle_timeout;
+        const auto quarter = std::max<std::int64_t>(1, timeout / 4 / flow_table::tick_length);
+        return flow_table::ticks_of(packet.now) / quarter != item.last_seen / quarter;
+    }
+
     bool may_deliver_as_second(const packet_context& packet, const placement& item) const {
         if (packet.responsible.second != settings_.self || packet.changes_state()) return false;
+        if (refresh_due(packet, item)) return false;
         // Another owner than the one that shares this placement must learn it from an offer.
         return item.state == flow_state::established && item.other_holder != 0 &&
                item.other_holder == token_of(packet.responsible.owner());
@@ -361,7 +371,7 @@
     void relay_to_owner(packet_context& packet, placement* item, offered_placement offered) {
         relay_header header = make_header(packet, relay_kind::forward, packet.responsible.owner());
         if (item != nullptr && item->state != flow_state::closing && tunnel_of(item->backend_server)) {
-            table_.touch(*item, packet.now);
+            update_state(packet, *item);
             header.kind = relay_kind::offer;
             header.placement = record_of(*item);
         } else if (offered != nullptr) {
@@ -413,9 +423,11 @@
         }
         if (packet.info.syn && item->state == flow_state::closing) return reuse_tuple(packet, *item);
         if (backend_is_dead(*item, packet.now)) return end_dead_flow(packet, *item);
+        const bool first_answer = item->state == flow_state::half_open && !packet.changes_state();
+        const bool refresh = first_answer || refresh_due(packet, *item);
         update_state(packet, *item);
         // The second holder follows the state of the flow, and redundancy is restored by the flow's next packet.
-        if (packet.changes_state() || !confirmed(packet, *item)) return send_through_second(packet, *item);
+        if (refresh || packet.changes_state() || !confirmed(packet, *item)) return send_through_second(packet, *item);
         deliver_placed(packet, *item);
     }
 
@@ -643,6 +655,10 @@
     void propose_refusal(packet_context& packet) {
         if (packet.info.syn) refusals_.remember(packet.key, packet.info.sequence, packet.now);
         const route path = placing_route(packet, true);
+        if (path.length == 0 && state_->services->revision == 0) {
+            ++counters_.dropped_unsettled; // no configuration has been received yet
+            return;
+        }
         if (path.length == 0) return refuse(packet);
         send_on_route(packet, make_header(packet, relay_kind::place, path.members[0]), path);
     }
@@ -683,7 +699,8 @@
         }
         sequences_.note_life(header.sender, header.sender_life);
         sequences_.apply(header.sender, header.acknowledgement);
-        if (header.revision > newest_revision_.revision) newest_revision_ = {header.revision, header.sender};
+        if (header.revision > newest_revision_.revision)
+            newest_revision_ = {header.revision, header.owner != 0 ? header.owner : header.sender};
         return true;
     }
 
@@ -707,7 +724,7 @@
         header.sender = settings_.self;
         header.sender_life = settings_.life;
         header.hops = static_cast<std::uint8_t>(received.hops + 1);
-        header.revision = state_->services->revision;
+        // The revision stays the owner's: the last hop compares it with its own.
         header.acknowledgement = sequences_.acknowledgement_for(received.route[0]);
         header.route_length = static_cast<std::uint8_t>(received.route_length - 1);
         std::copy(received.route.begin() + 1, received.route.end(), header.route.begin());
@@ -749,6 +766,8 @@
         const placement_record& record = header.placement;
         if (record.backend_server == 0) {
             if (item != nullptr) table_.erase(packet.key); // closing: the tuple is free
+            // An owner with an older configuration, such as one that has just started, cannot tell that nothing serves.
+            if (header.revision < state_->services->revision) return choose_instead(packet, header);
             return refuse(packet);
         }
         const bool same =
@@ -782,6 +801,7 @@
     void choose_instead(packet_context& packet, const relay_header& header) {
         const indexed_server* chosen = choose(packet, 0);
         if (chosen == nullptr) {
+            if (header.placement.backend_server == 0) return refuse(packet);
             // The owner keeps its proposal, so this is no refusal; the caller repeats its SYN.
             ++counters_.dropped_unsettled;
             return;
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -344,3 +344,24 @@
     BOOST_TEST(established == 10U);
     BOOST_TEST(net.replies.size() == flow_count - 10U);
 }
+
+// Guards against the copy of the second holder that expires while the owner sees all packets: after the SYN as
+// half-open, later as idle.
+BOOST_AUTO_TEST_CASE(second_holder_keeps_its_copy_while_only_the_owner_sees_packets) {
+    forwarder_mesh net(4);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    const auto     owner = net.owner_of(flow);
+    const auto     second = net.second_of(flow);
+    net.send(owner, flow, standin::syn_flag);
+    // A frame from the second holder to the owner acknowledges the placement before the caller's next packet.
+    for (std::uint16_t port = first_port + 1; port < first_port + flow_count; ++port) {
+        net.send(second, forwarder_mesh::flow(port), standin::syn_flag);
+    }
+    net.send(owner, flow, standin::ack_flag, 2, "request");
+    for (int minute = 0; minute < 200; ++minute) {
+        net.wait(60s);
+        net.publish_all();
+        net.send(owner, flow, standin::ack_flag, 3U + static_cast<std::uint32_t>(minute), "request");
+    }
+    BOOST_TEST(net.hosts[second]->explain(flow).held.has_value());
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -45,7 +45,11 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(frames_are_read_back_as_written) {
-    const auto frame = encode(place_header(), packet); // no two fields are equal
+    relay_header established = place_header(); // no two fields are equal
+    established.placement.retried = false;
+    established.placement.established = true;
+    BOOST_TEST((parse_relay_frame(encode(established, packet), keys).value().header == established));
+    const auto frame = encode(place_header(), packet);
     const auto parsed = parse_relay_frame(frame, keys);
     BOOST_REQUIRE(parsed.has_value());
     BOOST_TEST((parsed.value().header == place_header()));
