--- a/tamarack/admin_messages.cpp
+++ b/tamarack/admin_messages.cpp
@@ -392,7 +392,7 @@
     message.set_held(flows.held);
     message.set_capacity(flows.capacity);
     message.set_memory_bytes(flows.memory_bytes);
-    message.set_unreplicated(flows.unreplicated);
+    if (flows.unreplicated) message.set_unreplicated(*flows.unreplicated);
     for (const service& each : balancer.current().services) {
         for (const backend_server& server : each.backend_servers) {
             const auto        found = flows.counts.find(server.id);
--- a/tamarack/admin_view.cpp
+++ b/tamarack/admin_view.cpp
@@ -114,12 +114,15 @@
     return fixed(100.0 * static_cast<double>(part) / static_cast<double>(whole), 1) + "%";
 }
 
+std::string unreplicated_text(const admin::ShowFlowsResponse& answer) {
+    return answer.has_unreplicated() ? ", no other holder " + to_string(answer.unreplicated()) : "";
+}
+
 void add_overview(const watch_frame& frame, const watch_frame* previous, std::vector<std::string>& lines) {
     lines.push_back("revision " + to_string(frame.services.revision()) + "  by balancer " +
                     to_string(frame.services.balancer()));
     lines.push_back("flows " + to_string(frame.flows.held()) + " of " + to_string(frame.flows.capacity()) + " (" +
-                    share_text(frame.flows.held(), frame.flows.capacity()) + ")  unreplicated " +
-                    to_string(frame.flows.unreplicated()));
+                    share_text(frame.flows.held(), frame.flows.capacity()) + ")" + unreplicated_text(frame.flows));
     if (previous == nullptr) return;
     lines.push_back("packets/s " + rate_text(frame, *previous, "packets_from_fabric") + "  new flows/s " +
                     rate_text(frame, *previous, "flows_placed") + "  refused/s " +
@@ -325,9 +328,8 @@
     for (const auto& each : answer.counts())
         table.add({each.service(), each.backend_server(), to_string(each.flows())});
     return "held " + to_string(answer.held()) + " of " + to_string(answer.capacity()) + " (" +
-           share_text(answer.held(), answer.capacity()) + "), held by no other balancer " +
-           to_string(answer.unreplicated()) + ", memory " + to_string(answer.memory_bytes()) + " bytes\n" +
-           table.to_text(size.columns);
+           share_text(answer.held(), answer.capacity()) + ")" + unreplicated_text(answer) + ", memory " +
+           to_string(answer.memory_bytes()) + " bytes\n" + table.to_text(size.columns);
 }
 
 std::string explanation_view(const admin::ExplainResponse& answer) {
--- a/tamarack/administered_balancer.h
+++ b/tamarack/administered_balancer.h
@@ -12,7 +12,7 @@
     std::uint64_t                              held = 0;
     std::uint64_t                              capacity = 0;
     std::uint64_t                              memory_bytes = 0;
-    std::uint64_t                              unreplicated = 0; // held by no other balancer
+    std::optional<std::uint64_t>               unreplicated; // held by no other balancer; counted while leaving
     std::map<backend_server_id, std::uint64_t> counts;
 };
 
