--- /dev/null
+++ b/tamarack/node_packet_handler.cpp
@@ -0,0 +1,53 @@
+// Partitions of a batch.
+#include "tamarack/node_packet_handler.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+using partition_list = std::array<std::size_t, receive_batch::max_datagrams>;
+
+// Runs use for each packet, the packets of one partition together and in their order.
+template <class Use>
+void for_each_partition(node& balancer, std::span<const receive_batch::item> packets, const partition_list& partitions,
+                        std::size_t partition_count, Use use) {
+    for (std::size_t partition = 0; partition < partition_count; ++partition) {
+        const auto last = partitions.begin() + static_cast<std::ptrdiff_t>(packets.size());
+        const auto first = std::find(partitions.begin(), last, partition);
+        if (first == last) continue;
+        const auto use_all = [&](forwarder& target) {
+            for (auto i = static_cast<std::size_t>(first - partitions.begin()); i < packets.size(); ++i)
+                if (partitions[i] == partition) use(target, packets[i]);
+        };
+        balancer.with_forwarder(partition, std::ref(use_all)); // by reference: no allocation
+    }
+}
+
+} // namespace
+
+void node_packet_handler::handle_fabric(std::span<const receive_batch::item> packets, action_buffer& out) {
+    partition_list partitions;
+    for (std::size_t i = 0; i < packets.size(); ++i)
+        partitions[i] = balancer_.partition_of_fabric_packet(packets[i].bytes);
+    for_each_partition(balancer_, packets, partitions, partitions_,
+                       [&out](forwarder& target, const receive_batch::item& packet) {
+                           target.receive_from_fabric(packet.bytes, packet.from, out);
+                       });
+}
+
+void node_packet_handler::handle_relay(std::span<const receive_batch::item> frames, action_buffer& out) {
+    partition_list partitions;
+    for (std::size_t i = 0; i < frames.size(); ++i)
+        partitions[i] = balancer_.partition_of_relay_frame(frames[i].bytes);
+    for_each_partition(
+        balancer_, frames, partitions, partitions_,
+        [&out](forwarder& target, const receive_batch::item& frame) { target.receive_from_peer(frame.bytes, out); });
+}
+
+void node_packet_handler::tick(std::size_t thread, action_buffer& out) {
+    balancer_.with_forwarder(thread, [&out](forwarder& target) { target.tick(out); });
+}
+
+} // namespace tamarack
