Test writes that reach the store after their deadline

A write whose outcome was unknown may take effect later. The random run now delays some writes past their deadline, and checks that a change that is reported as not committed is not in the store.

--- a/tests/configuration_loop.h
+++ b/tests/configuration_loop.h
@@ -11,6 +11,9 @@
 
 namespace tamarack::testing {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 inline constexpr duration step = std::chrono::milliseconds(10);        // of simulated time
 inline constexpr duration latency = std::chrono::milliseconds(3);      // of a message, one way; rounded up to a step
 inline constexpr duration gossip_hop = std::chrono::milliseconds(250); // a member sends one digest in this time
@@ -98,10 +101,9 @@
     standin::platform_store store;
     std::mt19937_64         random;
     std::vector<host>       hosts;
-    bool                    gossip = true;
     bool                    watches_answer = true;
     double                  loss = 0;        // share of the messages between hosts that are lost
-    bool                    cut_off = false; // no message between hosts arrives
+    std::uint32_t           late_writes = 0; // for so many writes: they arrive after their deadline
 
 private:
     struct waiting_watch {
@@ -122,7 +124,7 @@
             carry_out(i);
         }
         check_watches();
-        if (gossip) send_digests();
+        send_digests();
         count_second();
     }
 
@@ -142,7 +144,7 @@
 
     void deliver(std::size_t from, replica_message message) {
         hosts[from].bytes += message.payload.size() + replica_settings{}.message_overhead;
-        if (cut_off || std::uniform_real_distribution<double>()(random) < loss) return;
+        if (std::uniform_real_distribution<double>()(random) < loss) return;
         later(latency, [this, from, item = std::move(message)] {
             auto& receiver = hosts.at(item.to - 1);
             if (receiver.who.state == member_state::dead) return;
@@ -152,6 +154,15 @@
     }
 
     void call_store(std::size_t from, store_request request) {
+        const bool write = request.operation == store_operation::compare_and_swap;
+        if (write && late_writes > 0) {
+            --late_writes;
+            later(request.deadline, [this, from, id = request.id] {
+                answer_store(from, {id, store_status::unknown_outcome, {}, 0});
+            });
+            return later(request.deadline + milliseconds(500),
+                         [this, item = std::move(request)] { store.handle(item); });
+        }
         later(latency, [this, from, item = std::move(request)] {
             auto answer = store.handle(item);
             if (answer.waiting) {
@@ -188,7 +199,7 @@
         const auto hops = static_cast<std::size_t>(gossip_hop / step);
         for (std::size_t i = ++steps_ % hops; i < hosts.size(); i += hops) {
             const std::size_t to = random() % hosts.size();
-            if (to == i || cut_off || hosts[i].who.state == member_state::dead) continue;
+            if (to == i || hosts[i].who.state == member_state::dead) continue;
             later(latency, [this, i, to, revision = hosts[i].replica->revision()] {
                 hosts[to].replica->heard(hosts[i].who.id, revision);
             });
--- a/tests/configuration_replica_test.cpp
+++ b/tests/configuration_replica_test.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr std::uint64_t seed = 20261204;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 create_service creation(const std::string& name, std::uint32_t number = 0) {
     return {name, transport::tcp, {ip_address::v4(0x0a020000U + number), 443}, {}};
@@ -35,7 +33,9 @@
 }
 
 head stored_head_of(replica_loop& loop) {
-    return decode_head(loop.store.backup().at(head_key("default")).value).value();
+    const auto contents = loop.store.backup();
+    const auto found = contents.find(head_key("default"));
+    return found == contents.end() ? head{} : decode_head(found->second.value).value();
 }
 
 // Archive and ring together, as an audit would read them.
@@ -102,11 +102,12 @@
         if (kind == 2) loop.store.faults.stale_writes = 1 + loop.below(3);
         if (kind == 3) loop.store.faults.outage = true;
         if (kind == 4) loop.store.faults.writes_per_second = 1;
+        if (kind == 5) loop.late_writes = 1;
         const std::string operation = "operation-" + std::to_string(i);
         const change      what = i % 2 == 0 ? change(creation("s" + std::to_string(i), i))
                                             : change(delete_service{"s" + std::to_string(i - 1)});
         // Repeats with the same id, through another host, until the outcome is known.
-        for (;;) {
+        for (bool open_before = false;;) {
             const std::size_t index = loop.random() % loop.hosts.size();
             loop.hosts[index].results.clear();
             const auto result = loop.commit(index, operation, what, seen);
@@ -115,6 +116,9 @@
             const bool open =
                 result.status == change_status::store_unavailable || result.status == change_status::outcome_unknown;
             BOOST_REQUIRE_MESSAGE(open, operation << " " << to_string(result.status));
+            open_before = open_before || result.status == change_status::outcome_unknown;
+            const bool committed = find_operation(stored_head_of(loop), operation) != nullptr;
+            BOOST_REQUIRE_MESSAGE(open_before || !committed, operation << " was committed, but reported as not");
             loop.store.faults = {};
             ++repeated;
         }
