--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -33,7 +33,7 @@
     {event::settings_kept, severity::error, "settings kept",
      "SIGHUP: the file has problems, so everything stays as it was."},
     {event::no_platform, severity::warning, "no platform",
-     "[platform] address is none: the configuration comes from peers only, and changes are refused."},
+     "[platform] addresses is none: the configuration comes from peers only, and changes are refused."},
 
     {event::change_accepted, severity::info, "change accepted", "An operator's change was committed as `revision`."},
     {event::change_refused, severity::warning, "change refused",
--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -84,6 +84,8 @@
     void            submit(const change_request& request);
     void            tick(); // every 10 to 100 ms
     void            begin_stop();
+    // Takes over the keys, and the limits of the flow table but max_flows; ignores the other settings.
+    void            reconfigure(const node_settings& settings);
     control_actions take_actions();
 
     // Queries. Control thread only.
--- a/tamarack/settings.cpp
+++ b/tamarack/settings.cpp
@@ -187,23 +187,28 @@
     });
 }
 
-problem read_peers(std::string_view text, target& into) {
+// Adds to the list, since the value may be continued on further lines.
+problem read_endpoints(std::string_view text, std::vector<endpoint>& list) {
     std::istringstream words(std::string(text.begin(), text.end()));
     std::string        word;
     while (words >> word) {
         if (word.ends_with(',')) word.pop_back();
-        endpoint peer;
-        if (read_own_endpoint(word, peer)) return "'" + word + "' is not an address of a peer";
-        into.settings.node.peers.push_back(peer);
+        endpoint address;
+        if (read_own_endpoint(word, address)) return "'" + word + "' is not an address and port";
+        list.push_back(address);
     }
     return std::nullopt;
 }
 
+problem read_peers(std::string_view text, target& into) {
+    return read_endpoints(text, into.settings.node.peers);
+}
+
 problem read_platform(std::string_view text, target& into) {
-    into.settings.platform.reset();
     into.settings.node.use_store = text != "none";
     if (text == "none") return std::nullopt;
-    return read_own_endpoint(text, into.settings.platform.emplace());
+    if (text.empty()) return wrong_form();
+    return read_endpoints(text, into.settings.platform);
 }
 
 problem read_key_file(std::string_view text, const target& into, control_key& key) {
@@ -235,58 +240,52 @@
 using std::chrono::seconds;
 
 constexpr const char* required = nullptr;
+constexpr const char* list_of_addresses = "ADDRESS:PORT, separated by blanks or commas; further ones on indented lines";
 
 std::vector<key_row> balancer_rows() {
     constexpr auto restart = when::at_restart;
     return {
         number_row<member_id>(
             {"balancer", "member_id", required, restart, "Number of this balancer, unique in its cluster."}, 1,
-            UINT32_MAX, [](daemon_settings & to) -> auto& { return to.node.self.id; }),
-        name_row(
-            {"balancer", "failure_domain", required, restart,
-             "Failure domain of the host. The two holders of a flow are taken from different ones."},
-            [](daemon_settings & to) -> auto& { return to.node.self.failure_domain; }),
+            UINT32_MAX, [](daemon_settings& to) -> decltype(auto) { return (to.node.self.id); }),
+        name_row({"balancer", "failure_domain", required, restart,
+                  "Failure domain of the host. The two holders of a flow are taken from different ones."},
+                 [](daemon_settings& to) -> decltype(auto) { return (to.node.self.failure_domain); }),
         row_of({"balancer", "fabric_address", "0.0.0.0:6080", restart,
                 "Where the fabric sends callers' packets (GUE over UDP)."},
                "ADDRESS:PORT, IPv6 addresses in brackets",
                [](std::string_view text, target& into) { return read_endpoint(text, into.settings.fabric); }),
-        own_address_row(
-            {"balancer", "relay_address", required, restart, "Where peers send relay frames (UDP)."},
-            [](daemon_settings & to) -> auto& { return to.node.self.relay; }),
-        own_address_row(
-            {"balancer", "control_address", required, restart, "Where peers send control messages (UDP)."},
-            [](daemon_settings & to) -> auto& { return to.node.self.control; }),
-        own_address_row(
-            {"balancer", "admin_address", "127.0.0.1:6083", restart,
-             "Where the administration interface listens (gRPC over TCP). Needs the files of [admin] "
-             "unless it is a loopback address."},
-            [](daemon_settings & to) -> auto& { return to.node.self.admin; }),
-        number_row<std::size_t>(
-            {"balancer", "traffic_threads", "2", restart,
-             "Threads that handle packets. Each has a part of the flow table."},
-            1, 64, [](daemon_settings & to) -> auto& { return to.traffic_threads; }),
-        number_row<std::size_t>(
-            {"balancer", "receive_buffer_bytes", "4194304", restart,
-             "Receive buffer of each traffic socket. The host's net.core.rmem_max limits it."},
-            65'536, 268'435'456, [](daemon_settings & to) -> auto& { return to.receive_buffer; }),
-        duration_row<seconds>(
-            {"balancer", "stop_grace_seconds", "300", restart,
-             "A graceful stop waits no longer than this until other balancers hold all flows."},
-            0, 3600, [](daemon_settings & to) -> auto& { return to.node.stop_grace; }),
+        own_address_row({"balancer", "relay_address", required, restart, "Where peers send relay frames (UDP)."},
+                        [](daemon_settings& to) -> decltype(auto) { return (to.node.self.relay); }),
+        own_address_row({"balancer", "control_address", required, restart, "Where peers send control messages (UDP)."},
+                        [](daemon_settings& to) -> decltype(auto) { return (to.node.self.control); }),
+        own_address_row({"balancer", "admin_address", "127.0.0.1:6083", restart,
+                         "Where the administration interface listens (gRPC over TCP). Needs the files of [admin] "
+                         "unless it is a loopback address."},
+                        [](daemon_settings& to) -> decltype(auto) { return (to.node.self.admin); }),
+        number_row<std::size_t>({"balancer", "traffic_threads", "2", restart,
+                                 "Threads that handle packets. Each has a part of the flow table."},
+                                1, 64, [](daemon_settings& to) -> decltype(auto) { return (to.traffic_threads); }),
+        number_row<std::size_t>({"balancer", "receive_buffer_bytes", "4194304", restart,
+                                 "Receive buffer of each traffic socket. The host's net.core.rmem_max limits it."},
+                                65'536, 268'435'456,
+                                [](daemon_settings& to) -> decltype(auto) { return (to.receive_buffer); }),
+        duration_row<seconds>({"balancer", "stop_grace_seconds", "300", restart,
+                               "A graceful stop waits no longer than this until other balancers hold all flows."},
+                              0, 3600, [](daemon_settings& to) -> decltype(auto) { return (to.node.stop_grace); }),
     };
 }
 
 std::vector<key_row> cluster_rows() {
     constexpr auto restart = when::at_restart;
-    key_row        peers = row_of(
-               {"cluster", "peers", "", restart,
-                "Balancers to contact first. A few are enough: the others are learnt from them."},
-               "ADDRESS:PORT of control ports, separated by blanks or commas; further ones on indented lines", read_peers);
+    key_row        peers = row_of({"cluster", "peers", "", restart,
+                                   "Control addresses of balancers to contact first. A few are enough: the others are learnt "
+                                          "from them."},
+                                  list_of_addresses, read_peers);
     peers.list = true;
     return {
-        name_row(
-            {"cluster", "name", "default", restart, "Name of the cluster, the same on all of its balancers."},
-            [](daemon_settings & to) -> auto& { return to.node.cluster; }),
+        name_row({"cluster", "name", "default", restart, "Name of the cluster, the same on all of its balancers."},
+                 [](daemon_settings& to) -> decltype(auto) { return (to.node.cluster); }),
         row_of({"cluster", "hash_seed", required, restart,
                 "Seed of the flow hash, the same on all balancers of the cluster. A random value keeps callers from "
                 "aiming at one balancer."},
@@ -297,15 +296,21 @@
 }
 
 std::vector<key_row> platform_rows() {
+    key_row addresses = row_of({"platform", "addresses", required, when::at_restart,
+                                "The platform's key-value service; the first one that answers is used. With none the "
+                                "configuration comes from peers only and changes are refused."},
+                               std::string(list_of_addresses) + ", or none", read_platform);
+    addresses.list = true;
     return {
-        row_of({"platform", "address", required, when::at_restart,
-                "The platform's key-value service. With none the configuration comes from peers only and changes are "
-                "refused."},
-               "ADDRESS:PORT, IPv6 addresses in brackets, or none", read_platform),
-        duration_row<milliseconds>(
-            {"platform", "deadline_milliseconds", "2000", when::at_restart,
-             "Deadline of a call of the key-value service."},
-            100, 60'000, [](daemon_settings & to) -> auto& { return to.node.store_deadline; }),
+        std::move(addresses),
+        file_row({"platform", "authority_file", "", when::at_restart,
+                  "Authority that signs the certificate of the service. Without it the service is called in plain "
+                  "text."},
+                 [](daemon_settings& to) -> decltype(auto) { return (to.platform_authority); }),
+        duration_row<milliseconds>({"platform", "deadline_milliseconds", "2000", when::at_restart,
+                                    "Deadline of a call of the key-value service."},
+                                   100, 60'000,
+                                   [](daemon_settings& to) -> decltype(auto) { return (to.node.store_deadline); }),
     };
 }
 
@@ -323,49 +328,47 @@
 std::vector<key_row> limit_rows() {
     constexpr auto once = when::at_once;
     return {
-        number_row<std::size_t>(
-            {"limits", "max_flows", "1000000", when::at_restart, "Hard cap of the flow table."}, 1'000, 100'000'000,
-            [](daemon_settings & to) -> auto& { return to.node.table.max_flows; }),
-        number_row<double>(
-            {"limits", "max_service_share", "0.5", once,
-             "Share of the flow table that one service may fill when the table is nearly full."},
-            0.01, 1.0, [](daemon_settings & to) -> auto& { return to.node.table.max_service_share; }),
-        duration_row<seconds>(
-            {"limits", "half_open_timeout_seconds", "30", once,
-             "A TCP flow of which only the SYN has been seen is forgotten after this time without "
-             "packets."},
-            1, 3600, [](daemon_settings & to) -> auto& { return to.node.table.half_open_timeout; }),
-        duration_row<seconds>(
-            {"limits", "idle_timeout_seconds", "7800", once,
-             "An established TCP flow is forgotten after this time without packets. Keep it above "
-             "the callers' keep-alive time."},
-            60, 604'800, [](daemon_settings & to) -> auto& { return to.node.table.idle_timeout; }),
-        duration_row<seconds>(
-            {"limits", "udp_idle_timeout_seconds", "120", once,
-             "A UDP flow is forgotten after this time without packets."},
-            1, 86'400, [](daemon_settings & to) -> auto& { return to.node.table.udp_idle_timeout; }),
+        number_row<std::size_t>({"limits", "max_flows", "1000000", when::at_restart, "Hard cap of the flow table."},
+                                1'000, 100'000'000,
+                                [](daemon_settings& to) -> decltype(auto) { return (to.node.table.max_flows); }),
+        number_row<double>({"limits", "max_service_share", "0.5", once,
+                            "Share of the flow table that one service may fill when the table is nearly full."},
+                           0.01, 1.0,
+                           [](daemon_settings& to) -> decltype(auto) { return (to.node.table.max_service_share); }),
+        duration_row<seconds>({"limits", "half_open_timeout_seconds", "30", once,
+                               "A TCP flow of which only the SYN has been seen is forgotten after this time without "
+                               "packets."},
+                              1, 3600,
+                              [](daemon_settings& to) -> decltype(auto) { return (to.node.table.half_open_timeout); }),
+        duration_row<seconds>({"limits", "idle_timeout_seconds", "7800", once,
+                               "An established TCP flow is forgotten after this time without packets. Keep it above "
+                               "the callers' keep-alive time."},
+                              60, 604'800,
+                              [](daemon_settings& to) -> decltype(auto) { return (to.node.table.idle_timeout); }),
+        duration_row<seconds>({"limits", "udp_idle_timeout_seconds", "120", once,
+                               "A UDP flow is forgotten after this time without packets."},
+                              1, 86'400,
+                              [](daemon_settings& to) -> decltype(auto) { return (to.node.table.udp_idle_timeout); }),
         duration_row<seconds>(
             {"limits", "closing_timeout_seconds", "60", once,
              "A TCP flow is forgotten after this time without packets once the caller has closed it."},
-            1, 3600, [](daemon_settings & to) -> auto& { return to.node.table.closing_timeout; }),
+            1, 3600, [](daemon_settings& to) -> decltype(auto) { return (to.node.table.closing_timeout); }),
     };
 }
 
 std::vector<key_row> admin_rows() {
     constexpr auto restart = when::at_restart;
     return {
-        file_row(
-            {"admin", "certificate_file", "", restart, "Certificate of this balancer."},
-            [](daemon_settings & to) -> auto& { return to.admin_tls.certificate; }),
+        file_row({"admin", "certificate_file", "", restart, "Certificate of this balancer."},
+                 [](daemon_settings& to) -> decltype(auto) { return (to.admin_tls.certificate); }),
         row_of({"admin", "key_file", "", restart, "Key of the certificate."}, "name of a PEM file, mode 0600 or less",
                [](std::string_view text, target& into) {
                    return read_private_file(text, into, into.settings.admin_tls.key);
                }),
-        file_row(
-            {"admin", "authority_file", "", restart,
-             "Authority that signs the certificates of operators. The common name of such a certificate is the "
-             "operator's name."},
-            [](daemon_settings & to) -> auto& { return to.admin_tls.authority; }),
+        file_row({"admin", "authority_file", "", restart,
+                  "Authority that signs the certificates of operators. The common name of such a certificate is the "
+                  "operator's name."},
+                 [](daemon_settings& to) -> decltype(auto) { return (to.admin_tls.authority); }),
     };
 }
 
@@ -632,6 +635,21 @@
     return difference;
 }
 
+daemon_settings take_over(const daemon_settings& present, const daemon_settings& next) {
+    daemon_settings taken = present;
+    taken.node.keys = next.node.keys;
+    taken.node.table = next.node.table;
+    taken.node.table.max_flows = present.node.table.max_flows;
+    taken.level = next.level;
+    for (const key_row& row : key_table()) {
+        if (row.takes_effect != when::at_once) continue;
+        const std::string name = full_name(row.section, row.key);
+        taken.texts.erase(name);
+        if (const auto found = next.texts.find(name); found != next.texts.end()) taken.texts.insert(*found);
+    }
+    return taken;
+}
+
 std::string settings_reference() {
     std::string text =
         "# Settings of tamarackd\n\n"
--- a/tamarack/settings.h
+++ b/tamarack/settings.h
@@ -22,13 +22,14 @@
 };
 
 struct daemon_settings {
-    node_settings           node;   // self holds the control, relay and admin addresses
-    endpoint                fabric; // receives callers' packets from the fabric
-    std::size_t             traffic_threads = 2;
-    std::size_t             receive_buffer = 4'194'304; // bytes, of each traffic socket
-    std::optional<endpoint> platform;                   // none: configuration comes from peers only
-    tls_files               admin_tls;
-    log_level               level = log_level::info;
+    node_settings         node;   // self holds the control, relay and admin addresses
+    endpoint              fabric; // receives callers' packets from the fabric
+    std::size_t           traffic_threads = 2;
+    std::size_t           receive_buffer = 4'194'304; // bytes, of each traffic socket
+    std::vector<endpoint> platform;                   // empty: configuration comes from peers only
+    std::string           platform_authority;         // PEM file; empty: plain text
+    tls_files             admin_tls;
+    log_level             level = log_level::info;
 
     // Text of each key that the file sets, by "[section] key", to find out what a later version changes.
     std::map<std::string, std::string> texts;
@@ -46,6 +47,9 @@
 
 settings_difference compare(const daemon_settings& present, const daemon_settings& next);
 
+// The present settings with those of the next ones that take effect without a restart.
+daemon_settings take_over(const daemon_settings& present, const daemon_settings& next);
+
 // The text of docs/settings.md.
 std::string settings_reference();
 
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -44,7 +44,7 @@
                              "[cluster]\n"
                              "hash_seed = 0xffFF\n"
                              "[platform]\n"
-                             "address = 10.0.0.1:2379\n"
+                             "addresses = 10.0.0.1:2379\n"
                              "[keys]\n"
                              "signing_file = first.key\n";
 
@@ -74,7 +74,7 @@
     BOOST_TEST(settings.node.self.control.to_string() == "[2001:db8::7]:6082");
     BOOST_TEST(settings.node.self.admin.to_string() == "127.0.0.1:6083");
     BOOST_TEST(settings.node.hash_seed == 0xffffU);
-    BOOST_TEST(settings.platform.value().to_string() == "10.0.0.1:2379");
+    BOOST_TEST(settings.platform.at(0).to_string() == "10.0.0.1:2379");
     BOOST_TEST((settings.node.keys.signing[31] == std::byte{0xaa}));
     BOOST_TEST(!settings.node.keys.also_accepted.has_value());
     BOOST_TEST(settings.node.partitions == daemon_settings().traffic_threads);
@@ -131,7 +131,7 @@
         "d.ini:21: the line contains a control character",
         "d.ini:22: the line is too long",
         "d.ini [cluster] hash_seed: the key is missing",
-        "d.ini [platform] address: the key is missing",
+        "d.ini [platform] addresses: the key is missing",
         "d.ini [keys] signing_file: the key is missing",
         "d.ini:8 [balancer] control_address: 0.0.0.0:6080 is used twice",
         "d.ini:9 [balancer] admin_address: an interface that is not on loopback needs TLS",
@@ -162,7 +162,7 @@
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read.value().node.peers.size() == 3U);
     const auto problems = problems_of(in, "[cluster]\npeers = 10.0.0.1:1\n  host:2\n" + smallest);
-    BOOST_TEST(mentions(problems, "d.ini:3 [cluster] peers: 'host:2' is not an address of a peer"));
+    BOOST_TEST(mentions(problems, "d.ini:3 [cluster] peers: 'host:2' is not an address and port"));
 }
 
 BOOST_AUTO_TEST_CASE(tls_needs_all_files) {
@@ -192,6 +192,13 @@
                                                "[keys] (contents of the files)"};
     BOOST_TEST(difference.in_force == in_force, boost::test_tools::per_element());
     BOOST_TEST(compare(after, after).in_force.empty());
+
+    const auto running = take_over(before, after);
+    BOOST_TEST(compare(running, after).in_force.empty());
+    BOOST_TEST(compare(running, after).needs_restart == difference.needs_restart, boost::test_tools::per_element());
+    BOOST_TEST((running.node.keys.signing == after.node.keys.signing));
+    BOOST_TEST((running.node.table.udp_idle_timeout == std::chrono::seconds(5)));
+    BOOST_TEST(running.node.table.max_flows == 2000U);
 }
 
 BOOST_AUTO_TEST_CASE(no_bytes_make_reading_crash) {
