--- /dev/null
+++ b/tamarack/control_log.cpp
@@ -0,0 +1,70 @@
+// Differences between two views as log events.
+#include "tamarack/control_log.h"
+
+#include "tamarack/events.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+// "board/b1", or the id of a backend server that the configuration no longer has.
+std::string name_of(const configuration& present, backend_server_id id) {
+    for (const service& each : present.services) {
+        const auto found = std::ranges::find(each.backend_servers, id, &backend_server::id);
+        if (found != each.backend_servers.end()) return each.name + "/" + found->name;
+    }
+    return std::to_string(id);
+}
+
+} // namespace
+
+void control_log::note(const configuration& present, const std::vector<member_status>& members,
+                       const std::vector<backend_status>& statuses) {
+    if (present.revision != revision_) {
+        revision_ = present.revision;
+        log_event(event::revision_in_force, {{"revision", revision_}, {"services", present.services.size()}});
+    }
+    note_members(members);
+    note_statuses(present, statuses);
+}
+
+void control_log::note_members(const std::vector<member_status>& members) {
+    for (const member_status& each : members) {
+        const member& now = each.who;
+        const auto    found = members_.find(now.id);
+        const bool same = found != members_.end() && found->second.state == now.state && found->second.life == now.life;
+        if (same || now.id == self_) continue;
+        members_[now.id] = now;
+        log_event(event::member_changed, {{"member_id", now.id},
+                                          {"state", to_string(now.state)},
+                                          {"failure_domain", now.failure_domain},
+                                          {"incarnation", now.life}});
+    }
+}
+
+void control_log::note_statuses(const configuration& present, const std::vector<backend_status>& statuses) {
+    std::set<backend_server_id> out;
+    for (const backend_status& each : statuses) {
+        if (each.available) continue;
+        out.insert(each.id);
+        if (!out_.contains(each.id)) log_event(event::backend_server_out, {{"name", name_of(present, each.id)}});
+    }
+    for (const backend_server_id id : out_)
+        if (!out.contains(id)) log_event(event::backend_server_back, {{"name", name_of(present, id)}});
+    out_ = std::move(out);
+}
+
+void control_log::note(store_status status) {
+    const bool available = status != store_status::unavailable && status != store_status::unknown_outcome;
+    if (available == store_available_) return;
+    store_available_ = available;
+    if (available) {
+        log_event(event::store_available, {});
+    } else {
+        log_event(event::store_unavailable, {{"status", to_string(status)}});
+    }
+}
+
+} // namespace tamarack
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -14,12 +14,13 @@
     {event::listening, severity::info, "listening", "A port is open. `port`: fabric, relay, control or admin."},
     {event::stop_requested, severity::info, "stop requested",
      "A graceful stop begins: the balancer announces that it leaves and waits until others hold its flows. `by`: a "
-     "signal or an operator. A second request ends the wait."},
+     "signal or an operator. A second signal ends the wait."},
     {event::stopped, severity::info, "stopped",
      "The daemon ends. `unreplicated`: flows that no other balancer holds; they break unless it is 0."},
     {event::pause_detected, severity::warning, "pause detected",
      "A thread did not run for `milliseconds`. Packets queued meanwhile were discarded; their senders repeat them. "
      "Look for an overloaded or suspended host."},
+    {event::start_failed, severity::error, "start failed", "The daemon ends, see `reason`."},
     {event::socket_failed, severity::error, "socket failed",
      "A socket could not be opened or used, see `reason`. At the start the daemon ends."},
     {event::thread_failed, severity::error, "thread failed", "A thread ended by an exception; the daemon ends."},
@@ -51,6 +52,8 @@
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
      "Too many calls wait for the control thread; further ones are refused."},
+    {event::grpc_message, severity::warning, "gRPC message",
+     "A message of the gRPC library, such as a failed TLS handshake. At most one a second is logged."},
 
     {event::store_unavailable, severity::warning, "store unavailable",
      "The platform's key-value service does not answer. Forwarding goes on; changes are refused."},
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -21,6 +21,7 @@
     pause_detected = 1005,
     socket_failed = 1006,
     thread_failed = 1007,
+    start_failed = 1008,
 
     settings_problem = 2001,
     settings_reread = 2002,
@@ -40,6 +41,7 @@
 
     call_refused = 7001,
     calls_overloaded = 7002,
+    grpc_message = 7003,
 
     store_unavailable = 8001,
     store_available = 8002,
--- a/tamarack/metrics.cpp
+++ b/tamarack/metrics.cpp
@@ -9,7 +9,6 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
-#include <string_view>
 
 namespace tamarack {
 
@@ -87,17 +86,6 @@
     return found == metric_descriptions.end() ? nullptr : found;
 }
 
-std::string metric_name(std::string_view given) {
-    std::string name(given);
-    const auto  allowed = [](char letter) {
-        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || letter == '_' || letter == ':' ||
-               (letter >= '0' && letter <= '9');
-    };
-    std::ranges::replace_if(
-        name, [&](char letter) { return !allowed(letter); }, '_');
-    return name.starts_with(metric_prefix) ? name : metric_prefix + name;
-}
-
 // Shortest form that reads back as the same number.
 std::string number_text(double value) {
     if (std::isinf(value)) return "+Inf";
@@ -132,6 +120,17 @@
 
 } // namespace
 
+std::string metric_name(std::string_view given) {
+    std::string name(given);
+    const auto  allowed = [](char letter) {
+        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || letter == '_' || letter == ':' ||
+               (letter >= '0' && letter <= '9');
+    };
+    std::ranges::replace_if(
+        name, [&](char letter) { return !allowed(letter); }, '_');
+    return name.starts_with(metric_prefix) ? name : metric_prefix + name;
+}
+
 std::uint64_t distribution_snapshot::total() const {
     std::uint64_t sum_of_counts = 0;
     for (const std::uint64_t count : counts)
--- a/tamarack/metrics.h
+++ b/tamarack/metrics.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarack {
@@ -53,8 +54,10 @@
 using counter_map = std::map<std::string, std::uint64_t>;
 using distribution_map = std::map<std::string, distribution_snapshot>;
 
-// Names get the prefix unless they have it; characters that the format does not allow become '_'. Metrics that the
-// table of descriptions does not know are of type untyped.
+// The name with the prefix, unless it has it; characters that the format does not allow become '_'.
+std::string metric_name(std::string_view given);
+
+// Metrics that the table of descriptions does not know are of type untyped.
 std::string exposition_text(const counter_map& counters, const distribution_map& distributions);
 
 } // namespace tamarack
