--- a/tamarack/admin_client.cpp
+++ b/tamarack/admin_client.cpp
@@ -69,6 +69,14 @@
     return grpc::SslCredentials({settings.authority, settings.key, settings.certificate});
 }
 
+// Errors that no message of the interface describes.
+std::string json_error(exit_code code, const std::string& text) {
+    google::protobuf::Struct message;
+    (*message.mutable_fields())["error"].set_string_value(text);
+    (*message.mutable_fields())["exit_code"].set_number_value(static_cast<double>(code));
+    return json_of(message);
+}
+
 // A server of the settings; connects when it is first used.
 struct connection {
     std::string                    server;
@@ -88,6 +96,14 @@
 
 } // namespace
 
+command_outcome wrong_command(const std::string& line, const command_error& error, const command_options& options) {
+    const finding     problem = error.to_finding();
+    const std::string text = problem.message + " (expected " + problem.expected + ")";
+    const std::string pointer = line + "\n" + std::string(error.column - 1, ' ') + "^ " + text + "\n";
+    const std::string json = options.json ? json_error(exit_code::wrong_command, problem.to_string()) : "";
+    return {exit_code::wrong_command, json, pointer};
+}
+
 std::string make_operation_id() {
     std::random_device source;
     std::string        text;
@@ -233,10 +249,7 @@
         const std::string text =
             (code == exit_code::unavailable ? "unavailable: " : "refused: ") + status.error_message() + "\n";
         if (!options.json) return {code, "", text};
-        google::protobuf::Struct message;
-        (*message.mutable_fields())["error"].set_string_value(status.error_message());
-        (*message.mutable_fields())["exit_code"].set_number_value(static_cast<double>(code));
-        return {code, json_of(message), text};
+        return {code, json_error(code, status.error_message()), text};
     }
 
     admin_client_settings                    settings_;
--- a/tamarack/admin_client.h
+++ b/tamarack/admin_client.h
@@ -45,6 +45,9 @@
     std::string error;  // for standard error, one or more lines
 };
 
+// The outcome of a line that is not a command: it points at the place.
+command_outcome wrong_command(const std::string& line, const command_error& error, const command_options& options);
+
 // Random, 128 bits in hexadecimal digits.
 std::string make_operation_id();
 
