--- a/tamarack/flow_table.cpp
+++ b/tamarack/flow_table.cpp
@@ -585,6 +585,19 @@
     return &item->value;
 }
 
+void flow_table::set_limits(const flow_table_settings& settings) {
+    const std::size_t max_flows = impl_->settings.max_flows;
+    const bool        huge_pages = impl_->settings.huge_pages;
+    impl_->settings = settings;
+    impl_->settings.max_flows = max_flows;
+    impl_->settings.huge_pages = huge_pages;
+    impl_->service_share = impl::share_in_flows(settings.max_service_share, impl_->cap);
+    impl_->over_share.clear();
+    for (const auto& [id, index] : impl_->service_indexes) {
+        if (impl_->services[index].flows > impl_->service_share) impl_->over_share.push_back(index);
+    }
+}
+
 void flow_table::erase(const flow_key& key) {
     const slot_number number = impl_->search(key);
     if (number != impl::no_slot) impl_->remove(number);
--- a/tamarack/flow_table.h
+++ b/tamarack/flow_table.h
@@ -63,6 +63,9 @@
     // never evicted for a new one.
     placement* insert(const flow_key& key, const placement& value, steady_time now);
 
+    // Takes over the timeouts and the service share; max_flows stays, since the memory is allocated once.
+    void set_limits(const flow_table_settings& settings);
+
     void erase(const flow_key& key);
 
     // Marks use at the given time; call it for each packet of the flow, after changing the placement. Changes in place
--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -1074,6 +1074,11 @@
 void forwarder::publish(std::shared_ptr<const forwarding_state> state) {
     impl_->publish(std::move(state));
 }
+void forwarder::reconfigure(const relay_keys& keys, const flow_table_settings& table) {
+    impl_->settings_.keys = keys;
+    impl_->settings_.table = table;
+    impl_->table_.set_limits(table);
+}
 void forwarder::receive_from_fabric(byte_view udp_payload, const endpoint& fabric, action_buffer& out) {
     impl_->receive_from_fabric(udp_payload, fabric, out);
 }
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -98,6 +98,9 @@
 
     void publish(std::shared_ptr<const forwarding_state> state);
 
+    // Takes over keys, timeouts and service share; the size of the flow table stays.
+    void reconfigure(const relay_keys& keys, const flow_table_settings& table);
+
     // A GUE packet from the fabric; fabric is its outer source, where replies to the caller go.
     void receive_from_fabric(byte_view udp_payload, const endpoint& fabric, action_buffer& out);
 
--- a/tamarack/node.cpp
+++ b/tamarack/node.cpp
@@ -387,6 +387,16 @@
         state_ = stop_state::finished;
     }
 
+    void reconfigure(const node_settings& settings) {
+        settings_.keys = settings.keys;
+        channel_.set_keys(settings.keys);
+        const auto keys = derive_relay_keys(settings.keys);
+        for (const auto& part : partitions_) {
+            const std::lock_guard guard(part->lock);
+            part->target.reconfigure(keys, settings.table);
+        }
+    }
+
     bool peers_present() const {
         const auto all = membership_.members();
         return std::any_of(all.begin(), all.end(), [this](const member& item) {
@@ -481,6 +491,9 @@
 void node::begin_stop() {
     impl_->begin_stop();
 }
+void node::reconfigure(const node_settings& settings) {
+    impl_->reconfigure(settings);
+}
 control_actions node::take_actions() {
     return impl_->take_actions();
 }
