Give all log events numbers of the catalogue, and log each change once

The events of the configuration replica and of the platform adapter used numbers that stood for others. A client's retry that joined its first attempt logged the outcome twice. Calls that the adapter cancels at its end are not logged.

--- a/tamarack/admin_server.cpp
+++ b/tamarack/admin_server.cpp
@@ -131,29 +131,6 @@
     return {grpc::PERMISSION_DENIED, "the operator's name is not that of the certificate"};
 }
 
-void log_outcome(const change_request& request, const change_result& outcome) {
-    if (request.dry_run) return;
-    const std::string text = to_string(request.what);
-    switch (outcome.status) {
-    case change_status::accepted:
-        log_event(event::change_accepted, {{"operator", request.operator_name},
-                                           {"operation", request.operation_id},
-                                           {"revision", outcome.revision},
-                                           {"command", text}});
-        break;
-    case change_status::outcome_unknown:
-        log_event(event::change_unknown,
-                  {{"operator", request.operator_name}, {"operation", request.operation_id}, {"command", text}});
-        break;
-    default:
-        log_event(event::change_refused, {{"operator", request.operator_name},
-                                          {"operation", request.operation_id},
-                                          {"status", to_string(outcome.status)},
-                                          {"reason", text_of(outcome.problems)},
-                                          {"command", text}});
-    }
-}
-
 class administration_service final : public admin::Administration::CallbackService {
 public:
     administration_service(administered_balancer& balancer, control_queue queue, std::size_t max_waiting)
@@ -263,8 +240,7 @@
 
     // The answer may come while this runs, under the call's lock, or later; it is therefore queued in any case.
     void submit_to_balancer(const change_request& request, admin::SubmitResponse& response, const call_handle& call) {
-        balancer_.submit(request, [queue = queue_, request, &response, call](const change_result& outcome) {
-            log_outcome(request, outcome);
+        balancer_.submit(request, [queue = queue_, &response, call](const change_result& outcome) {
             queue([&response, call, outcome] {
                 call->with([&] {
                     response = message_of(outcome);
--- a/tamarack/admin_view.cpp
+++ b/tamarack/admin_view.cpp
@@ -335,8 +335,9 @@
 std::string explanation_view(const admin::ExplainResponse& answer) {
     const auto  text_of = [](const std::string& text) { return text.empty() ? std::string("none") : text; };
     std::string ranks;
-    for (const auto id : answer.ranks())
-        ranks += (ranks.empty() ? "" : ", ") + to_string(id);
+    for (const auto id : answer.ranks()) {
+        if (id != 0) ranks += (ranks.empty() ? "" : ", ") + to_string(id);
+    }
     std::string text = answer.reason() + "\n";
     text += "service:        " + text_of(answer.service()) + "\n";
     text += "backend server: " + text_of(answer.backend_server()) + "\n";
--- a/tamarack/configuration_replica.cpp
+++ b/tamarack/configuration_replica.cpp
@@ -2,6 +2,7 @@
 #include "tamarack/configuration_replica.h"
 
 #include "tamarack/configuration_parts.h"
+#include "tamarack/events.h"
 #include "tamarack/invariant.h"
 
 #include <algorithm>
@@ -34,8 +35,8 @@
     check(invariant::revision_monotonic, next.revision() >= known->revision());
     if (!lost.empty()) {
         ++counters.histories_different;
-        LOG(WARNING) << "T4002 revision " << next.revision() << " has another history than the known revision "
-                     << known->revision() << "; " << lost.size() << " changes are missing from it";
+        log_event(event::history_differs,
+                  {{"revision", next.revision()}, {"known", known->revision()}, {"missing_changes", lost.size()}});
         // One of the watchers is enough: the operation id keeps the change from being committed twice.
         if (elected) commit_again(lost);
     }
@@ -63,7 +64,7 @@
     auto decoded = decode_head(response.value);
     if (decoded) return stored_head{std::move(decoded.value()), response.version};
     ++counters.heads_unreadable;
-    LOG_EVERY_N(ERROR, 100) << "T4003 the stored head can't be read: " << decoded.error().front().to_string();
+    LOG_EVERY_N(ERROR, 100) << format_event(event::head_unreadable, {{"reason", decoded.error().front().to_string()}});
     return std::nullopt;
 }
 
--- a/tamarack/configuration_watch.cpp
+++ b/tamarack/configuration_watch.cpp
@@ -5,9 +5,9 @@
 //   older head     -> read again; still older after 2 s -> write the known head back by compare-and-swap
 //   not elected    -> a poll now and then
 #include "tamarack/configuration_parts.h"
+#include "tamarack/events.h"
 
 #include <algorithm>
-#include <glog/logging.h>
 
 namespace tamarack::replica {
 
@@ -141,8 +141,7 @@
 
 // Can't replace a newer head: the compare-and-swap fails when the read was a stale one.
 void watcher::write_back(stored_head stored) {
-    LOG(WARNING) << "T4001 the store holds revision " << stored.value.revision() << ", older than the known revision "
-                 << shared_.known->revision() << "; writing the known one back";
+    log_event(event::store_is_older, {{"revision", stored.value.revision()}, {"known", shared_.known->revision()}});
     replaced_ = std::move(stored);
     next_ = shared_.known;
     writer_.start(shared_, replaced_, *next_);
--- a/tamarack/control_log.cpp
+++ b/tamarack/control_log.cpp
@@ -18,6 +18,13 @@
     return std::to_string(id);
 }
 
+std::string text_of(const findings& problems) {
+    std::string text;
+    for (const finding& problem : problems)
+        text += (text.empty() ? "" : "; ") + problem.to_string();
+    return text;
+}
+
 } // namespace
 
 void control_log::note(const configuration& present, const std::vector<member_status>& members,
@@ -67,4 +74,27 @@
     }
 }
 
+void control_log::note(const change_request& request, const change_result& outcome) {
+    if (request.dry_run) return;
+    const std::string text = to_string(request.what);
+    switch (outcome.status) {
+    case change_status::accepted:
+        log_event(event::change_accepted, {{"operator", request.operator_name},
+                                           {"operation", request.operation_id},
+                                           {"revision", outcome.revision},
+                                           {"command", text}});
+        break;
+    case change_status::outcome_unknown:
+        log_event(event::change_unknown,
+                  {{"operator", request.operator_name}, {"operation", request.operation_id}, {"command", text}});
+        break;
+    default:
+        log_event(event::change_refused, {{"operator", request.operator_name},
+                                          {"operation", request.operation_id},
+                                          {"status", to_string(outcome.status)},
+                                          {"reason", text_of(outcome.problems)},
+                                          {"command", text}});
+    }
+}
+
 } // namespace tamarack
--- a/tamarack/control_log.h
+++ b/tamarack/control_log.h
@@ -1,4 +1,4 @@
-// Logs what changes in a balancer's view: revision, members, backend servers, store. Compares each view with the last.
+// Logs operators' changes, and what changes in a balancer's view: revision, members, backend servers, store.
 #pragma once
 
 #include "tamarack/node.h"
@@ -11,9 +11,11 @@
 public:
     explicit control_log(member_id self) : self_(self) {}
 
-    void note(const configuration& present, const std::vector<member_status>& members,
-              const std::vector<backend_status>& statuses);
-    void note(store_status status);
+    void        note(const configuration& present, const std::vector<member_status>& members,
+                     const std::vector<backend_status>& statuses);
+    void        note(store_status status);
+    // An operator's change; dry runs are not logged.
+    static void note(const change_request& request, const change_result& outcome);
 
 private:
     void note_members(const std::vector<member_status>& members);
--- a/tamarack/control_loop.cpp
+++ b/tamarack/control_loop.cpp
@@ -24,6 +24,12 @@
     return text;
 }
 
+// A change that the node has not finished, and who waits for it.
+struct waiting_change {
+    change_request           request;
+    std::vector<change_done> callers;
+};
+
 } // namespace
 
 class control_loop::impl {
@@ -46,9 +52,11 @@
     }
 
     void submit(const change_request& request, change_done done) {
-        const bool repeated = waiting_.contains(request.operation_id); // a client's retry joins the first call
-        waiting_.emplace(request.operation_id, std::move(done));
+        waiting_change& entry = waiting_[request.operation_id];
+        const bool      repeated = !entry.callers.empty(); // a client's retry joins the first call
+        entry.callers.push_back(std::move(done));
         if (repeated) return;
+        entry.request = request;
         balancer_.submit(request);
         carry_out();
     }
@@ -228,12 +236,10 @@
     }
 
     void give_outcome(const change_result& outcome) {
-        const auto [first, last] = waiting_.equal_range(outcome.operation_id);
-        std::vector<change_done> callers;
-        for (auto entry = first; entry != last; ++entry)
-            callers.push_back(std::move(entry->second));
-        waiting_.erase(first, last);
-        for (const change_done& caller : callers)
+        const auto entry = waiting_.extract(outcome.operation_id);
+        if (entry.empty()) return;
+        control_log::note(entry.mapped().request, outcome);
+        for (const change_done& caller : entry.mapped().callers)
             caller(outcome);
     }
 
@@ -269,18 +275,18 @@
         }
     }
 
-    asio::posix::stream_descriptor          readable_{io_, socket_.handle()};
-    asio::steady_timer                      timer_{io_};
-    asio::signal_set                        signals_{io_, SIGTERM, SIGINT, SIGHUP};
-    std::chrono::steady_clock::time_point   next_tick_;
-    steady_time                             last_round_;
-    steady_time                             last_housekeeping_{};
-    receive_batch                           batch_;
-    std::vector<outgoing_datagram>          outgoing_;
-    std::multimap<std::string, change_done> waiting_; // by operation id
-    control_log                             log_;
-    std::uint64_t                           received_ = 0;
-    std::uint64_t                           not_sent_ = 0;
+    asio::posix::stream_descriptor        readable_{io_, socket_.handle()};
+    asio::steady_timer                    timer_{io_};
+    asio::signal_set                      signals_{io_, SIGTERM, SIGINT, SIGHUP};
+    std::chrono::steady_clock::time_point next_tick_;
+    steady_time                           last_round_;
+    steady_time                           last_housekeeping_{};
+    receive_batch                         batch_;
+    std::vector<outgoing_datagram>        outgoing_;
+    std::map<std::string, waiting_change> waiting_; // by operation id
+    control_log                           log_;
+    std::uint64_t                         received_ = 0;
+    std::uint64_t                         not_sent_ = 0;
 };
 
 control_loop::control_loop(node& balancer, const clock& time, udp_socket control_socket,
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -58,6 +58,17 @@
     {event::store_unavailable, severity::warning, "store unavailable",
      "The platform's key-value service does not answer. Forwarding goes on; changes are refused."},
     {event::store_available, severity::info, "store available", "The platform's key-value service answers again."},
+    {event::store_is_older, severity::warning, "store is older",
+     "The store persistently holds a lower revision than the known one, as after a restore; the known one is written "
+     "back."},
+    {event::history_differs, severity::warning, "history differs",
+     "The store holds other changes than this balancer knows; the missing ones are committed again under their "
+     "operation "
+     "ids."},
+    {event::head_unreadable, severity::error, "stored head unreadable",
+     "The stored configuration cannot be decoded. Look for another program that writes the key. One in 100 is logged."},
+    {event::store_call_failed, severity::warning, "store call failed",
+     "A call of the key-value service failed with a gRPC code. One in 100 is logged."},
 
     {event::invariant_violated, severity::error, "invariant violated",
      "The program contradicts one of its promises: a fault of the program. Report it with the lines around it."},
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -45,6 +45,10 @@
 
     store_unavailable = 8001,
     store_available = 8002,
+    store_is_older = 8003,
+    history_differs = 8004,
+    head_unreadable = 8005,
+    store_call_failed = 8006,
 
     invariant_violated = 9001,
 };
--- a/tamarack/platform_grpc.cpp
+++ b/tamarack/platform_grpc.cpp
@@ -18,6 +18,8 @@
 // compare-and-swap would meet its own first attempt and report a conflict.
 #include "tamarack/platform_grpc.h"
 
+#include "tamarack/events.h"
+
 #include "platform.grpc.pb.h"
 
 #include <algorithm>
@@ -229,13 +231,18 @@
         }
     }
 
+    static void log_failure(const grpc::Status& status) {
+        LOG_EVERY_N(WARNING, 100) << format_event(
+            event::store_call_failed,
+            {{"code", static_cast<std::uint64_t>(status.error_code())}, {"reason", status.error_message()}});
+    }
+
     static store_response response_of(const any_call& item) {
         store_response response;
         if (item.status.ok()) {
             response = item.result();
         } else {
-            LOG_EVERY_N(WARNING, 100) << "T4101 a call of the platform's store failed with status "
-                                      << item.status.error_code() << ": " << item.status.error_message();
+            if (item.status.error_code() != grpc::CANCELLED) log_failure(item.status); // cancelled: by the destructor
             response.status = failure_of(item.status, item.context, item.write);
         }
         response.id = item.id;
