--- /dev/null
+++ b/tamarack/balancer_process.cpp
@@ -0,0 +1,168 @@
+// Construction and threads of a running balancer.
+#include "tamarack/balancer_process.h"
+
+#include "tamarack/clock.h"
+#include "tamarack/control_loop.h"
+#include "tamarack/events.h"
+#include "tamarack/node_packet_handler.h"
+#include "tamarack/platform_grpc.h"
+#include "tamarack/prober_grpc.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace tamarack {
+
+namespace {
+
+std::string read_file(const std::string& name) {
+    if (name.empty()) return "";
+    std::ifstream      file(name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void log_start(const daemon_settings& settings) {
+    log_event(event::starting, {{"version", TAMARACK_VERSION},
+                                {"member_id", settings.node.self.id},
+                                {"failure_domain", settings.node.self.failure_domain},
+                                {"cluster", settings.node.cluster}});
+    if (settings.platform.empty()) log_event(event::no_platform, {});
+}
+
+void log_listening(std::string_view port, const endpoint& address) {
+    log_event(event::listening, {{"port", port}, {"address", address.to_string()}});
+}
+
+} // namespace
+
+// Members are in the order of construction: what calls back into the loop is destroyed before it.
+class balancer_process::impl {
+public:
+    impl(const daemon_settings& settings, const std::string& settings_file, udp_socket control)
+        : settings_(settings), node_(settings.node, time_, std::random_device{}()),
+          handler_(node_, settings.traffic_threads), loop_(node_, time_, std::move(control), settings, settings_file) {}
+
+    // The ports of callers, peers and operators. The error is the reason why that is not possible.
+    std::optional<std::string> open_ports() {
+        if (auto failed = open_traffic_ports()) return failed;
+        const admin_server_settings admin{settings_.node.self.admin, read_file(settings_.admin_tls.certificate),
+                                          read_file(settings_.admin_tls.key), read_file(settings_.admin_tls.authority)};
+        auto                        started = admin_server::start(admin, loop_, loop_.queue());
+        if (!started) return started.error();
+        admin_ = std::move(started).value();
+        log_listening("admin", admin_->address());
+        return std::nullopt;
+    }
+
+    void run() {
+        use_collaborators();
+        for (const auto& traffic : traffic_)
+            threads_.emplace_back([&traffic](const std::stop_token& stop) { run_traffic(*traffic, stop); });
+        loop_.run();
+        admin_->stop();
+    }
+
+private:
+    // Sockets of several threads share a port; without the first check, so could another daemon by mistake.
+    std::optional<std::string> open_traffic_ports() {
+        for (const endpoint& port : {settings_.fabric, settings_.node.self.relay}) {
+            const auto alone = udp_socket::open(port);
+            if (!alone) return alone.error();
+        }
+        const udp_socket_settings shared{settings_.receive_buffer, true};
+        for (std::size_t thread = 0; thread < settings_.traffic_threads; ++thread) {
+            auto fabric = udp_socket::open(settings_.fabric, shared);
+            if (!fabric) return fabric.error();
+            auto relay = udp_socket::open(settings_.node.self.relay, shared);
+            if (!relay) return relay.error();
+            traffic_.push_back(std::make_unique<traffic_loop>(thread, std::move(fabric).value(),
+                                                              std::move(relay).value(), handler_, time_));
+        }
+        log_listening("fabric", settings_.fabric);
+        log_listening("relay", settings_.node.self.relay);
+        return std::nullopt;
+    }
+
+    void use_collaborators() {
+        control_loop::collaborators others;
+        if (!settings_.platform.empty()) {
+            platform_.emplace(platform_grpc_settings{settings_.platform, read_file(settings_.platform_authority),
+                                                     settings_.node.store_deadline});
+            others.store = [this](store_request request, control_loop::store_done done) {
+                platform_->submit(std::move(request), std::move(done));
+            };
+        }
+        others.probe = [this](const probe_request& request, control_loop::probe_done done) {
+            prober_.start(request, std::move(done));
+        };
+        others.traffic_counters = [this] { return traffic_counters(); };
+        others.traffic_distributions = [this] { return traffic_distributions(); };
+        others.every_second = [this] { prober_.close_unused(time_.steady_now()); };
+        loop_.use(std::move(others));
+    }
+
+    counter_map traffic_counters() const {
+        counter_map all;
+        for (const auto& traffic : traffic_) {
+            for (const auto& [name, value] : traffic->counters())
+                all[name] += value;
+        }
+        return all;
+    }
+
+    distribution_map traffic_distributions() const {
+        distribution_map all;
+        for (const auto& traffic : traffic_) {
+            for (const auto& [name, values] : traffic->distributions())
+                all[name].merge(values);
+        }
+        return all;
+    }
+
+    // A balancer without one of its threads would silently lose part of the traffic.
+    static void run_traffic(traffic_loop& traffic, const std::stop_token& stop) {
+        try {
+            traffic.run(stop);
+        } catch (const std::exception& error) {
+            log_event(event::thread_failed, {{"reason", error.what()}});
+            std::abort();
+        }
+    }
+
+    daemon_settings                            settings_;
+    system_clock                               time_;
+    node                                       node_;
+    node_packet_handler                        handler_;
+    control_loop                               loop_;
+    prober_grpc                                prober_;
+    std::optional<platform_grpc>               platform_;
+    std::unique_ptr<admin_server>              admin_;
+    std::vector<std::unique_ptr<traffic_loop>> traffic_;
+    std::vector<std::jthread>                  threads_; // last: they use all others
+};
+
+balancer_process::balancer_process() = default;
+balancer_process::~balancer_process() = default;
+
+result<std::unique_ptr<balancer_process>, std::string> balancer_process::open(const daemon_settings& settings,
+                                                                              const std::string&     settings_file) {
+    log_start(settings);
+    auto control = udp_socket::open(settings.node.self.control);
+    if (!control) return control.error();
+    log_listening("control", control.value().address());
+    std::unique_ptr<balancer_process> made(new balancer_process());
+    made->impl_ = std::make_unique<impl>(settings, settings_file, std::move(control).value());
+    if (auto failed = made->impl_->open_ports()) return *failed;
+    return made;
+}
+
+void balancer_process::run() {
+    impl_->run();
+}
+
+} // namespace tamarack
