--- a/tests/cluster_daemon_test.cpp
+++ b/tests/cluster_daemon_test.cpp
@@ -120,10 +120,10 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_packet_reaches_the_backend_server_of_a_committed_service) {
-    standin::platform_server platform(any_port);
-    const running_balancer   balancer(platform.port());
-    const udp_socket         tunnel = udp_socket::open(any_port).value();
-    const udp_socket         fabric = udp_socket::open(any_port).value();
+    tamarack::standin::platform_server platform(any_port);
+    const running_balancer             balancer(platform.port());
+    const udp_socket                   tunnel = udp_socket::open(any_port).value();
+    const udp_socket                   fabric = udp_socket::open(any_port).value();
     BOOST_TEST((balancer.run("create service board tcp 10.9.0.1:443").code == exit_code::done));
     BOOST_TEST((balancer.run("join board b1 tunnel " + tunnel.address().to_string()).code == exit_code::done));
 
@@ -146,9 +146,9 @@
 
 // A client whose answer was lost repeats its change, perhaps before the first attempt has ended.
 BOOST_AUTO_TEST_CASE(a_repeated_change_is_committed_once) {
-    standin::platform_server       platform(any_port);
-    const running_balancer         balancer(platform.port());
-    std::array<command_outcome, 4> outcomes;
+    tamarack::standin::platform_server platform(any_port);
+    const running_balancer             balancer(platform.port());
+    std::array<command_outcome, 4>     outcomes;
     {
         std::vector<std::jthread> callers(outcomes.size());
         for (std::size_t i = 0; i < outcomes.size(); ++i)
@@ -161,8 +161,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(settings_are_read_again_on_sighup) {
-    standin::platform_server platform(any_port);
-    const running_balancer   balancer(platform.port());
+    tamarack::standin::platform_server platform(any_port);
+    const running_balancer             balancer(platform.port());
     BOOST_TEST((balancer.run("show services").code == exit_code::done)); // the loop runs, and takes signals
     event_recorder log;
     balancer.write_settings("[limits]\nmax_flows = x\n");
@@ -176,8 +176,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(sigterm_stops_gracefully) {
-    standin::platform_server platform(any_port);
-    running_balancer         balancer(platform.port());
+    tamarack::standin::platform_server platform(any_port);
+    running_balancer                   balancer(platform.port());
     BOOST_TEST((balancer.run("show services").code == exit_code::done));
     event_recorder log;
     BOOST_REQUIRE(::kill(::getpid(), SIGTERM) == 0);
@@ -187,9 +187,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_port_in_use_is_named) {
-    standin::platform_server platform(any_port);
-    const running_balancer   balancer(platform.port());
-    daemon_settings          second = balancer.settings();
+    tamarack::standin::platform_server platform(any_port);
+    const running_balancer             balancer(platform.port());
+    daemon_settings                    second = balancer.settings();
     second.node.self.control = udp_socket::open(any_port).value().address();
     const auto opened = balancer_process::open(second, "");
     BOOST_REQUIRE(opened.has_error());
