--- a/tamarack/membership.cpp
+++ b/tamarack/membership.cpp
@@ -229,6 +229,7 @@
     bool                       departed_ = false;
     revision_number            revision_ = 0;
     std::optional<incarnation> superseded_by_;
+    steady_time                duplicate_reported_{}; // of this balancer's own id under the same life
 
     std::map<member_id, peer>          peers_;
     std::vector<member_id>             present_;       // peers that are not dead, in order of id
@@ -360,7 +361,7 @@
 
 bool membership::impl::acknowledged() const {
     if (superseded_by_) return false;
-    return acknowledged_ || (present_.empty() && now() - awake_since_ >= settings_.alone_after);
+    return acknowledged_;
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -507,7 +508,10 @@
         if (news.level != wire::DEAD) event(membership_event_kind::duplicate_id, news.who);
         return;
     }
-    if (news.full && news.who.control != self_.control) event(membership_event_kind::duplicate_id, news.who);
+    if (news.full && news.who.control != self_.control && now() - duplicate_reported_ >= report_interval) {
+        duplicate_reported_ = now();
+        event(membership_event_kind::duplicate_id, news.who);
+    }
     if (news.level == wire::ALIVE || news.refutation < refutation_) return;
     refutation_ = news.refutation + 1;
     ++counters_.refutations;
@@ -578,7 +582,7 @@
         const auto     tenths = std::max(duration::zero(), suspected_for) / std::chrono::milliseconds(100);
         wire.set_suspected_for(static_cast<std::uint32_t>(tenths));
     }
-    if (full) encode_addresses(item.who, wire);
+    if (full && !item.provisional) encode_addresses(item.who, wire);
     return wire;
 }
 
@@ -963,6 +967,7 @@
     if (departed_) return;
     expire();
     std::erase_if(probes_, [this](probe& item) { return advance_probe(item); });
+    if (present_.empty() && now() - awake_since_ >= settings_.alone_after) acknowledged_ = true;
     ping_next();
     ping_dead();
     run_checks();
--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -7,8 +7,8 @@
 //   traffic thread: with_forwarder
 #pragma once
 
-#include "tamarack/control_channel.h"
 #include "tamarack/forwarder.h"
+#include "tamarack/health.h"
 #include "tamarack/platform.h"
 
 #include <functional>
@@ -28,20 +28,6 @@
     bool                  use_store = true; // false: no platform; configuration comes from peers only
 };
 
-struct probe_request {
-    std::uint64_t     id = 0;
-    backend_server_id backend_server = 0;
-    endpoint          target;
-    duration          deadline{};
-};
-
-struct probe_result {
-    std::uint64_t              id = 0;
-    backend_server_id          backend_server = 0;
-    bool                       reachable = false;
-    std::optional<load_report> load;
-};
-
 // A change that an operator asks for.
 struct change_request {
     std::string     operation_id;
