--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "tamarack/configuration.h"
-#include "tamarack/control_channel.h"
 #include "tamarack/forwarder.h"
+#include "tamarack/health.h"
 #include "tamarack/platform.h"
 
 #include <functional>
@@ -29,19 +29,6 @@
     bool                  use_store = true; // false: no platform; configuration comes from peers only
 };
 
-struct probe_request {
-    std::uint64_t     id = 0;
-    backend_server_id backend_server = 0;
-    endpoint          target;
-    duration          deadline{};
-};
-
-struct probe_result {
-    std::uint64_t              id = 0;
-    backend_server_id          backend_server = 0;
-    bool                       reachable = false;
-    std::optional<load_report> load;
-};
 
 struct control_actions {
     std::vector<datagram>      datagrams; // to send from the control socket
