Join health and load to the node

A flow is not reset for a dead backend server while a cut is suspected or views are merging: after a cut of 15 s flows placed by the cut-off side on its own backend servers were reset by the others (scenario cut_failure_domain_converges_after_healing: 15 reset before, 0 after). The fakes now copy what a paused host's queue refers to; the random test read freed memory.

--- a/fakes/cluster.cpp
+++ b/fakes/cluster.cpp
@@ -279,13 +279,14 @@
         if (found == by_relay_.end()) return;
         ++relayed_;
         const std::size_t target = found->second;
-        transmit(domain_of(index), domain_of(target), [this, target, payload = std::move(payload)] {
-            deliver_to_host(target, [&](balancer& logic) {
-                action_buffer out;
-                logic.from_peer(payload, out);
-                perform(target, out);
-            });
-        });
+        transmit(domain_of(index), domain_of(target),
+                 [this, target, payload = std::make_shared<const bytes>(std::move(payload))] {
+                     deliver_to_host(target, [this, target, payload](balancer& logic) {
+                         action_buffer out;
+                         logic.from_peer(*payload, out);
+                         perform(target, out);
+                     });
+                 });
     }
 
     const std::string& domain_of(std::size_t index) const { return hosts_[index].settings.self.failure_domain; }
@@ -310,11 +311,12 @@
         if (found == by_control_.end()) return;
         const std::size_t target = found->second;
         const endpoint    from = hosts_[index].settings.self.control;
-        transmit(domain_of(index), domain_of(target), [this, target, from, payload = std::move(message.bytes)] {
-            deliver_to_host(target, [&](balancer& logic) {
-                if (logic.control() != nullptr) logic.control()->receive_control(payload, from);
-            });
-        });
+        transmit(domain_of(index), domain_of(target),
+                 [this, target, from, payload = std::make_shared<const bytes>(std::move(message.bytes))] {
+                     deliver_to_host(target, [from, payload](balancer& logic) {
+                         if (logic.control() != nullptr) logic.control()->receive_control(*payload, from);
+                     });
+                 });
     }
 
     // Revisions.
@@ -337,7 +339,7 @@
 
     void submit(std::size_t index, const change_request& request) {
         pending_[request.operation_id] = request;
-        deliver_to_host(index, [&](balancer& logic) {
+        deliver_to_host(index, [request](balancer& logic) {
             if (logic.control() != nullptr) logic.control()->submit(request);
         });
     }
@@ -368,7 +370,7 @@
         }
         const std::uint64_t life = hosts_[index].life;
         after(delay, [this, index, life, result] {
-            on_host(index, life, [&](balancer& logic) { logic.control()->probe_finished(result); });
+            on_host(index, life, [result](balancer& logic) { logic.control()->probe_finished(result); });
         });
     }
 
@@ -414,7 +416,7 @@
 
     void answer(std::size_t index, std::uint64_t life, duration delay, store_response response) {
         after(delay, [this, index, life, response = std::move(response)] {
-            on_host(index, life, [&](balancer& logic) { logic.control()->store_answered(response); });
+            on_host(index, life, [response](balancer& logic) { logic.control()->store_answered(response); });
         });
     }
 
--- a/tamarack/counter_names.cpp
+++ b/tamarack/counter_names.cpp
@@ -83,4 +83,15 @@
     all["configuration_peer_bytes_sent"] += counters.peer_bytes_sent;
 }
 
+void add_counters(const health_counters& counters, named_counters& all) {
+    all["health_probes_sent"] += counters.probes_sent;
+    all["health_probes_failed"] += counters.probes_failed;
+    all["health_taken_out"] += counters.taken_out;
+    all["health_panics"] += counters.panics;
+    all["health_opinions_cut"] += counters.opinions_cut;
+    all["health_loads_not_sent"] += counters.loads_not_sent;
+    all["health_messages_sent"] += counters.messages_sent;
+    all["health_malformed"] += counters.malformed;
+}
+
 } // namespace tamarack
--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -476,6 +476,8 @@
     bool backend_is_dead(const placement& item, steady_time now) const {
         const indexed_server* found = index_->server(item.backend_server);
         if (found == nullptr) return index_->knows_ids_up_to(item.backend_server);
+        // In a cut it may be alive on the other side, where a repeated packet may arrive.
+        if (state_->partition_suspected || now < state_->no_reset_before) return false;
         return !found->status.available && now - found->status.out_since >= settings_.dead_server_grace;
     }
 
--- a/tamarack/node.cpp
+++ b/tamarack/node.cpp
@@ -112,7 +112,8 @@
     impl(const node_settings& settings, const clock& time, std::uint64_t random_seed)
         : settings_(with_life(settings, time)), time_(time), channel_(channel_settings(settings_), time),
           membership_(membership_settings_of(settings_), channel_, time, random_seed),
-          replica_(replica_settings_of(settings_), time, random_seed + 1), replication_(time) {
+          replica_(replica_settings_of(settings_), time, random_seed + 1), health_({}, channel_, time, random_seed + 2),
+          replication_(time) {
         const auto each = forwarder_settings_of(settings_);
         for (std::size_t i = 0; i < settings_.partitions; ++i)
             partitions_.push_back(std::make_unique<partition>(each, time));
@@ -134,6 +135,8 @@
         const envelope& message = opened.value();
         if (membership::handles(message.type)) {
             membership_.receive(message, from);
+        } else if (message.type == message_type::health) {
+            health_.receive(message);
         } else if (message.type == message_type::configuration_delta) {
             replica_.receive(message.sender, message.payload);
         } else if (message.type == message_type::placements) {
@@ -151,6 +154,11 @@
         if (membership_.version() != membership_version_) members_changed();
         hear_revisions();
         replica_.tick();
+        if (replica_.current() != observed_) {
+            observed_ = replica_.current();
+            health_.set_configuration(*observed_);
+        }
+        health_.tick();
         if (publish_needed(now)) publish(now);
         replicate_quiet(now);
         continue_stop(now);
@@ -160,6 +168,7 @@
         membership_version_ = membership_.version();
         const auto all = membership_.members();
         replica_.set_members(all);
+        health_.set_members(all);
         note_unreachable_domains(all);
         ranking_outdated_ = true;
     }
@@ -192,6 +201,10 @@
     }
 
     control_actions take_actions() {
+        for (auto& item : health_.take_datagrams())
+            out_.datagrams.push_back(std::move(item));
+        for (const auto& item : health_.take_probes())
+            out_.probes.push_back(item);
         for (auto& item : membership_.take_datagrams())
             out_.datagrams.push_back(std::move(item));
         replica_actions actions = replica_.take_actions();
@@ -213,7 +226,8 @@
 
     bool publish_needed(steady_time now) const {
         return ranking_outdated_ || replica_.current() != published_->services ||
-               may_place() != published_->may_place || now - published_->built >= publish_interval;
+               health_.version() != published_health_ || may_place() != published_->may_place ||
+               now - published_->built >= publish_interval;
     }
 
     bool may_place() const { return membership_.acknowledged() && !membership_.superseded_by(); }
@@ -234,6 +248,8 @@
         if (returned_.ranking && now - returned_.replaced < previous_view_lifetime) {
             next->owners.previous.insert(next->owners.previous.begin(), returned_);
         }
+        next->statuses = health_.statuses();
+        published_health_ = health_.version();
         next->may_place = may_place();
         if (returned_.ranking) next->no_reset_before = returned_.replaced + views_merge_time;
         next->leaving = state_ != stop_state::running;
@@ -437,6 +453,7 @@
         add_counters(channel_.counters(), all);
         add_counters(membership_.counters(), all);
         add_counters(replica_.counters(), all);
+        add_counters(health_.counters(), all);
         all["replication_malformed"] = malformed_;
         all["stop_placements_abandoned"] = placements_abandoned_;
         all["configuration_revision"] = replica_.revision();
@@ -448,6 +465,7 @@
     control_channel                         channel_;
     membership                              membership_;
     configuration_replica                   replica_;
+    health                                  health_;
     placement_replication                   replication_;
     std::vector<std::unique_ptr<partition>> partitions_; // never empty; never changes after construction
     control_actions                         out_;
@@ -458,7 +476,9 @@
     std::map<member_id, member_presence>    presence_;
     ownership_history::entry returned_; // ranking of the members that came back within previous_view_lifetime
     std::shared_ptr<const forwarding_state> published_;
-    std::map<std::string, steady_time>      unreachable_since_; // failure domains without a reachable host
+    std::uint64_t                           published_health_ = 0; // version of the statuses in published_
+    std::shared_ptr<const configuration>    observed_;             // by health_
+    std::map<std::string, steady_time>      unreachable_since_;    // failure domains without a reachable host
     steady_time                             last_replication_{};
     stop_state                              state_ = stop_state::running;
     steady_time                             stop_started_{};
@@ -478,7 +498,9 @@
 void node::receive_control(byte_view datagram, const endpoint& from) {
     impl_->receive_control(datagram, from);
 }
-void node::probe_finished(const probe_result&) {}
+void node::probe_finished(const probe_result& result) {
+    impl_->health_.probe_finished(result);
+}
 void node::store_answered(const store_response& response) {
     impl_->replica_.store_answered(response);
 }
@@ -512,7 +534,7 @@
     return impl_->members();
 }
 std::vector<backend_status> node::statuses() const {
-    return {};
+    return impl_->health_.statuses();
 }
 std::map<std::string, std::uint64_t> node::counters() const {
     return impl_->counters();
--- a/tamarack/node.h
+++ b/tamarack/node.h
@@ -29,7 +29,6 @@
     bool                  use_store = true; // false: no platform; configuration comes from peers only
 };
 
-
 struct control_actions {
     std::vector<datagram>      datagrams; // to send from the control socket
     std::vector<probe_request> probes;
