--- a/tamarack/ownership.cpp
+++ b/tamarack/ownership.cpp
@@ -90,6 +90,7 @@
 }
 
 bool same_ranking(const ownership& left, const ownership& right) {
+    if (&left == &right) return true;
     for (std::size_t bucket = 0; bucket < bucket_count; ++bucket)
         if (left.of(bucket) != right.of(bucket)) return false;
     return true;
