Tell the second holder that a flow is established

Cause: the owner took an acknowledgement of the SYN's place frame for the whole state. The second holder kept the flow as half-open and forgot it after 30 s; the loss of the owner then broke the flow.

Found by a random sequence (open, quiet phase, 35 s, loss of one host). Now the first packet after the SYN goes through the second holder as well, and a state change stays unconfirmed until its own place frame is acknowledged.

Before: second_holder_learns_that_a_flow_is_established fails (0 packets delivered after the crash). After: passes, with all other forwarder tests.

--- a/tamarack/flow_table.h
+++ b/tamarack/flow_table.h
@@ -20,7 +20,7 @@
     service_id        service = 0;
     std::uint32_t     other_holder = 0;       // token of the member and life that has acknowledged it; 0: proposed
     member_id         pending_holder = 0;     // the member that the last place frame was sent to
-    std::uint32_t     place_sequence = 0;     // of that frame
+    std::uint32_t     place_sequence = 0;     // of that frame; 0: the holder has acknowledged the present state
     std::uint32_t     last_seen = 0;          // ticks of the table's clock, see flow_table::tick_length
     std::uint16_t     last_sequence_hash = 0; // TCP, for dead path detection
     std::uint16_t     repeats_since = 0;      // first of the repeats, low 16 bits of the ticks
--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -280,7 +280,7 @@
         record.service = item.service;
         record.tunnel = tunnel_of(item.backend_server).value_or(endpoint{});
         record.generation = item.generation;
-        record.retried = item.place_sequence != 0 || item.state != flow_state::half_open;
+        record.retried = item.place_sequence != 0 || item.other_holder != 0 || item.state != flow_state::half_open;
         record.established = item.other_holder != 0;
         return record;
     }
@@ -411,9 +411,9 @@
         }
         if (packet.info.syn && item->state == flow_state::closing) return reuse_tuple(packet, *item);
         if (backend_is_dead(*item, packet.now)) return end_dead_flow(packet, *item);
-        update_state(packet, *item);
+        const bool changed = update_state(packet, *item);
         // The second holder follows the state of the flow, and redundancy is restored by the flow's next packet.
-        if (packet.changes_state() || !confirmed(packet, *item)) return send_through_second(packet, *item);
+        if (changed || packet.changes_state() || !confirmed(packet, *item)) return send_through_second(packet, *item);
         deliver_placed(packet, *item);
     }
 
@@ -475,23 +475,24 @@
         table_.touch(item, packet.now);
     }
 
-    void update_state(const packet_context& packet, placement& item) {
+    // True if the state is another one than before.
+    bool update_state(const packet_context& packet, placement& item) {
+        const flow_state before = item.state;
         if (packet.info.fin || packet.info.rst) {
             item.state = flow_state::closing;
         } else if (!packet.info.syn && item.state == flow_state::half_open) {
             item.state = flow_state::established;
         }
         table_.touch(item, packet.now);
+        return item.state != before;
     }
 
-    // True if the present second holder is known to have the placement, or there is none.
-    bool confirmed(const packet_context& packet, placement& item) {
+    // True if the present second holder is known to have the placement in its present state, or there is none.
+    bool confirmed(const packet_context& packet, placement& item) const {
         const member_id second = other_of_pair(packet);
         if (!reachable(second)) return true;
-        if (item.other_holder == token_of(second)) return true;
-        if (item.pending_holder != second || !sequences_.acknowledged(second, item.place_sequence)) return false;
-        item.other_holder = token_of(second);
-        return true;
+        note_acknowledgement(item);
+        return item.place_sequence == 0 && item.other_holder == token_of(second);
     }
 
     // The holder that this balancer shares placements of the bucket with.
@@ -968,9 +969,9 @@
 
     void note_acknowledgement(placement& item) const {
         const std::uint32_t pending = token_of(item.pending_holder);
-        if (pending == 0) return;
-        if (item.other_holder == pending || !sequences_.acknowledged(item.pending_holder, item.place_sequence)) return;
+        if (pending == 0 || !sequences_.acknowledged(item.pending_holder, item.place_sequence)) return;
         item.other_holder = pending;
+        item.place_sequence = 0;
     }
 
     std::size_t unreplicated_placements() {
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -71,6 +71,22 @@
     }
 }
 
+// Guards against a second holder that takes an established flow for a half-open one and forgets it.
+BOOST_AUTO_TEST_CASE(second_holder_learns_that_a_flow_is_established) {
+    for_each_flow([](const flow_tuple& flow) {
+        forwarder_mesh    net(3);
+        const std::size_t owner = net.owner_of(flow);
+        net.send(owner, flow, standin::syn_flag);
+        const endpoint expected = net.delivered.front();
+        // The second holder's frame acknowledges the placement before the owner has passed on any data.
+        net.send(net.second_of(flow), flow, standin::ack_flag, 2, "request");
+        net.wait(40s);
+        net.remove(owner);
+        net.publish_all();
+        send_through_all(net, flow, expected);
+    });
+}
+
 // Guards against flows that break when empty balancers become both owner and second holder at once.
 BOOST_AUTO_TEST_CASE(flows_survive_the_join_of_several_empty_balancers) {
     forwarder_mesh                               net(3);
