Refuse late copies of a refused SYN under a new owner

Causes: only the owner looked into the refusal memory, so that a new owner placed a late copy and the hops that had refused it passed it on; the memory held one sequence number per flow; and the first of two refusals of a SYN ended the memory of both. A full memory refused without remembering.

Found by a random sequence (refusal by a service limit, join of a host, late copy). Now each hop of a place frame looks into its memory, which holds flow and sequence number for 10 s after the last refusal.

Before: late_copy_of_a_refused_syn_is_refused_under_a_new_owner and refusals_are_remembered_from_the_last_one_and_for_each_attempt fail. After: both pass, with all other forwarder tests.

--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -20,6 +20,7 @@
 
 constexpr duration      pause_threshold = std::chrono::seconds(1); // between two calls of tick
 constexpr duration      refusal_memory = std::chrono::seconds(10); // a late copy of a refused SYN is refused too
+constexpr duration      refusal_step = std::chrono::seconds(1);    // a repeated refusal within it is not noted again
 constexpr std::size_t   max_refusals = 16'384;
 constexpr std::size_t   max_learned_tunnels = 1'024;
 constexpr std::size_t   slots_per_tick = 8'192;               // of the flow table, looked at for expiry
@@ -72,28 +73,44 @@
 // SYNs that were refused: a copy that arrives late must be refused again, since the caller has been told "not run".
 class refusal_memory_table {
 public:
-    void remember(const flow_key& key, std::uint32_t sequence, steady_time now) {
+    // False if there is no room: then nothing may be refused.
+    bool remember(const flow_key& key, std::uint32_t sequence, steady_time now) {
         forget_old(now);
-        if (order_.size() >= max_refusals) return;
-        order_.emplace_back(now, key);
-        refused_[key] = sequence;
+        const refused_syn syn{key, sequence};
+        const auto        known = last_.find(syn);
+        if (known != last_.end() && now - known->second < refusal_step) return true;
+        if (order_.size() >= max_refusals) return false;
+        order_.emplace_back(now, syn);
+        last_[syn] = now;
+        return true;
     }
     bool contains(const flow_key& key, std::uint32_t sequence, steady_time now) {
         forget_old(now);
-        const auto found = refused_.find(key);
-        return found != refused_.end() && found->second == sequence;
+        return last_.contains({key, sequence});
     }
 
 private:
+    struct refused_syn {
+        flow_key      key;
+        std::uint32_t sequence = 0;
+
+        friend bool operator==(const refused_syn&, const refused_syn&) = default;
+    };
+    struct syn_hash {
+        std::size_t operator()(const refused_syn& syn) const { return syn.key.low ^ syn.sequence; }
+    };
+
+    // An entry that has been renewed since is left to its later one.
     void forget_old(steady_time now) {
-        while (!order_.empty() && now - order_.front().first > refusal_memory) {
-            refused_.erase(order_.front().second);
+        while (!order_.empty() && now - order_.front().first > refusal_memory + refusal_step) {
+            const auto known = last_.find(order_.front().second);
+            if (known != last_.end() && known->second == order_.front().first) last_.erase(known);
             order_.pop_front();
         }
     }
 
-    std::deque<std::pair<steady_time, flow_key>>          order_; // oldest first; at most max_refusals
-    std::unordered_map<flow_key, std::uint32_t, key_hash> refused_;
+    std::deque<std::pair<steady_time, refused_syn>>        order_; // oldest first; at most max_refusals
+    std::unordered_map<refused_syn, steady_time, syn_hash> last_;
 };
 
 // A packet on its way through the decision.
@@ -328,9 +345,12 @@
         check(invariant::refused_never_forwarded, table_.find(packet.key) == nullptr, "refusal of a placed flow");
         if (index_->service_at(packet.info.flow.protocol, packet.info.flow.destination) == nullptr)
             ++counters_.no_service;
-        if (!answer_caller(packet)) return;
-        ++counters_.flows_refused;
-        refusals_.remember(packet.key, packet.info.sequence, packet.now);
+        if (packet.info.syn && !refusals_.remember(packet.key, packet.info.sequence, packet.now)) return;
+        if (answer_caller(packet)) ++counters_.flows_refused;
+    }
+
+    bool refused_before(const packet_context& packet) {
+        return packet.info.syn && refusals_.contains(packet.key, packet.info.sequence, packet.now);
     }
 
     //------------------------------------------------------------------------------------------------------------------
@@ -404,6 +424,10 @@
 
     void handle_as_owner(packet_context& packet, placement* item, offered_placement offered) {
         if (offered != nullptr) item = take_offer(packet, item, *offered);
+        if (item != nullptr && refused_before(packet)) {
+            ++counters_.dropped_refused; // late copy; the flow's placement is of a later SYN
+            return;
+        }
         if (item == nullptr) {
             if (packet.info.icmp_error) return;
             if (packet.starts_flow()) return place_new(packet, 1, 0);
@@ -522,7 +546,7 @@
     // Null: the flow is to be refused.
     const indexed_server* choose(const packet_context& packet, backend_server_id preferred) {
         const service* target = index_->service_at(packet.info.flow.protocol, packet.info.flow.destination);
-        if (target == nullptr || refusals_.contains(packet.key, packet.info.sequence, packet.now)) return nullptr;
+        if (target == nullptr || refused_before(packet)) return nullptr;
         const auto members =
             static_cast<std::uint32_t>(std::max<std::size_t>(1, state_->owners.present->member_count()));
         if (service_at_limit(*target, members, packet.now)) return nullptr;
@@ -640,7 +664,7 @@
 
     // Remembered here too, since the last hop may answer: a later choice for the same SYN would break "not run".
     void propose_refusal(packet_context& packet) {
-        if (packet.info.syn) refusals_.remember(packet.key, packet.info.sequence, packet.now);
+        if (packet.info.syn && !refusals_.remember(packet.key, packet.info.sequence, packet.now)) return;
         const route path = placing_route(packet, true);
         if (path.length == 0) return refuse(packet);
         send_on_route(packet, make_header(packet, relay_kind::place, path.members[0]), path);
@@ -716,11 +740,25 @@
 
     void receive_place(packet_context& packet, const relay_header& header) {
         placement* item = find(packet);
+        if (refused_before(packet)) return refuse_again(packet, item, header);
         if (item != nullptr && own_wins(*item, header.placement)) return deliver_own(packet, *item, header);
         if (header.route_length > 0) return pass_on(packet, header);
         record_place(packet, item, header);
     }
 
+    // An owner that does not know of the refusal has placed a late copy of the SYN.
+    void refuse_again(packet_context& packet, placement* item, const relay_header& header) {
+        const bool perhaps_delivered = header.placement.retried || header.placement.established;
+        if (item != nullptr || perhaps_delivered) {
+            ++counters_.dropped_refused;
+            return;
+        }
+        if (header.route_length == 0) return refuse(packet);
+        relay_header refusal = header;
+        refusal.placement = {};
+        pass_on(packet, refusal);
+    }
+
     // Whether the placement held here wins over the owner's.
     static bool own_wins(const placement& item, const placement_record& record) {
         if (record.backend_server == 0) return item.state != flow_state::closing;
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -63,6 +63,7 @@
     std::uint64_t flows_stalled = 0;       // dead path detected
     std::uint64_t dropped_unsettled = 0;   // no placement, too early to reset or to place
     std::uint64_t dropped_paused = 0;      // waited in a queue while the process was paused
+    std::uint64_t dropped_refused = 0;     // late copy of a refused SYN
     std::uint64_t dropped_table_full = 0;  // second holder without room for a new placement
     std::uint64_t dropped_unreachable = 0; // no relay address of the next hop, or no address of the backend server
     std::uint64_t placement_conflicts = 0; // two different established placements met
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -188,6 +188,40 @@
     BOOST_TEST(net.delivered.size() == flow_count);
 }
 
+// Guards against "not run" for something that ran, when the owner that refused the SYN is no longer the owner.
+BOOST_AUTO_TEST_CASE(late_copy_of_a_refused_syn_is_refused_under_a_new_owner) {
+    forwarder_mesh net(4, 0);
+    for_each_flow([&](const flow_tuple& flow) { net.send(net.owner_of(flow), flow, standin::syn_flag); });
+    net.add_backend();
+    net.revise();
+    net.add_host();
+    net.add_host();
+    net.publish_all();
+    for_each_flow([&](const flow_tuple& flow) { net.send(net.owner_of(flow), flow, standin::syn_flag); });
+    BOOST_TEST(net.delivered.empty());
+}
+
+// Guards against a refusal that is forgotten early because it was repeated, or because the caller tried again.
+BOOST_AUTO_TEST_CASE(refusals_are_remembered_from_the_last_one_and_for_each_attempt) {
+    forwarder_mesh net(3, 0);
+    const auto     flow = forwarder_mesh::flow(first_port);
+    net.send(0, flow, standin::syn_flag, 1);
+    net.wait(8s);
+    net.send(0, flow, standin::syn_flag, 1);
+    net.send(0, flow, standin::syn_flag, 500'000);
+    net.add_backend();
+    net.revise();
+    net.publish_all();
+    net.wait(4s);
+    net.send(0, flow, standin::syn_flag, 1);
+    net.send(0, flow, standin::syn_flag, 500'000);
+    BOOST_TEST(net.delivered.empty());
+    net.send(0, flow, standin::syn_flag, 900'000);
+    BOOST_TEST(net.delivered.size() == 1U);
+    net.send(0, flow, standin::syn_flag, 500'000); // the placement belongs to the later SYN
+    BOOST_TEST(net.delivered.size() == 1U);
+}
+
 // Guards against "not run" for a SYN whose backend server died after the delivery.
 BOOST_AUTO_TEST_CASE(syn_of_a_delivered_flow_is_never_answered_with_reset) {
     forwarder_mesh net(4, 1);
