Deliver a replaced choice only after the owner knows it; tell late SYNs from new ones

Three causes of a flow, or a copy of its SYN, on two backend servers:

- A hop that replaced the owner's choice delivered at once.
With its loss and that of its answer the owner sent the repeated SYN to its own choice.
Such a packet now goes back to the owner (decline), which records the choice and places again.
Any hop with the same or a newer revision may decline.
- An owner that took over an offered placement forgot that it may have been sent on, so that its second holder could replace it.
Frames now carry the state of the flow, and the taker keeps 'retried' and 'established'.
- A late copy of the first SYN after the FIN was taken for a new connection and placed on another backend server where the old one was draining.
Both holders now note the highest sequence number of a closing flow, in the fields of the dead path detection; the frame grows from 124 to 128 bytes.

--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -132,6 +132,10 @@
 // What a peer offers along with a packet.
 using offered_placement = const placement_record*; // null: nothing
 
+// Stands for a holder that is not known, or is not to be relied on.
+constexpr std::uint32_t unknown_holder = 1;
+constexpr std::uint32_t sent_by_another = 1; // place sequence of a record that another balancer may have sent on
+
 } // namespace
 
 class forwarder::impl {
@@ -299,6 +303,8 @@
         record.generation = item.generation;
         record.retried = item.place_sequence != 0 || item.other_holder != 0 || item.state != flow_state::half_open;
         record.established = item.other_holder != 0;
+        record.state = item.state;
+        if (item.state == flow_state::closing) record.end_sequence = item.end_sequence();
         return record;
     }
 
@@ -433,7 +439,7 @@
             if (packet.starts_flow()) return place_new(packet, 1, 0);
             return look_up(packet);
         }
-        if (packet.info.syn && item->state == flow_state::closing) return reuse_tuple(packet, *item);
+        if (starts_anew(packet, *item)) return reuse_tuple(packet, *item);
         if (backend_is_dead(*item, packet.now)) return end_dead_flow(packet, *item);
         const bool changed = update_state(packet, *item);
         // The second holder follows the state of the flow, and redundancy is restored by the flow's next packet.
@@ -443,18 +449,28 @@
 
     // A holder outside the present pair passed its placement on with the packet.
     placement* take_offer(const packet_context& packet, placement* item, const placement_record& offered) {
-        if (item == nullptr) return store(packet, offered, 0);
+        if (item == nullptr) return store_offered(packet, offered);
         const bool older = offered.generation < item->generation;
         if (older || offered.backend_server == item->backend_server) return item;
         const bool newer = offered.generation > item->generation;
         if (newer || (item->other_holder == 0 && offered.established)) {
             ++counters_.flows_adopted;
-            return replace(packet, offered, 0);
+            table_.erase(packet.key);
+            return store_offered(packet, offered);
         }
         ++counters_.placement_conflicts;
         return item;
     }
 
+    // Stores a placement that another balancer decided and may have sent on, so that nobody may choose another one.
+    placement* store_offered(const packet_context& packet, const placement_record& record) {
+        placement* item = store(packet, record, record.established ? unknown_holder : 0);
+        if (item == nullptr) return nullptr;
+        item->pending_holder = 0;
+        item->place_sequence = sent_by_another;
+        return item;
+    }
+
     // Stores a placement that another balancer decided; null if there is no room.
     placement* store(const packet_context& packet, const placement_record& record, std::uint32_t other_holder) {
         placement value;
@@ -463,15 +479,18 @@
         value.generation = record.generation;
         value.other_holder = other_holder;
         const bool begins = packet.info.syn && packet.info.flow.protocol == transport::tcp;
-        value.state = begins ? flow_state::half_open : flow_state::established;
+        value.state = std::max(record.state, begins ? flow_state::half_open : flow_state::established);
+        if (value.state == flow_state::closing) value.set_end_sequence(record.end_sequence);
         placement* item = table_.insert(packet.key, value, packet.now);
         if (item != nullptr) table_.touch(*item, packet.now);
         return item;
     }
 
-    placement* replace(const packet_context& packet, const placement_record& record, std::uint32_t other_holder) {
-        table_.erase(packet.key);
-        return store(packet, record, other_holder);
+    // A SYN after the end of the flow, rather than a late copy of one that belongs to it. Callers choose a higher
+    // initial sequence number for the same 5-tuple (RFC 9293 section 3.6.1, RFC 6528).
+    static bool starts_anew(const packet_context& packet, const placement& item) {
+        if (!packet.info.syn || item.state != flow_state::closing) return false;
+        return static_cast<std::int32_t>(packet.info.sequence - item.end_sequence()) > 0;
     }
 
     // The 5-tuple of a flow that has ended. The same backend server is kept where it may take new flows, so that a late
@@ -495,15 +514,15 @@
         if (!answer_caller(packet)) return;
         if (item.state == flow_state::closing) return;
         ++counters_.flows_reset_dead;
-        item.state = flow_state::closing;
+        close(packet, item);
         table_.touch(item, packet.now);
     }
 
     // True if the state is another one than before.
     bool update_state(const packet_context& packet, placement& item) {
         const flow_state before = item.state;
-        if (packet.info.fin || packet.info.rst) {
-            item.state = flow_state::closing;
+        if (packet.info.fin || packet.info.rst || (item.state == flow_state::closing && !packet.info.syn)) {
+            close(packet, item);
         } else if (!packet.info.syn && item.state == flow_state::half_open) {
             item.state = flow_state::established;
         }
@@ -511,6 +530,13 @@
         return item.state != before;
     }
 
+    static void close(const packet_context& packet, placement& item) {
+        const std::uint32_t sequence = packet.info.sequence;
+        const bool          first = item.state != flow_state::closing;
+        item.state = flow_state::closing;
+        if (first || static_cast<std::int32_t>(sequence - item.end_sequence()) > 0) item.set_end_sequence(sequence);
+    }
+
     // True if the present second holder is known to have the placement in its present state, or there is none.
     bool confirmed(const packet_context& packet, placement& item) const {
         const member_id second = other_of_pair(packet);
@@ -716,6 +742,8 @@
             return arrive(packet, nullptr);
         case relay_kind::offer:
             return arrive(packet, &header.placement);
+        case relay_kind::decline:
+            return receive_decline(packet, header);
         case relay_kind::place:
             return receive_place(packet, header);
         case relay_kind::lookup:
@@ -730,7 +758,7 @@
         header.sender = settings_.self;
         header.sender_life = settings_.life;
         header.hops = static_cast<std::uint8_t>(received.hops + 1);
-        header.revision = state_->services->revision;
+        header.revision = std::max(received.revision, state_->services->revision);
         header.acknowledgement = sequences_.acknowledgement_for(received.route[0]);
         header.route_length = static_cast<std::uint8_t>(received.route_length - 1);
         std::copy(received.route.begin() + 1, received.route.end(), header.route.begin());
@@ -741,11 +769,56 @@
     void receive_place(packet_context& packet, const relay_header& header) {
         placement* item = find(packet);
         if (refused_before(packet)) return refuse_again(packet, item, header);
-        if (item != nullptr && own_wins(*item, header.placement)) return deliver_own(packet, *item, header);
+        const bool is_free = item == nullptr || starts_anew(packet, *item);
+        if (!is_free && own_wins(*item, header.placement)) return insist(packet, *item, header);
+        if (is_free && item != nullptr && header.placement.backend_server != 0 &&
+            header.placement.generation <= item->generation)
+            return raise_generation(packet, *item, header);
+        const bool unknown = is_free || item->generation < header.placement.generation;
+        if (unknown && outdated(header)) return choose_instead(packet, header);
         if (header.route_length > 0) return pass_on(packet, header);
         record_place(packet, item, header);
     }
 
+    // A placement that only this balancer knows must not be delivered before the owner knows it too.
+    void insist(packet_context& packet, placement& item, const relay_header& header) {
+        if (item.other_holder != 0) return deliver_own(packet, item, header);
+        decline(packet, record_of(item), header);
+    }
+
+    void decline(const packet_context& packet, const placement_record& instead, const relay_header& received) {
+        if (instead.tunnel.port == 0) {
+            ++counters_.dropped_unreachable;
+            return;
+        }
+        relay_header answer = make_header(packet, relay_kind::decline, received.owner);
+        answer.placement = instead;
+        answer.place_sequence = received.place_sequence;
+        send_frame(packet, answer, received.owner, packet.inner);
+    }
+
+    // A hop of this owner's route holds or has chosen another placement. An answer to any but the last place frame of
+    // the flow says nothing, since the last one may have been delivered.
+    void receive_decline(packet_context& packet, const relay_header& header) {
+        placement* item = find(packet);
+        if ((item == nullptr ? 0 : item->place_sequence) != header.place_sequence) {
+            ++counters_.dropped_unsettled;
+            return;
+        }
+        if (!header.placement.retried && not_selectable(header.placement) &&
+            header.revision < state_->services->revision) {
+            table_.erase(packet.key);
+            return place_new(packet, header.placement.generation, 0);
+        }
+        adopt(packet.key, header.placement, 0, packet.now);
+        item = find(packet);
+        if (item == nullptr) {
+            ++counters_.dropped_table_full;
+            return;
+        }
+        handle_as_owner(packet, item, nullptr);
+    }
+
     // An owner that does not know of the refusal has placed a late copy of the SYN.
     void refuse_again(packet_context& packet, placement* item, const relay_header& header) {
         const bool perhaps_delivered = header.placement.retried || header.placement.established;
@@ -759,9 +832,16 @@
         pass_on(packet, refusal);
     }
 
+    // The owner has forgotten the flow that used the 5-tuple before.
+    void raise_generation(packet_context& packet, const placement& item, const relay_header& header) {
+        placement_record record = header.placement;
+        record.generation = static_cast<std::uint16_t>(item.generation + 1);
+        decline(packet, record, header);
+    }
+
     // Whether the placement held here wins over the owner's.
     static bool own_wins(const placement& item, const placement_record& record) {
-        if (record.backend_server == 0) return item.state != flow_state::closing;
+        if (record.backend_server == 0) return true;
         if (item.generation != record.generation) return item.generation > record.generation;
         return item.backend_server != record.backend_server && !record.established;
     }
@@ -795,8 +875,6 @@
             table_.erase(packet.key);
             item = nullptr;
         }
-        if (item == nullptr && !record.retried && !record.established && not_selectable(record))
-            return choose_instead(packet, header);
         if (item == nullptr) item = store(packet, record, token_of(header.owner));
         if (item == nullptr && !record.established) {
             ++counters_.dropped_table_full;
@@ -804,12 +882,21 @@
         }
         if (item == nullptr) return deliver_to(packet, record.service, record.tunnel);
         item->other_holder = token_of(header.owner);
+        if (record.state == flow_state::closing && item->state != flow_state::closing)
+            item->set_end_sequence(record.end_sequence);
+        item->state = std::max(item->state, record.state);
         sequences_.received(header.owner, header.place_sequence);
         update_state(packet, *item);
         deliver_placed(packet, *item);
     }
 
-    // A proposal that this balancer knows to be outdated.
+    // A new proposal that was checked under an older revision, and that this balancer would not make.
+    bool outdated(const relay_header& header) const {
+        const placement_record& record = header.placement;
+        if (record.backend_server == 0 || record.retried || record.established) return false;
+        return state_->services->revision >= header.revision && not_selectable(record);
+    }
+
     bool not_selectable(const placement_record& record) const {
         const indexed_server* found = index_->server(record.backend_server);
         if (found == nullptr) return index_->knows_ids_up_to(record.backend_server);
@@ -827,12 +914,7 @@
         record.backend_server = chosen->server->id;
         record.service = chosen->owner->id;
         record.tunnel = chosen->server->tunnel;
-        placement* item = store(packet, record, 0);
-        if (item == nullptr) {
-            ++counters_.dropped_table_full;
-            return;
-        }
-        deliver_own(packet, *item, header);
+        decline(packet, record, header);
     }
 
     void receive_lookup(packet_context& packet, const relay_header& header) {
@@ -845,13 +927,18 @@
 
     // A holder tells this owner its placement.
     void receive_adopt(const relay_header& header, steady_time now) {
-        const placement_record& record = header.placement;
-        placement*              item = table_.find(header.flow);
+        adopt(header.flow, header.placement, token_of(header.sender), now);
+    }
+
+    // Takes over the placement of another balancer unless this one's has been acknowledged. A holder of 0 is one that
+    // has not delivered anything by it.
+    void adopt(const flow_key& key, const placement_record& record, std::uint32_t holder, steady_time now) {
+        placement* item = table_.find(key);
         if (item != nullptr && item->generation > record.generation) return;
         const bool same =
             item != nullptr && item->backend_server == record.backend_server && item->generation == record.generation;
         if (same) {
-            item->other_holder = token_of(header.sender);
+            if (holder != 0) item->other_holder = holder;
             return;
         }
         const bool decided = item != nullptr && item->other_holder != 0 && item->generation == record.generation;
@@ -859,14 +946,16 @@
             ++counters_.placement_conflicts;
             return;
         }
-        if (item != nullptr) table_.erase(header.flow);
+        if (item != nullptr) table_.erase(key);
         placement value;
         value.backend_server = record.backend_server;
         value.service = record.service;
         value.generation = record.generation;
-        value.other_holder = token_of(header.sender);
-        value.state = record.retried ? flow_state::established : flow_state::half_open;
-        if (table_.insert(header.flow, value, now) == nullptr) return;
+        value.other_holder = holder != 0 || !record.established ? holder : unknown_holder;
+        value.place_sequence = record.retried ? sent_by_another : 0;
+        value.state = record.state;
+        if (value.state == flow_state::closing) value.set_end_sequence(record.end_sequence);
+        if (table_.insert(key, value, now) == nullptr) return;
         ++counters_.flows_adopted;
     }
 
@@ -901,9 +990,8 @@
     // Dead path: the caller repeats the same bytes and nothing makes it go on.
     static bool stalled(const packet_context& packet, placement& item) {
         const packet_info& info = packet.info;
-        if (info.flow.protocol != transport::tcp || info.payload_size < min_stalled_payload || packet.changes_state()) {
-            return false;
-        }
+        if (info.flow.protocol != transport::tcp || info.payload_size < min_stalled_payload) return false;
+        if (packet.changes_state() || item.state == flow_state::closing) return false;
         const auto now_ticks = static_cast<std::uint16_t>(flow_table::ticks_of(packet.now));
         // 16 bits of a multiplicative hash: several repeats in a row are not equal by chance.
         const auto hash = static_cast<std::uint16_t>((info.sequence * 0x9e3779b1U) >> 16U);
@@ -921,7 +1009,7 @@
     void end_stalled_flow(const packet_context& packet, placement& item) {
         if (!answer_caller(packet)) return;
         ++counters_.flows_stalled;
-        item.state = flow_state::closing;
+        close(packet, item);
         item.repeats = 0;
         table_.touch(item, packet.now);
     }
--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -93,6 +93,8 @@
     // The clock must outlive the forwarder. Equal inputs give equal decisions.
     forwarder(const forwarder_settings& settings, const clock& time);
     ~forwarder();
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
     forwarder(forwarder&&) noexcept;
     forwarder& operator=(forwarder&&) noexcept;
 
--- a/tamarack/relay.cpp
+++ b/tamarack/relay.cpp
@@ -19,7 +19,9 @@
 constexpr std::uint8_t frame_version = 1;
 constexpr std::uint8_t flag_established = 0x01;
 constexpr std::uint8_t flag_retried = 0x02;
-constexpr std::uint8_t known_flags = flag_established | flag_retried;
+constexpr std::uint8_t state_shift = 2; // two bits of the flow's state
+constexpr std::uint8_t state_mask = 0x03;
+constexpr std::uint8_t known_flags = flag_established | flag_retried | state_mask << state_shift;
 
 static_assert(relay_mac_size == crypto_shorthash_BYTES);
 static_assert(sizeof(relay_key) == crypto_shorthash_KEYBYTES);
@@ -49,11 +51,12 @@
     big_uint64_buf_t                               flow_low;
     big_uint32_buf_t                               backend_server;
     big_uint32_buf_t                               service;
+    big_uint32_buf_t                               end_sequence;
     wire_endpoint                                  tunnel;
     wire_endpoint                                  fabric;
 };
 
-constexpr std::size_t wire_header_size = 124;
+constexpr std::size_t wire_header_size = 128;
 static_assert(sizeof(wire_header) == wire_header_size && alignof(wire_header) == 1);
 
 using relay_mac = std::array<unsigned char, relay_mac_size>;
@@ -85,6 +88,7 @@
     wire.route_length = header.route_length;
     if (header.placement.established) wire.flags |= flag_established;
     if (header.placement.retried) wire.flags |= flag_retried;
+    wire.flags |= static_cast<std::uint8_t>(static_cast<unsigned>(header.placement.state) << state_shift);
     wire.generation = header.placement.generation;
     wire.sender = header.sender;
     wire.sender_life = header.sender_life;
@@ -98,6 +102,7 @@
     wire.flow_low = header.flow.low;
     wire.backend_server = header.placement.backend_server;
     wire.service = header.placement.service;
+    wire.end_sequence = header.placement.end_sequence;
     wire.tunnel = to_wire(header.placement.tunnel);
     wire.fabric = to_wire(header.fabric);
     return wire;
@@ -119,10 +124,12 @@
     header.flow = {wire.flow_high.value(), wire.flow_low.value()};
     header.placement.backend_server = wire.backend_server.value();
     header.placement.service = wire.service.value();
+    header.placement.end_sequence = wire.end_sequence.value();
     header.placement.tunnel = from_wire(wire.tunnel);
     header.placement.generation = wire.generation.value();
     header.placement.established = (wire.flags & flag_established) != 0;
     header.placement.retried = (wire.flags & flag_retried) != 0;
+    header.placement.state = static_cast<flow_state>(wire.flags >> state_shift & state_mask);
     header.fabric = from_wire(wire.fabric);
     return header;
 }
@@ -137,9 +144,12 @@
 
 bool valid_placement(const relay_header& header) {
     const placement_record& placement = header.placement;
-    const bool              needed = header.kind == relay_kind::adopt || header.kind == relay_kind::offer;
-    if (placement.backend_server == 0) return !needed && !placement.established && !placement.retried;
-    return placement.service != 0 && placement.tunnel.port != 0;
+    const bool              needed =
+        header.kind == relay_kind::adopt || header.kind == relay_kind::offer || header.kind == relay_kind::decline;
+    const bool begins = placement.state == flow_state::half_open;
+    if (placement.state != flow_state::closing && placement.end_sequence != 0) return false;
+    if (placement.backend_server == 0) return !needed && !placement.established && !placement.retried && begins;
+    return placement.service != 0 && placement.tunnel.port != 0 && placement.state <= flow_state::closing;
 }
 
 bool valid_fields(const relay_header& header) {
@@ -153,7 +163,7 @@
 
 bool valid_kind(std::uint8_t kind) {
     return kind >= static_cast<std::uint8_t>(relay_kind::forward) &&
-           kind <= static_cast<std::uint8_t>(relay_kind::offer);
+           kind <= static_cast<std::uint8_t>(relay_kind::decline);
 }
 
 } // namespace
--- a/tamarack/relay.h
+++ b/tamarack/relay.h
@@ -4,7 +4,7 @@
 // sections 2.2 and 2.6.
 #pragma once
 
-#include "tamarack/packet.h"
+#include "tamarack/flow_table.h"
 
 namespace tamarack {
 
@@ -14,6 +14,7 @@
     adopt = 3,   // to the owner: a holder's placement, which wins over a proposed one; carries no packet
     lookup = 4,  // from the owner along a route of candidates: who has the placement?
     offer = 5,   // to the owner: a packet with the placement of a holder outside the present pair
+    decline = 6, // to the owner: the packet of a place frame with another choice, which the owner has to place
 };
 
 inline constexpr std::size_t  max_route_length = 4;
@@ -28,6 +29,8 @@
     std::uint16_t     generation = 1;      // rises when a 5-tuple is used again after its flow ended
     bool              retried = false;     // sent before, perhaps delivered: its choice must not be replaced by another
     bool              established = false; // a holder has acknowledged it: it wins over one that nobody has
+    flow_state        state = flow_state::half_open; // as the sender knows it
+    std::uint32_t     end_sequence = 0;              // of a closing TCP flow, see placement::end_sequence; else 0
 
     friend bool operator==(const placement_record&, const placement_record&) = default;
 };
