--- a/tamarack/ownership.cpp
+++ b/tamarack/ownership.cpp
@@ -141,6 +141,7 @@
 };
 
 bool same_ranking(const ownership& left, const ownership& right) {
+    if (&left == &right) return true;
     for (std::size_t bucket = 0; bucket < bucket_count; ++bucket)
         if (left.of(bucket) != right.of(bucket)) return false;
     return true;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -48,6 +48,8 @@
     relay_header established = place_header(); // no two fields are equal
     established.placement.retried = false;
     established.placement.established = true;
+    established.placement.state = flow_state::closing;
+    established.placement.end_sequence = 4711;
     BOOST_TEST((parse_relay_frame(encode(established, packet), keys).value().header == established));
     const auto frame = encode(place_header(), packet);
     const auto parsed = parse_relay_frame(frame, keys);
@@ -85,7 +87,14 @@
     };
     const std::vector<std::pair<const char*, header_change>> faults = {
         {"kind 0", [](relay_header& h) { h.kind = static_cast<relay_kind>(0); }},
-        {"kind 6", [](relay_header& h) { h.kind = static_cast<relay_kind>(6); }},
+        {"kind 7", [](relay_header& h) { h.kind = static_cast<relay_kind>(7); }},
+        {"state 3", [](relay_header& h) { h.placement.state = static_cast<flow_state>(3); }},
+        {"end of an open flow", [](relay_header& h) { h.placement.end_sequence = 1; }},
+        {"state of a refusal",
+         [](relay_header& h) {
+             h.placement = {};
+             h.placement.state = flow_state::closing;
+         }},
         {"no sender", [](relay_header& h) { h.sender = 0; }},
         {"no owner", [](relay_header& h) { h.owner = 0; }},
         {"too many hops", [](relay_header& h) { h.hops = max_relay_hops + 1; }},
@@ -108,6 +117,8 @@
         {"forward with owner and route", [](relay_header& h) { h.kind = relay_kind::forward; }},
         {"offer without placement", [&](relay_header& h) { unrouted(relay_kind::offer)(h), h.placement = {}; }},
         {"adopt with a packet", unrouted(relay_kind::adopt)},
+        {"decline with an owner",
+         [](relay_header& h) { h.kind = relay_kind::decline, h.route_length = 0, h.route = {}; }},
     };
     const auto changed = [](const header_change& change, byte_view inner) {
         relay_header header = place_header();
