--- a/tests/prober_test.cpp
+++ b/tests/prober_test.cpp
@@ -47,9 +47,10 @@
 };
 
 probe_result probe(prober_grpc& prober, const endpoint& target, duration deadline = std::chrono::seconds(60)) {
-    std::promise<probe_result> given;
-    prober.start({7, 3, target, deadline}, [&](const probe_result& result) { given.set_value(result); });
-    const probe_result result = given.get_future().get();
+    // Shared: set_value may still use the promise after the waiting thread has gone on.
+    const auto given = std::make_shared<std::promise<probe_result>>();
+    prober.start({7, 3, target, deadline}, [given](const probe_result& result) { given->set_value(result); });
+    const probe_result result = given->get_future().get();
     BOOST_TEST(result.id == 7U);
     BOOST_TEST(result.backend_server == 3U);
     return result;
