Build in Release with g++ 12

A Release build stopped in events.cpp, platform_grpc.cpp, types.cpp and deployment.cpp: at -O3 g++ 12 reports -Wrestrict, wrongly, where a character array is joined with a temporary string. The texts are joined another way; the warning stays an error.

--- a/fakes/deployment.cpp
+++ b/fakes/deployment.cpp
@@ -15,8 +15,8 @@
 
 void require_accepted(const change_result& result) {
     CHECK(result.status == change_status::accepted)
-        << "change not accepted: " << to_string(result.status)
-        << (result.problems.empty() ? "" : " " + result.problems.front().to_string());
+        << "change not accepted: " << to_string(result.status) << ' '
+        << (result.problems.empty() ? std::string() : result.problems.front().to_string());
 }
 
 } // namespace
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -111,7 +111,8 @@
 }
 
 std::string format_event(event number, std::initializer_list<event_field> fields) {
-    std::string line = "T" + std::to_string(static_cast<unsigned>(number)) + " " + std::string(describe(number).text);
+    std::string line("T");
+    line.append(std::to_string(static_cast<unsigned>(number))).append(" ").append(describe(number).text);
     for (const event_field& field : fields) {
         line += " " + field.key + "=";
         if (!field.value.empty() && std::ranges::all_of(field.value, is_plain)) {
--- a/tamarack/platform_grpc.cpp
+++ b/tamarack/platform_grpc.cpp
@@ -107,9 +107,9 @@
     const bool  v4 = !addresses.empty() && addresses.front().address.is_v4();
     std::string target;
     for (const auto& item : addresses) {
-        if (item.address.is_v4() == v4) target += (target.empty() ? "" : ",") + item.to_string();
+        if (item.address.is_v4() == v4) target.append(target.empty() ? "" : ",").append(item.to_string());
     }
-    return (v4 ? "ipv4:" : "ipv6:") + target; // one scheme per channel; the first address decides
+    return std::string(v4 ? "ipv4:" : "ipv6:") + target; // one scheme per channel; the first address decides
 }
 
 std::shared_ptr<grpc::Channel> open_channel(const platform_grpc_settings& settings) {
--- a/tamarack/types.cpp
+++ b/tamarack/types.cpp
@@ -52,7 +52,7 @@
 }
 
 std::string endpoint::to_string() const {
-    const std::string host = address.is_v4() ? address.to_string() : "[" + address.to_string() + "]";
+    const std::string host = address.is_v4() ? address.to_string() : std::string("[") + address.to_string() + "]";
     return host + ":" + std::to_string(port);
 }
 
