--- a/fakes/cluster.cpp
+++ b/fakes/cluster.cpp
@@ -311,9 +311,7 @@
         const std::size_t target = found->second;
         const endpoint    from = hosts_[index].settings.self.control;
         transmit(domain_of(index), domain_of(target), [this, target, from, payload = std::move(message.bytes)] {
-            deliver_to_host(target, [&](balancer& logic) {
-                if (logic.control() != nullptr) logic.control()->receive_control(payload, from);
-            });
+            deliver_to_host(target, [&](balancer& logic) { logic.from_control(payload, from); });
         });
     }
 
@@ -389,6 +387,7 @@
 
     void answer_store(std::size_t index, store_request request) {
         ++store_calls_;
+        if (request.operation == store_operation::compare_and_swap) ++store_writes_;
         const std::uint64_t life = hosts_[index].life;
         const bool          alone = cut_.contains(domain_of(index));
         store_response      response;
@@ -812,6 +811,7 @@
     double                                        store_lost_answers_ = 0;
     double                                        store_stale_reads_ = 0;
     std::uint64_t                                 store_calls_ = 0;
+    std::uint64_t                                 store_writes_ = 0;
     std::map<std::string, change_request>         pending_; // by operation id
     std::vector<change_result>                    results_;
     std::vector<caller_group>                     callers_;
@@ -833,6 +833,10 @@
 // Public functions
 //----------------------------------------------------------------------------------------------------------------------
 
+void balancer::from_control(byte_view datagram, const endpoint& from) {
+    if (control() != nullptr) control()->receive_control(datagram, from);
+}
+
 cluster::cluster(const cluster_settings& settings) : impl_(std::make_unique<impl>(settings)) {}
 cluster::~cluster() = default;
 
@@ -939,6 +943,14 @@
 std::uint64_t cluster::store_calls() const {
     return impl_->store_calls_;
 }
+std::uint64_t cluster::store_writes() const {
+    return impl_->store_writes_;
+}
+void cluster::put(const std::string& key, const std::string& value) {
+    stored_value& stored = impl_->store_[key];
+    stored.value = value;
+    ++stored.version;
+}
 
 void cluster::add_callers(const caller_settings& settings) {
     impl_->add_callers(settings);
--- a/fakes/cluster.h
+++ b/fakes/cluster.h
@@ -98,8 +98,9 @@
     virtual void            from_fabric(byte_view packet, const endpoint& fabric, tamarack::action_buffer& out) = 0;
     virtual void            from_peer(byte_view frame, tamarack::action_buffer& out) = 0;
     virtual void            tick(tamarack::action_buffer& out) = 0;
-    virtual tamarack::node* control() { return nullptr; }      // null for a baseline
-    virtual bool            finished() const { return false; } // a graceful stop has ended
+    virtual void            from_control(byte_view datagram, const endpoint& from); // to control(), if there is one
+    virtual tamarack::node* control() { return nullptr; }                           // null for a baseline
+    virtual bool            finished() const { return false; }                      // a graceful stop has ended
 };
 
 class cluster {
@@ -147,6 +148,8 @@
     void          set_store_lost_answers(double share); // of writes that take effect
     void          set_store_stale_reads(double share);
     std::uint64_t store_calls() const;
+    std::uint64_t store_writes() const;                                  // compare-and-swaps among them
+    void          put(const std::string& key, const std::string& value); // for a configuration that exists at the start
 
     // Callers.
     void add_callers(const caller_settings& settings);
