--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -33,6 +33,7 @@
 constexpr std::size_t region_domains = 3;           // 16 failure domains in 6 regions, rounded up
 constexpr std::size_t region_members = 267;         // 1,600 daemons in 6 regions
 constexpr std::size_t cluster_table_flows = 10'000; // no flows are opened in the fakes
+constexpr duration    outage_time = 300s;           // long enough for the longest backoff
 constexpr duration    failure_time = 60s;           // measured after a failure
 constexpr double      failure_limit = 600;          // seconds; a recovery that takes longer ends the run
 constexpr double      microseconds_per_second = 1e6;
@@ -401,6 +402,10 @@
     double return_calls = 0; // a second of all members on the platform, in the first failure_time
     double return_bytes = 0; // a second of a member, in the first failure_time
     double return_tick = 0;  // microseconds of processor time a second, of a member, in the first failure_time
+
+    // While the platform is out of reach, and afterwards.
+    double outage_calls = 0;    // a second of all members
+    double outage_recovery = 0; // seconds from its end until a change that is submitted then is in force everywhere
 };
 
 // Seconds until the condition holds, in steps of 100 ms, and at most failure_limit.
@@ -476,6 +481,25 @@
     result.return_tick = microseconds_per_second * (times.tick - tick_before) / member_seconds;
 }
 
+// Breaks off the platform for outage_time, then submits a change to the first member until it is accepted.
+void lose_platform(fakes::cluster& target, revision_number revision, cluster_figures& result) {
+    const auto calls = target.store_calls();
+    target.set_store_outage(true);
+    target.run(outage_time);
+    result.outage_calls =
+        static_cast<double>(target.store_calls() - calls) / std::chrono::duration<double>(outage_time).count();
+    target.set_store_outage(false);
+    const steady_time end = target.now();
+    CHECK(target.change_now(0, some_change(changes_per_point)).status == change_status::accepted);
+    run_until(target, [&] {
+        for (std::size_t i = 0; i < target.hosts(); ++i) {
+            if (target.node_of(i)->current().revision <= revision) return false;
+        }
+        return true;
+    });
+    result.outage_recovery = std::chrono::duration<double>(target.now() - end).count();
+}
+
 cluster_figures run_cluster(std::size_t members, std::size_t domains, std::uint32_t servers) {
     control_times           times;
     fakes::cluster_settings settings;
@@ -538,6 +562,7 @@
     result.largest_window =
         static_cast<double>(target.largest_control_window()) / std::chrono::duration<double>(control_window).count();
     lose_domain(target, domains, start.revision() + changes_per_point, times, result);
+    lose_platform(target, start.revision() + changes_per_point, result);
     return result;
 }
 
@@ -566,6 +591,8 @@
     print("return_platform_calls", "call/s", &cluster_figures::return_calls);
     print("return_control_bytes_per_second", "byte/s", &cluster_figures::return_bytes);
     print("return_control_tick_time", "us/s", &cluster_figures::return_tick);
+    print("outage_platform_calls", "call/s", &cluster_figures::outage_calls);
+    print("outage_recovery", "s", &cluster_figures::outage_recovery);
 }
 
 void measure_members() {
