--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -253,11 +253,13 @@
     std::vector<point> ranking_memory;
     for (const std::size_t count : {9U, 32U, 64U, 128U, 267U}) {
         std::vector<member> members;
+        members.reserve(count);
         for (std::size_t i = 0; i < count; ++i)
             members.push_back(make_member(i, region_domains));
         const double                            before = allocated_bytes();
         std::vector<std::unique_ptr<ownership>> rankings;
         const double                            start = thread_seconds();
+        rankings.reserve(repeats);
         for (int i = 0; i < repeats; ++i)
             rankings.push_back(std::make_unique<ownership>(members));
         const double seconds = (thread_seconds() - start) / repeats;
@@ -280,14 +282,16 @@
         forwarder                                      target(settings, time);
         // A new configuration each time, since an unchanged one may keep its index.
         std::vector<std::shared_ptr<forwarding_state>> states;
+        states.reserve(repeats);
         for (int i = 0; i < repeats; ++i)
             states.push_back(make_state(time, std::span(&self, 1), std::make_shared<configuration>(*services)));
         const double before = allocated_bytes();
         const double start = thread_seconds();
         for (const auto& state : states)
             target.publish(state);
-        publish_time.push_back({static_cast<double>(servers / 2), 1e3 * (thread_seconds() - start) / repeats});
-        publish_memory.push_back({static_cast<double>(servers / 2), allocated_bytes() - before});
+        publish_time.push_back(
+            {static_cast<double>(services->services.size()), 1e3 * (thread_seconds() - start) / repeats});
+        publish_memory.push_back({static_cast<double>(services->services.size()), allocated_bytes() - before});
     }
     print_series("publish_time", "service", "ms", publish_time);
     print_series("publish_memory", "service", "byte", publish_memory);
@@ -571,6 +575,7 @@
                     const std::vector<std::pair<double, cluster_figures>>& runs) {
     const auto print = [&](const std::string& name, const std::string& y_unit, double cluster_figures::*value) {
         std::vector<point> points;
+        points.reserve(runs.size());
         for (const auto& [x, figures] : runs)
             points.push_back({x, figures.*value});
         print_series(prefix + name, unit, y_unit, points);
@@ -600,6 +605,7 @@
     std::vector<std::pair<double, cluster_figures>> runs;
     std::vector<std::size_t>                        sizes{9, 32, 64, 128};
     if (FLAGS_region) sizes.push_back(region_members);
+    runs.reserve(sizes.size());
     for (const std::size_t members : sizes)
         runs.emplace_back(static_cast<double>(members), run_cluster(members, region_domains, 100));
     print_clusters("members_", "member", runs);
