Check the example settings in the settings test

An example that the settings check refuses misleads whoever copies it. The test reads every file of examples/ with the files that it names in place. settings_test passes.

--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -214,6 +214,26 @@
     }
 }
 
+// The example files must be accepted as they stand, once the files that they name are there.
+BOOST_AUTO_TEST_CASE(the_examples_have_no_problems) {
+    const folder   in;
+    const fs::path examples = fs::path(__FILE__).parent_path().parent_path() / "examples";
+    for (const char* name : {"signing.key", "balancer.pem", "balancer.key", "operators.pem"})
+        in.write(name, std::string(64, 'a'));
+    std::vector<std::string> clusters;
+    for (const auto& example : fs::directory_iterator(examples)) {
+        std::ostringstream text;
+        text << std::ifstream(example.path()).rdbuf();
+        const auto read = read_settings(text.str(), in.file());
+        const auto problems = problems_of(in, text.str());
+        BOOST_TEST(problems.empty(), example.path().filename() << ": " << (problems.empty() ? "" : problems.front()));
+        if (read) clusters.push_back(read.value().node.cluster);
+    }
+    std::ranges::sort(clusters);
+    const std::vector<std::string> expected = {"gebze", "tuul"};
+    BOOST_TEST(clusters == expected, boost::test_tools::per_element());
+}
+
 // Write the file again with: tamarackd --reference=settings
 BOOST_AUTO_TEST_CASE(the_reference_matches_the_table) {
     std::ifstream      file(fs::path(__FILE__).parent_path().parent_path() / "docs" / "settings.md");
