Publish the cap of the flow table

show counters described flow_table_capacity but no balancer gave a value, so an alarm on flows_held had nothing to compare with. The test fails without the value. cluster_scenarios_test passes.

--- a/tamarack/node.cpp
+++ b/tamarack/node.cpp
@@ -432,6 +432,7 @@
             const std::lock_guard guard(part->lock);
             add_counters(part->target.counters(), all);
             all["flows_held"] += part->target.flows().size();
+            all["flow_table_capacity"] += part->target.flows().capacity();
             all["flow_table_bytes"] += part->target.flows().memory_bytes();
         }
         add_counters(channel_.counters(), all);
--- a/tests/cluster_scenarios_test.cpp
+++ b/tests/cluster_scenarios_test.cpp
@@ -205,3 +205,14 @@
     BOOST_TEST(largest / (sum / 14) <= 1.25);
     test.check_nothing_broken();
 }
+
+// Guards against an alarm on a nearly full flow table that has no cap to compare with.
+BOOST_AUTO_TEST_CASE(cap_of_the_flow_table_is_published) {
+    fixture test;
+    test.target.run(1s);
+    const auto shown = test.target.node_of(0)->counters();
+    const auto found = shown.find("flow_table_capacity");
+    BOOST_REQUIRE(found != shown.end());
+    BOOST_TEST(found->second >= shown.at("flows_held"));
+    BOOST_TEST(found->second > 0U);
+}
