Let a balancer stop while flows whose other holder was replaced are busy

A leaving balancer outside a flow's present pair delivers packets by its own placement, so the flow is never quiet and was never replicated over the control channel; if its other holder had been replaced, the stop waited for the whole grace time although others held the flow. Such placements are now replicated without waiting for quiet.

Before: balancers 3, 5 and 7 of the new test still waited after 30 s. After: all stops end within 30 s and nothing breaks. cluster_scenarios_test, cluster_random_test and forwarder_test pass.

--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -927,12 +927,19 @@
         return !shared && reachable(pair.owner()) ? pair.owner() : 0;
     }
 
+    // A holder outside the present pair delivers the flow's packets without passing them on, so none of them tells the
+    // pair of the placement. Without another live holder it must be replicated even while the flow is busy.
+    bool delivers_unshared(const flow_key& key, const placement& item) const {
+        const holders& pair = state_->owners.present->of(bucket_of(key));
+        return pair.owner() != settings_.self && pair.second != settings_.self && !known_elsewhere(item);
+    }
+
     struct collector final : flow_table::visitor {
         collector(const impl& where, steady_time time, std::size_t limit) : self(where), now(time), left(limit) {}
         void visit(const flow_key& key, placement& item) override {
             if (left == 0 || item.state != flow_state::established) return;
             const auto idle = self.table_.idle_time(item, now);
-            if (idle < quiet_time) return;
+            if (idle < quiet_time && !self.delivers_unshared(key, item)) return;
             const member_id target = self.missing_holder(key, item);
             if (target == 0) return;
             const placement_record record = self.record_of(item);
--- a/tests/cluster_scenarios_test.cpp
+++ b/tests/cluster_scenarios_test.cpp
@@ -216,3 +216,20 @@
     BOOST_TEST(found->second >= shown.at("flows_held"));
     BOOST_TEST(found->second > 0U);
 }
+
+// Guards against a leaving balancer that waits for placements whose other holder has been replaced: packets that it
+// delivers keep them from being quiet.
+BOOST_AUTO_TEST_CASE(graceful_stop_ends_while_flows_are_busy) {
+    fixture test;
+    test.open(1000, 1000, 400ms, 0);
+    test.target.run(5s);
+    for (std::size_t i = 0; i < test.target.hosts(); ++i) {
+        test.target.stop(i);
+        for (int waited = 0; test.target.running(i) && waited < 30; ++waited)
+            test.target.run(1s);
+        BOOST_TEST(!test.target.running(i), "balancer " << i << " still waits after 30 s");
+        test.target.start(i);
+        test.target.run(5s);
+    }
+    test.check_nothing_broken();
+}
