--- a/fakes/cluster.cpp
+++ b/fakes/cluster.cpp
@@ -399,7 +399,7 @@
             response.status = store_status::unavailable;
             delay = request.deadline;
         } else if (request.operation == store_operation::watch) {
-            return watch(index, life, std::move(request));
+            return watch(index, life, request);
         } else {
             response = apply(request);
             if (request.operation == store_operation::compare_and_swap && response.status == store_status::ok &&
@@ -456,7 +456,7 @@
         }
     }
 
-    void watch(std::size_t index, std::uint64_t life, store_request request) {
+    void watch(std::size_t index, std::uint64_t life, const store_request& request) {
         const steady_time deadline = time_.steady_now() + request.deadline;
         poll_watch(index, life, request, deadline);
     }
--- a/fakes/cluster.h
+++ b/fakes/cluster.h
@@ -110,6 +110,8 @@
 
     explicit cluster(const cluster_settings& settings);
     ~cluster();
+    cluster(const cluster&) = delete;
+    cluster& operator=(const cluster&) = delete;
 
     // Hosts. A host keeps its index and addresses over restarts.
     std::size_t     add_host(const std::string& failure_domain);
--- a/standins/socket.h
+++ b/standins/socket.h
@@ -45,6 +45,8 @@
     }
     udp_socket(udp_socket&& other) noexcept : handle_(std::exchange(other.handle_, -1)) {}
     udp_socket& operator=(udp_socket&&) = delete;
+    udp_socket(const udp_socket&) = delete;
+    udp_socket& operator=(const udp_socket&) = delete;
 
     void connect(const tamarack::endpoint& peer) const {
         const auto address = to_sockaddr(peer);
--- a/tamarack/placement_replication.cpp
+++ b/tamarack/placement_replication.cpp
@@ -30,7 +30,6 @@
 } // namespace
 
 placement_replication::placement_replication(const clock& time) : time_(time) {}
-placement_replication::~placement_replication() = default;
 
 std::vector<std::byte> placement_replication::make_batch(member_id peer, std::span<const replicated_placement> items) {
     wire::PlacementBatch message;
--- a/tamarack/placement_replication.h
+++ b/tamarack/placement_replication.h
@@ -20,7 +20,6 @@
 class placement_replication {
 public:
     explicit placement_replication(const clock& time);
-    ~placement_replication();
 
     // Payload of a batch for the peer; at most max_batch_placements are taken. The batch is remembered until it is
     // confirmed or a few seconds have passed.
--- a/tests/cluster_daemon_test.cpp
+++ b/tests/cluster_daemon_test.cpp
@@ -151,9 +151,10 @@
     std::array<command_outcome, 4>     outcomes;
     {
         std::vector<std::jthread> callers(outcomes.size());
-        for (std::size_t i = 0; i < outcomes.size(); ++i)
+        for (std::size_t i = 0; i < outcomes.size(); ++i) {
             callers[i] =
                 std::jthread([&, i] { outcomes[i] = balancer.run("create service s udp 10.9.0.1:53", "op-1"); });
+        }
     }
     for (const command_outcome& outcome : outcomes)
         BOOST_TEST(outcome.output == "accepted as revision 1\n", outcome.error);
