--- a/tamarack/forwarder.h
+++ b/tamarack/forwarder.h
@@ -98,8 +98,6 @@
     forwarder& operator=(const forwarder&) = delete;
     forwarder(forwarder&&) noexcept;
     forwarder& operator=(forwarder&&) noexcept;
-    forwarder(const forwarder&) = delete;
-    forwarder& operator=(const forwarder&) = delete;
 
     void publish(std::shared_ptr<const forwarding_state> state);
 
