--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <rapidcheck.h>
 
 using namespace tamarack;
 
@@ -23,7 +24,9 @@
     header.kind = relay_kind::place;
     header.sender = 3;
     header.sender_life = 1'750'000'000'123;
-    header.owner = 4;
+    header.owner = 3;
+    header.owner_life = 1'750'000'000'123;
+    header.last_token = life_token(9, 1'750'000'000'124);
     header.hops = 2;
     header.route_length = 2;
     header.route = {7, 9, 0, 0};
@@ -45,17 +48,29 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(frames_are_read_back_as_written) {
-    relay_header established = place_header(); // no two fields are equal
-    established.placement.retried = false;
-    established.placement.established = true;
-    established.placement.state = flow_state::closing;
-    established.placement.end_sequence = 4711;
-    BOOST_TEST((parse_relay_frame(encode(established, packet), keys).value().header == established));
-    const auto frame = encode(place_header(), packet);
-    const auto parsed = parse_relay_frame(frame, keys);
-    BOOST_REQUIRE(parsed.has_value());
-    BOOST_TEST((parsed.value().header == place_header()));
-    BOOST_TEST(std::equal(packet.begin(), packet.end(), parsed.value().inner.begin(), parsed.value().inner.end()));
+    const bool passed = rc::check([](const std::vector<std::uint8_t>& bytes, std::uint64_t a, std::uint32_t b) {
+        relay_header header = place_header();
+        header.flow = {a, ~a};
+        header.revision = a / 3;
+        header.sender_life = a / 5;
+        header.place_sequence = b;
+        header.placement.generation = static_cast<std::uint16_t>(b);
+        header.placement.established = b % 2 == 0;
+        header.placement.retried = b % 3 == 0;
+        header.placement.doubtful = b % 2 != 0 && b % 5 == 0;
+        header.placement.state = static_cast<flow_state>(b % 3);
+        header.placement.sequence_mark = b % 3 == 1 ? 0 : b;
+        header.hops = static_cast<std::uint8_t>(a % (max_relay_hops + 1U));
+        auto inner = std::vector<std::byte>(1, std::byte{0x60});
+        for (const std::uint8_t byte : bytes)
+            inner.push_back(std::byte{byte});
+        const auto frame = encode(header, inner);
+        const auto parsed = parse_relay_frame(frame, {key_of(1), std::nullopt});
+        RC_ASSERT(parsed.has_value());
+        RC_ASSERT(parsed.value().header == header);
+        RC_ASSERT(std::equal(inner.begin(), inner.end(), parsed.value().inner.begin(), parsed.value().inner.end()));
+    });
+    BOOST_TEST(passed);
 }
 
 // During a rotation frames under both keys are valid, and under no other.
@@ -83,13 +98,20 @@
 BOOST_AUTO_TEST_CASE(fields_out_of_range_are_refused) {
     using header_change = std::function<void(relay_header&)>;
     const auto unrouted = [](relay_kind kind) {
-        return [kind](relay_header& h) { h.kind = kind, h.owner = 0, h.route_length = 0, h.route = {}; };
+        return [kind](relay_header& h) {
+            h.kind = kind, h.owner = 0, h.owner_life = 0, h.last_token = 0, h.route_length = 0, h.route = {};
+        };
     };
     const std::vector<std::pair<const char*, header_change>> faults = {
         {"kind 0", [](relay_header& h) { h.kind = static_cast<relay_kind>(0); }},
         {"kind 7", [](relay_header& h) { h.kind = static_cast<relay_kind>(7); }},
         {"state 3", [](relay_header& h) { h.placement.state = static_cast<flow_state>(3); }},
-        {"end of an open flow", [](relay_header& h) { h.placement.end_sequence = 1; }},
+        {"mark of an established flow",
+         [](relay_header& h) {
+             h.placement.state = flow_state::established;
+             h.placement.sequence_mark = 1;
+         }},
+        {"established and doubtful", [](relay_header& h) { h.placement.established = h.placement.doubtful = true; }},
         {"state of a refusal",
          [](relay_header& h) {
              h.placement = {};
@@ -97,6 +119,7 @@
          }},
         {"no sender", [](relay_header& h) { h.sender = 0; }},
         {"no owner", [](relay_header& h) { h.owner = 0; }},
+        {"no token of the last member", [](relay_header& h) { h.last_token = 0; }},
         {"too many hops", [](relay_header& h) { h.hops = max_relay_hops + 1; }},
         {"route too long", [](relay_header& h) { h.route_length = max_route_length + 1; }},
         {"hole in the route",
@@ -115,10 +138,27 @@
         {"no service", [](relay_header& h) { h.placement.service = 0; }},
         {"no tunnel", [](relay_header& h) { h.placement.tunnel.port = 0; }},
         {"forward with owner and route", [](relay_header& h) { h.kind = relay_kind::forward; }},
-        {"offer without placement", [&](relay_header& h) { unrouted(relay_kind::offer)(h), h.placement = {}; }},
-        {"adopt with a packet", unrouted(relay_kind::adopt)},
+        {"forward with a route",
+         [](relay_header& h) { h.kind = relay_kind::forward, h.owner = 0, h.owner_life = 0, h.last_token = 0; }},
+        {"offer with an owner",
+         [](relay_header& h) {
+             h.kind = relay_kind::offer, h.owner_life = 0, h.last_token = 0, h.route_length = 0, h.route = {};
+         }},
         {"decline with an owner",
-         [](relay_header& h) { h.kind = relay_kind::decline, h.route_length = 0, h.route = {}; }},
+         [](relay_header& h) {
+             h.kind = relay_kind::decline, h.owner_life = 0, h.last_token = 0, h.route_length = 0, h.route = {};
+         }},
+        {"offer without placement",
+         [](relay_header& h) {
+             h = relay_header{};
+             h.kind = relay_kind::offer;
+             h.sender = 3;
+         }},
+        {"adopt with a packet",
+         [](relay_header& h) {
+             h.kind = relay_kind::adopt, h.owner = 0, h.owner_life = 0, h.last_token = 0, h.route_length = 0,
+             h.route = {};
+         }},
     };
     const auto changed = [](const header_change& change, byte_view inner) {
         relay_header header = place_header();
