--- a/fakes/cluster.cpp
+++ b/fakes/cluster.cpp
@@ -299,8 +299,8 @@
             send_control(index, std::move(message));
         for (const auto& probe : actions.probes)
             answer_probe(index, probe);
-        for (auto& request : actions.store)
-            answer_store(index, std::move(request));
+        for (const auto& request : actions.store)
+            answer_store(index, request);
         for (auto& result : actions.changes)
             finish_change(std::move(result));
         note_revision(index, logic.current().revision);
@@ -387,7 +387,7 @@
         return std::nullopt;
     }
 
-    void answer_store(std::size_t index, store_request request) {
+    void answer_store(std::size_t index, const store_request& request) {
         ++store_calls_;
         if (request.operation == store_operation::compare_and_swap) ++store_writes_;
         const std::uint64_t life = hosts_[index].life;
