--- a/tests/cluster_daemon_test.cpp
+++ b/tests/cluster_daemon_test.cpp
@@ -22,9 +22,13 @@
 
 const endpoint any_port{ip_address::v4(0x7f000001), 0};
 
-// A loopback port that was free a moment ago.
-std::string free_port() {
-    return udp_socket::open(any_port).value().address().to_string();
+// A loopback address that no other process and no other balancer of this one uses, so that no port is taken.
+std::string own_address() {
+    static int     count = 0;
+    constexpr int  first = 64; // of the second byte; lower ones stay free for other uses
+    const unsigned process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(first + count++) + "." + std::to_string((process >> 8U) & 0xffU) + "." +
+           std::to_string(process & 0xffU);
 }
 
 // Settings in a folder of their own.
@@ -49,9 +53,9 @@
 class running_balancer {
 public:
     explicit running_balancer(int platform_port)
-        : text_("[balancer]\nmember_id = 1\nfailure_domain = north\nrelay_address = " + free_port() +
-                "\ncontrol_address = " + free_port() + "\nfabric_address = " + fabric_ + "\nadmin_address = " + admin_ +
-                "\nstop_grace_seconds = 1\n[cluster]\nhash_seed = 1\n[platform]\naddresses = 127.0.0.1:" +
+        : text_("[balancer]\nmember_id = 1\nfailure_domain = north\nrelay_address = " + host_ +
+                ":6081\ncontrol_address = " + host_ + ":6082\nfabric_address = " + fabric_ + "\nadmin_address = " +
+                admin_ + "\nstop_grace_seconds = 1\n[cluster]\nhash_seed = 1\n[platform]\naddresses = 127.0.0.1:" +
                 std::to_string(platform_port) + "\n[keys]\nsigning_file = key\n") {
         write_settings("");
         auto opened = balancer_process::open(settings(), folder_.file());
@@ -83,8 +87,9 @@
 
 private:
     settings_folder                   folder_;
-    std::string                       fabric_ = free_port();
-    std::string                       admin_ = free_port();
+    std::string                       host_ = own_address();
+    std::string                       fabric_ = host_ + ":6080";
+    std::string                       admin_ = host_ + ":6083";
     std::string                       text_;
     std::unique_ptr<balancer_process> process_;
     std::thread                       thread_;
@@ -191,7 +196,7 @@
     tamarack::standin::platform_server platform(any_port);
     const running_balancer             balancer(platform.port());
     daemon_settings                    second = balancer.settings();
-    second.node.self.control = udp_socket::open(any_port).value().address();
+    second.node.self.control.port = 6084;
     const auto opened = balancer_process::open(second, "");
     BOOST_REQUIRE(opened.has_error());
     BOOST_TEST(opened.error() == "bind " + balancer.fabric().to_string() + ": Address already in use");
