--- /dev/null
+++ b/daemons/entry/http_responder.cpp
@@ -0,0 +1,112 @@
+// Acceptor and sessions of the HTTP server.
+#include "daemons/entry/http_responder.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace tamarack::entry {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr std::chrono::seconds idle_timeout(10); // of a connection
+constexpr std::size_t          max_sessions = 64;
+
+} // namespace
+
+struct http_responder::impl : std::enable_shared_from_this<http_responder::impl> {
+    struct session;
+
+    impl(asio::io_context& context, handler reply) : acceptor(context), answer(std::move(reply)) {}
+
+    void accept();
+
+    tcp::acceptor acceptor;
+    handler       answer;
+    std::size_t   sessions = 0;
+};
+
+struct http_responder::impl::session : std::enable_shared_from_this<session> {
+    session(std::shared_ptr<impl> owner, tcp::socket socket) : server(std::move(owner)), stream(std::move(socket)) {
+        ++server->sessions;
+    }
+    ~session() { --server->sessions; }
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    void read();
+    void write();
+
+    std::shared_ptr<impl>             server;
+    beast::tcp_stream                 stream;
+    beast::flat_buffer                buffer;
+    http::request<http::string_body>  request;
+    http::response<http::string_body> response;
+};
+
+void http_responder::impl::session::read() {
+    request = {};
+    stream.expires_after(idle_timeout);
+    http::async_read(stream, buffer, request,
+                     [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
+                         if (!error) self->write();
+                     });
+}
+
+void http_responder::impl::session::write() {
+    const auto  target = request.target();
+    http_answer reply = server->answer({target.data(), target.size()});
+    response = {};
+    response.version(request.version());
+    response.result(reply.status);
+    response.set(http::field::content_type, reply.content_type);
+    response.body() = std::move(reply.body);
+    response.keep_alive(request.keep_alive());
+    response.prepare_payload();
+    http::async_write(stream, response,
+                      [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
+                          if (!error && self->response.keep_alive()) self->read();
+                      });
+}
+
+void http_responder::impl::accept() {
+    acceptor.async_accept([self = shared_from_this()](const beast::error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) return;
+        // Beyond the limit the connection is closed at once; the checker comes again.
+        if (!error && self->sessions < max_sessions) std::make_shared<session>(self, std::move(socket))->read();
+        self->accept();
+    });
+}
+
+http_responder::http_responder(std::shared_ptr<impl> parts) : impl_(std::move(parts)) {}
+http_responder::http_responder(http_responder&&) noexcept = default;
+http_responder& http_responder::operator=(http_responder&&) noexcept = default;
+
+http_responder::~http_responder() {
+    if (!impl_) return;
+    beast::error_code ignored; // the process ends
+    impl_->acceptor.close(ignored);
+}
+
+result<http_responder, std::string> http_responder::open(asio::io_context& context, const endpoint& listen,
+                                                         handler answer) {
+    auto                parts = std::make_shared<impl>(context, std::move(answer));
+    const tcp::endpoint where(asio::ip::make_address(listen.address.to_string()), listen.port);
+    try {
+        parts->acceptor.open(where.protocol());
+        parts->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        parts->acceptor.bind(where);
+        parts->acceptor.listen();
+    } catch (const boost::system::system_error& error) {
+        return "cannot listen at " + listen.to_string() + ": " + error.what();
+    }
+    parts->accept();
+    return http_responder(std::move(parts));
+}
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/daemons/entry/http_responder.h
@@ -0,0 +1,37 @@
+// A small HTTP server (Boost.Beast) for readiness checks and metrics: one answer a path, connections are kept.
+#pragma once
+
+#include "tamarack/result.h"
+#include "tamarack/tamarack.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace tamarack::entry {
+
+struct http_answer {
+    unsigned    status = 200;
+    std::string body;
+    std::string content_type = "text/plain; charset=utf-8";
+};
+
+class http_responder {
+public:
+    using handler = std::function<http_answer(std::string_view path)>;
+
+    static result<http_responder, std::string> open(boost::asio::io_context& context, const endpoint& listen,
+                                                    handler answer);
+    ~http_responder();
+    http_responder(http_responder&&) noexcept;
+    http_responder& operator=(http_responder&&) noexcept;
+    http_responder(const http_responder&) = delete;
+    http_responder& operator=(const http_responder&) = delete;
+
+private:
+    struct impl;
+    explicit http_responder(std::shared_ptr<impl> parts);
+
+    std::shared_ptr<impl> impl_; // sessions hold it, too
+};
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/daemons/entry/main.cpp
@@ -0,0 +1,81 @@
+// tamarack-entry: one entry balancer, with the settings of a file.
+#include "daemons/entry/entry_process.h"
+#include "tamarack/clock.h"
+
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sodium.h>
+
+DEFINE_string(config, "", "settings file, see docs/entry-settings.md; without it the file that the environment names");
+DEFINE_bool(check, false, "check the settings file, report all problems, and exit");
+DEFINE_string(reference, "", "print the reference of 'settings', and exit");
+DECLARE_bool(help);
+
+namespace {
+
+using namespace tamarack;
+
+constexpr const char* usage =
+    "Layer-4 entry balancer that steers flows by the reference in their packets.\n\n"
+    "SIGTERM or SIGINT stops gracefully. SIGHUP reads the settings file again.\n"
+    "Exit codes: 0 stopped or checked, 1 problems of the command line or the settings, 2 could not start.\n";
+
+constexpr const char* settings_variable = "TAMARACKSHORE_CONFIG"; // names the settings file
+
+enum exit_status : int { exit_ok = 0, exit_settings = 1, exit_start = 2 };
+
+std::string settings_file() {
+    if (!FLAGS_config.empty()) return FLAGS_config;
+    const char* named = std::getenv(settings_variable);
+    return named == nullptr ? "" : named;
+}
+
+int run(const entry::settings& values, const std::string& file) {
+    if (::sodium_init() < 0) {
+        std::cerr << "libsodium cannot be initialised\n";
+        return exit_start;
+    }
+    const system_clock time;
+    const auto         process = entry::entry_process::open(values, file, time);
+    if (!process) {
+        std::cerr << process.error() << "\n";
+        return exit_start;
+    }
+    process.value()->run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    gflags::SetVersionString(TAMARACK_VERSION);
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    if (FLAGS_help) {
+        gflags::ShowUsageWithFlagsRestrict(argv[0], "main.cpp");
+        return exit_ok;
+    }
+    gflags::HandleCommandLineHelpFlags();
+    if (argc > 1) {
+        std::cerr << "'" << argv[1] << "' is not accepted (expected flags only, see --help)\n";
+        return exit_settings;
+    }
+    if (FLAGS_reference == "settings") {
+        std::cout << entry::settings_reference();
+        return exit_ok;
+    }
+    const std::string file = settings_file();
+    if (file.empty()) {
+        std::cerr << "no settings file: set --config or " << settings_variable << "\n";
+        return exit_settings;
+    }
+    const auto values = entry::read_settings_file(file);
+    if (!values) {
+        for (const finding& problem : values.error())
+            std::cerr << problem.to_string() << "\n";
+        return exit_settings;
+    }
+    if (FLAGS_check) return exit_ok;
+    return run(values.value(), file);
+}
--- /dev/null
+++ b/entry/event_log.cpp
@@ -0,0 +1,146 @@
+// Lines of the structured log.
+#include "entry/event_log.h"
+
+#include <cerrno>
+#include <ctime>
+#include <unistd.h>
+
+namespace tamarack::entry {
+
+namespace {
+
+constexpr std::size_t max_pending = 262'144; // bytes
+constexpr double      failure_lines_per_second = 30.0;
+constexpr double      placement_lines_per_second = 10.0;
+constexpr duration    summary_interval = std::chrono::seconds(1);
+
+std::string timestamp(wall_time now) {
+    const auto  milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    const auto  seconds = static_cast<std::time_t>(milliseconds / 1000);
+    std::tm     parts{};
+    std::string text(sizeof "2026-01-01T00:00:00", '\0');
+    ::gmtime_r(&seconds, &parts);
+    text.resize(std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts));
+    const std::string fraction = std::to_string(milliseconds % 1000);
+    return text + "." + std::string(3 - fraction.size(), '0') + fraction + "Z";
+}
+
+std::uint64_t milliseconds(duration value) {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+std::string flow_name(const segment& packet) {
+    return packet.source.to_string() + ">" + packet.destination.to_string();
+}
+
+std::uint64_t version_of(const replica& known) {
+    return known.routing() == nullptr ? 0 : known.routing()->version;
+}
+
+bool is_placement(reason why) {
+    return why == reason::placed || why == reason::placed_again;
+}
+
+} // namespace
+
+event_log::event_log(const clock& time, std::string balancer)
+    : time_(time), balancer_(std::move(balancer)),
+      failures_(failure_lines_per_second, failure_lines_per_second, time.steady_now()),
+      placements_(placement_lines_per_second, placement_lines_per_second, time.steady_now()),
+      summary_due_(time.steady_now() + summary_interval) {}
+
+void event_log::write(event number, std::initializer_list<event_field> fields) {
+    std::string line = timestamp(time_.wall_now()) + " " + balancer_ + " " + format_event(number, fields) + "\n";
+    if (pending_.size() + line.size() > max_pending) {
+        ++left_out_;
+        return;
+    }
+    pending_ += line;
+}
+
+void event_log::flush() {
+    const steady_time now = time_.steady_now();
+    if (left_out_ > 0 && now >= summary_due_) {
+        summary_due_ = now + summary_interval;
+        write(event::lines_left_out, {{"count", left_out_}});
+        left_out_ = 0;
+    }
+    while (!pending_.empty()) {
+        const ssize_t written = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+        if (written > 0) {
+            pending_.erase(0, static_cast<std::size_t>(written));
+        } else if (written == 0 || errno != EINTR) {
+            return; // the pipe is full, or gone; the lines wait
+        }
+    }
+}
+
+void event_log::note_start() {
+    write(event::starting, {{"balancer", balancer_}});
+    flush();
+}
+
+void event_log::note_synchronized(duration after, const replica& known) {
+    write(event::synchronized, {{"after_ms", milliseconds(after)},
+                                {"version", version_of(known)},
+                                {"backend_servers", known.backends().size()},
+                                {"store_revision", known.complete_to()}});
+}
+
+void event_log::note_stop_requested() {
+    write(event::stop_requested, {{"by", "signal"}});
+}
+
+void event_log::note_stopped() {
+    write(event::stopped, {});
+}
+
+void event_log::note_reload(const std::string& file) {
+    write(event::settings_reread, {{"file", file}});
+}
+
+void event_log::note_store(bool reachable, std::string_view error) {
+    if (reachable) return write(event::store_available, {});
+    write(event::store_unavailable, {{"error", error}});
+}
+
+void event_log::note_records(std::span<const record> records, const replica& known) {
+    for (const record& item : records) {
+        if (const auto* unusable = std::get_if<unusable_record>(&item.content)) {
+            write(event::record_unusable, {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
+        } else if (std::holds_alternative<std::shared_ptr<const routing_table>>(item.content)) {
+            write(event::revision_in_force, {{"version", version_of(known)}, {"revision", item.revision}});
+        } else if (const auto* registration = std::get_if<backend_registration>(&item.content)) {
+            write(event::backend_server_registered, {{"backend_server", registration->name},
+                                                     {"service", registration->service},
+                                                     {"address", registration->address.to_string()},
+                                                     {"failure_domain", registration->failure_domain},
+                                                     {"state", to_string(registration->state)},
+                                                     {"revision", item.revision}});
+        } else {
+            write(event::backend_server_removed, {{"key", item.key}, {"revision", item.revision}});
+        }
+    }
+}
+
+void event_log::note_decision(const segment& packet, const steering_decision& decision, const replica& known,
+                              steady_time now) {
+    if (decision.why == reason::by_reference || decision.why == reason::by_flow) return;
+    token_bucket& budget = is_placement(decision.why) ? placements_ : failures_;
+    if (!budget.take(1.0, now)) {
+        ++left_out_;
+        return;
+    }
+    const bool  delivered = decision.what == verdict::deliver;
+    const event number = delivered ? event::flow_placed : event::packet_not_delivered;
+    write(number, {{"flow", flow_name(packet)},
+                   {"reason", to_string(decision.why)},
+                   {"outcome", delivered ? std::string_view("delivered")
+                                         : (decision.what == verdict::reset ? std::string_view("reset") : std::string_view("dropped"))},
+                   {"backend_server", delivered ? decision.target->registration.name : std::string("none")},
+                   {"copy", packet.syn ? packet.acknowledged : 0},
+                   {"version", version_of(known)},
+                   {"store_revision", known.complete_to()}});
+}
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/entry/event_log.h
@@ -0,0 +1,40 @@
+// Structured log on standard output: one line an event, key=value fields, numbers as in docs/events.md.
+//
+// Never blocks: lines wait in memory, are written when the pipe takes them, and are dropped and counted beyond a limit.
+// Lines of single packets are limited by rate, failures before placements; a summary tells how many were left out.
+#pragma once
+
+#include "entry/steering.h"
+#include "tamarack/events.h"
+
+namespace tamarack::entry {
+
+class event_log {
+public:
+    event_log(const clock& time, std::string balancer);
+
+    void note_start();
+    void note_synchronized(duration after, const replica& known);
+    void note_stop_requested();
+    void note_stopped();
+    void note_reload(const std::string& file);
+    void note_store(bool reachable, std::string_view error);
+    void note_records(std::span<const record> records, const replica& known);
+    void note_decision(const segment& packet, const steering_decision& decision, const replica& known, steady_time now);
+
+    // Writes what the pipe takes, and the summary of what was left out.
+    void flush();
+
+private:
+    void write(event number, std::initializer_list<event_field> fields);
+
+    const clock&  time_;
+    std::string   balancer_;
+    std::string   pending_;     // not yet written
+    token_bucket  failures_;    // lines of packets that were not delivered, or elsewhere
+    token_bucket  placements_;  // lines of placed flows
+    std::uint64_t left_out_ = 0; // since the last summary
+    steady_time   summary_due_;
+};
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/entry/flow_tracker.h
@@ -0,0 +1,64 @@
+// What the packets of callers show: which flows are open, which requests wait for an answer, and which backend servers
+// answer. It only improves decisions: a balancer without it forwards every packet by its reference alone.
+//
+// Load pattern: callers' packets reach backend servers through several balancers, and answers pass none of them. So the
+// progress of a caller's acknowledgements is the only evidence of an answer.
+#pragma once
+
+#include "entry/model.h"
+
+namespace tamarack::entry {
+
+// Load and signs of life of one backend server, as seen by this balancer.
+struct backend_activity {
+    std::uint32_t waiting = 0;     // flows whose request has no answer yet
+    std::uint32_t open = 0;        // flows
+    steady_time   last_sign{};     // of life: a caller acknowledged something new
+    steady_time   last_chosen{};   // for a new flow
+    steady_time   avoid_until{};   // no new flow before; the epoch: not avoided
+    unsigned      failures = 0;    // in a row, without a sign of life between
+};
+
+struct tracked_flow {
+    backend_reference target = 0;
+    std::uint32_t     sent_to = 0;      // end of the caller's data, so far
+    std::uint32_t     acknowledged = 0; // by the caller
+    steady_time       first_syn{};
+    steady_time       last_seen{};
+    steady_time       progressed{}; // last new data or acknowledgement
+    bool              seen_syn = false; // the handshake passed this balancer
+    bool              open = false;     // the caller has sent something after its SYN
+    bool              waiting = false;  // a request without an answer
+    bool              closing = false;  // FIN or RST seen
+};
+
+class flow_tracker {
+public:
+    explicit flow_tracker(std::size_t capacity) : capacity_(capacity) {}
+
+    tracked_flow* find(const segment& packet);
+    // Starts or restarts a flow; null when the table is full.
+    tracked_flow* start(const segment& packet, backend_reference target, steady_time now);
+    // Takes a later packet of the flow into account.
+    void          note_packet(tracked_flow& flow, const segment& packet, steady_time now);
+    // Moves a flow that is not open to another backend server.
+    void          move(tracked_flow& flow, backend_reference target);
+
+    backend_activity&       activity(backend_reference target) { return activity_[target]; }
+    const backend_activity* find_activity(backend_reference target) const;
+    std::size_t             size() const { return flows_.size(); }
+    // Forgets flows idle for longer than the timeout, a part of the table with each call.
+    void                    expire(steady_time now, duration idle_timeout);
+
+private:
+    static std::uint64_t key_of(const segment& packet);
+    void                 stop_waiting(tracked_flow& flow);
+    void                 close(tracked_flow& flow);
+
+    std::size_t                                             capacity_; // flows
+    std::unordered_map<std::uint64_t, tracked_flow>         flows_;    // by hash of the caller's and the route's address
+    std::unordered_map<backend_reference, backend_activity> activity_;
+    std::uint64_t                                           scan_position_ = 0; // bucket at which expire goes on
+};
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/entry/replica.cpp
@@ -0,0 +1,237 @@
+// Merging of store records into the routing table and the set of backend servers.
+#include "entry/replica.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace tamarack::entry {
+
+namespace {
+
+// Flows are at most this old, so that no packet needs a removed backend server for longer.
+constexpr duration keep_removed = std::chrono::seconds(60);
+
+} // namespace
+
+backend_reference reference_of(std::uint64_t identity) {
+    // SplitMix64's finalizer: near identities get unrelated references.
+    identity = (identity ^ (identity >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    identity = (identity ^ (identity >> 27U)) * 0x94d049bb133111ebULL;
+    identity ^= identity >> 31U;
+    const auto reference = static_cast<backend_reference>(identity);
+    return reference == 0 ? 1 : reference;
+}
+
+std::size_t replica::endpoint_hash::operator()(const endpoint& value) const {
+    std::size_t hash = value.port;
+    for (const std::uint8_t byte : value.address.bytes)
+        hash = hash * 0x100000001b3ULL + byte; // FNV-1a's prime
+    return hash;
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Applying
+//----------------------------------------------------------------------------------------------------------------------
+
+replica_change replica::apply(const record& item, steady_time now) {
+    if (const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&item.content))
+        return apply_routing(item, *table);
+    if (const auto* registration = std::get_if<backend_registration>(&item.content))
+        return apply_backend(item, *registration, now);
+    if (std::holds_alternative<removed_record>(item.content)) return apply_removal(item, now);
+    mark_unusable(item);
+    return replica_change::none;
+}
+
+replica_change replica::apply_routing(const record& item, const std::shared_ptr<const routing_table>& table) {
+    if (item.revision <= routing_revision_) return replica_change::none;
+    if (routing_ && table->version < routing_->version) return replica_change::none;
+    routing_ = table;
+    routing_revision_ = item.revision;
+    routing_key_ = item.key;
+    routing_raw_ = item.raw;
+    routes_.clear();
+    for (const route& each : routing_->routes)
+        routes_[each.address] = &each;
+    ++generation_;
+    return replica_change::routing;
+}
+
+replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
+    if (const auto gone = tombstones_.find(item.key); gone != tombstones_.end()) {
+        if (item.revision <= gone->second) return replica_change::none;
+        tombstones_.erase(gone);
+    }
+    known_backend& known = backends_[item.key];
+    if (item.revision <= known.revision) return replica_change::none;
+    const bool is_new = known.revision == 0 || known.removed_at.has_value();
+    known.registration = registration;
+    known.reference = reference_of(registration.identity);
+    known.revision = item.revision;
+    known.registered = now;
+    known.removed_at.reset();
+    known.removal_due.reset();
+    known.usable = true;
+    raw_[item.key] = item.raw;
+    rebuild_index();
+    return is_new ? replica_change::backend_registered : replica_change::backend_changed;
+}
+
+replica_change replica::apply_removal(const record& item, steady_time now) {
+    const auto found = backends_.find(item.key);
+    if (found == backends_.end()) {
+        std::uint64_t& revision = tombstones_[item.key];
+        revision = std::max(revision, item.revision);
+        return replica_change::none;
+    }
+    known_backend& known = found->second;
+    if (item.revision <= known.revision || known.removed_at) return replica_change::none;
+    if (known.registration.state == backend_state::active && holds_removals(now)) {
+        if (!known.removal_due) known.removal_due = returned_at_.value_or(now) + removal_hold;
+        return replica_change::removal_held;
+    }
+    known.revision = item.revision;
+    known.removed_at = now;
+    known.removal_due.reset();
+    rebuild_index();
+    return replica_change::backend_removed;
+}
+
+void replica::mark_unusable(const record& item) {
+    const auto found = backends_.find(item.key);
+    if (found == backends_.end() || item.revision <= found->second.revision) return;
+    found->second.usable = false;
+    found->second.revision = item.revision;
+    raw_[item.key] = item.raw;
+    rebuild_index();
+}
+
+std::vector<replica_change> replica::apply_snapshot(std::span<const record> items, std::uint64_t revision,
+                                                    steady_time now) {
+    std::vector<replica_change>          changes;
+    std::unordered_set<std::string_view> present;
+    for (const record& item : items) {
+        present.insert(item.key);
+        changes.push_back(apply(item, now));
+    }
+    std::vector<record> missing;
+    for (const auto& [key, known] : backends_) {
+        if (!known.removed_at && known.revision <= revision && !present.contains(key))
+            missing.push_back({.key = key, .revision = revision + 1, .content = removed_record{}, .raw = {}});
+    }
+    for (record& item : missing) {
+        // The removal lies at or before the snapshot's revision, and after the known state.
+        item.revision = std::max(revision, backends_.at(item.key).revision + 1);
+        changes.push_back(apply(item, now));
+    }
+    complete_ = true;
+    set_complete_to(revision);
+    return changes;
+}
+
+void replica::set_complete_to(std::uint64_t revision) {
+    complete_to_ = std::max(complete_to_, revision);
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// The store's absence
+//----------------------------------------------------------------------------------------------------------------------
+
+void replica::store_lost(steady_time /*now*/) {
+    steady_since_.reset();
+    returned_at_.reset();
+}
+
+void replica::store_returned(steady_time now) {
+    if (steady_since_) return;
+    steady_since_ = now;
+    returned_at_ = now;
+    for (auto& [key, known] : backends_) {
+        if (known.removal_due) known.removal_due = now + removal_hold;
+    }
+}
+
+bool replica::holds_removals(steady_time now) const {
+    if (!steady_since_) return true;
+    return returned_at_ && now < *returned_at_ + removal_hold;
+}
+
+std::size_t replica::expire(steady_time now) {
+    std::size_t ended = 0;
+    for (auto& [key, known] : backends_) {
+        if (!known.removal_due || now < *known.removal_due || !steady_since_) continue;
+        known.removal_due.reset();
+        known.removed_at = now;
+        ++known.revision;
+        ++ended;
+    }
+    const std::size_t forgotten = std::erase_if(backends_, [&](const auto& each) {
+        const bool old = each.second.removed_at && now > *each.second.removed_at + keep_removed;
+        if (old) {
+            tombstones_[each.first] = each.second.revision;
+            raw_.erase(each.first);
+        }
+        return old;
+    });
+    if (ended + forgotten > 0) rebuild_index();
+    return ended;
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Lookup
+//----------------------------------------------------------------------------------------------------------------------
+
+void replica::rebuild_index() {
+    ++generation_;
+    references_.clear();
+    services_.clear();
+    for (auto& [key, known] : backends_) {
+        const known_backend*& slot = references_[known.reference];
+        // The live one wins; among live ones the lower identity, so that all balancers agree.
+        const bool better = slot == nullptr || (slot->removed_at && !known.removed_at) ||
+                            (slot->removed_at.has_value() == known.removed_at.has_value() &&
+                             known.registration.identity < slot->registration.identity);
+        if (better) slot = &known;
+    }
+    for (auto& [key, known] : backends_) {
+        if (!known.takes_new_flows() || references_[known.reference] != &known) continue;
+        services_[known.registration.service].push_back(&known);
+    }
+}
+
+const route* replica::find_route(const endpoint& address) const {
+    const auto found = routes_.find(address);
+    return found == routes_.end() ? nullptr : found->second;
+}
+
+const known_backend* replica::find(backend_reference reference) const {
+    const auto found = references_.find(reference);
+    return found == references_.end() ? nullptr : found->second;
+}
+
+std::span<const known_backend* const> replica::backends_of(std::string_view service) const {
+    const auto found = services_.find(std::string(service));
+    if (found == services_.end()) return {};
+    return found->second;
+}
+
+std::vector<record> replica::changes_after(std::uint64_t revision) const {
+    std::vector<record> changes;
+    if (routing_ && routing_revision_ > revision)
+        changes.push_back({.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw = routing_raw_});
+    for (const auto& [key, known] : backends_) {
+        if (known.revision <= revision) continue;
+        if (known.removed_at) {
+            changes.push_back({.key = key, .revision = known.revision, .content = removed_record{}, .raw = {}});
+        } else if (const auto raw = raw_.find(key); raw != raw_.end()) {
+            changes.push_back({.key = key, .revision = known.revision, .content = known.registration, .raw = raw->second});
+        }
+    }
+    for (const auto& [key, removed] : tombstones_) {
+        if (removed > revision)
+            changes.push_back({.key = key, .revision = removed, .content = removed_record{}, .raw = {}});
+    }
+    return changes;
+}
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/entry/settings.cpp
@@ -0,0 +1,171 @@
+// Table of the keys, and the reading of an INI file by it.
+#include "entry/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <ini.h>
+#include <set>
+#include <sstream>
+
+namespace tamarack::entry {
+
+namespace {
+
+constexpr std::size_t max_file_size = 65'536; // bytes
+
+struct key_row {
+    const char*                                   section;
+    const char*                                   key;
+    bool                                          required;
+    const char*                                   accepted;
+    const char*                                   meaning;
+    std::function<bool(std::string_view, settings&)> read; // false: the text has not the accepted form
+};
+
+bool read_text(std::string_view text, std::string& into) {
+    into = text;
+    return !text.empty();
+}
+
+bool read_endpoint(std::string_view text, endpoint& into) {
+    const auto value = endpoint::parse(text);
+    if (!value || value->port == 0) return false;
+    into = *value;
+    return true;
+}
+
+bool read_endpoints(std::string_view text, std::vector<endpoint>& into) {
+    into.clear();
+    while (!text.empty()) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        endpoint          each;
+        if (!read_endpoint(text.substr(0, comma), each)) return false;
+        into.push_back(each);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return true;
+}
+
+template <class Number>
+bool read_number(std::string_view text, Number low, Number high, Number& into) {
+    Number value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value < low || value > high) return false;
+    into = value;
+    return true;
+}
+
+bool read_seconds(std::string_view text, double low, double high, duration& into) {
+    double seconds = 0;
+    if (!read_number(text, low, high, seconds)) return false;
+    into = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    return true;
+}
+
+const std::vector<key_row>& rows() {
+    static const std::vector<key_row> table = {
+        {"balancer", "name", true, "a text", "Name of this balancer, unique among the balancers.",
+         [](std::string_view text, settings& to) { return read_text(text, to.name); }},
+        {"balancer", "failure_domain", true, "a text", "Failure domain of the host; its backend servers are preferred.",
+         [](std::string_view text, settings& to) { return read_text(text, to.failure_domain); }},
+        {"balancer", "packets_address", true, "ADDRESS:PORT",
+         "Where the fabric sends callers' packets (UDP). Callers receive resets at the same port number.",
+         [](std::string_view text, settings& to) { return read_endpoint(text, to.packets); }},
+        {"balancer", "readiness_address", true, "ADDRESS:PORT", "Where the fabric asks for readiness (HTTP).",
+         [](std::string_view text, settings& to) { return read_endpoint(text, to.readiness); }},
+        {"balancer", "metrics_address", false, "ADDRESS:PORT", "Where metrics are served (HTTP); without it nowhere.",
+         [](std::string_view text, settings& to) { return read_endpoint(text, to.metrics.emplace()); }},
+        {"peers", "address", true, "ADDRESS:PORT",
+         "Where other balancers send messages (UDP). All balancers use the same port number.",
+         [](std::string_view text, settings& to) { return read_endpoint(text, to.peer_address); }},
+        {"peers", "contacts", false, "ADDRESS:PORT, separated by commas",
+         "Hosts of other balancers to contact first; only their addresses count.",
+         [](std::string_view text, settings& to) { return read_endpoints(text, to.contacts); }},
+        {"store", "address", true, "ADDRESS:PORT", "The platform's key-value store.",
+         [](std::string_view text, settings& to) { return read_endpoint(text, to.store); }},
+        {"stop", "grace_seconds", false, "0.5 to 3600",
+         "A graceful stop ends before this time, since the host then ends the process. Default 6.",
+         [](std::string_view text, settings& to) { return read_seconds(text, 0.5, 3600.0, to.stop_grace); }},
+        {"limits", "memory_mb", false, "16 to 1048576", "Memory that the process may use. Default 64.",
+         [](std::string_view text, settings& to) {
+             return read_number<std::size_t>(text, 16, 1'048'576, to.memory_mb);
+         }},
+    };
+    return table;
+}
+
+struct reading {
+    std::string           file_name;
+    settings              values;
+    findings              problems;
+    std::set<std::string> seen; // "[section] key"
+};
+
+std::string place_of(const std::string& file_name, const std::string& section, const std::string& key) {
+    return file_name + " [" + section + "] " + key;
+}
+
+int take_key(void* context, const char* section, const char* key, const char* value) {
+    auto&       state = *static_cast<reading*>(context);
+    const auto& table = rows();
+    const auto  row = std::ranges::find_if(table, [&](const key_row& each) {
+        return std::string_view(each.section) == section && std::string_view(each.key) == key;
+    });
+    if (row == table.end()) {
+        state.problems.push_back({place_of(state.file_name, section, key), "the key is not known", ""});
+        return 1;
+    }
+    const std::string id = std::string("[") + section + "] " + key;
+    if (!state.seen.insert(id).second) {
+        state.problems.push_back({place_of(state.file_name, section, key), "the key is set twice", ""});
+        return 1;
+    }
+    const bool left_out = !row->required && *value == '\0';
+    if (!left_out && !row->read(value, state.values))
+        state.problems.push_back(
+            {place_of(state.file_name, section, key), "'" + std::string(value) + "' is not accepted", row->accepted});
+    return 1;
+}
+
+} // namespace
+
+result<settings, findings> read_settings(std::string_view text, const std::string& file_name) {
+    reading           state{.file_name = file_name, .values = {}, .problems = {}, .seen = {}};
+    const std::string terminated(text);
+    const int         wrong_line = ini_parse_string(terminated.c_str(), take_key, &state);
+    if (wrong_line != 0)
+        state.problems.push_back({file_name + ":" + std::to_string(wrong_line), "the line is not in INI form",
+                                  "[section], key = value, or a comment"});
+    for (const key_row& row : rows()) {
+        if (!row.required || state.seen.contains(std::string("[") + row.section + "] " + row.key)) continue;
+        state.problems.push_back({place_of(file_name, row.section, row.key), "the key is missing", row.accepted});
+    }
+    if (!state.problems.empty()) return std::move(state.problems);
+    return std::move(state.values);
+}
+
+result<settings, findings> read_settings_file(const std::string& file_name) {
+    std::ifstream file(file_name, std::ios::binary);
+    if (!file) return findings{{file_name, "the file cannot be opened", ""}};
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (text.view().size() > max_file_size)
+        return findings{{file_name, "the file is too long", "at most 65536 bytes"}};
+    return read_settings(text.view(), file_name);
+}
+
+std::string settings_reference() {
+    std::string text = "# Settings of tamarack-entry\n\n"
+                       "<!-- Written by `tamarack-entry --reference=settings`; a test compares it with the table of keys. -->\n\n"
+                       "An INI file. SIGHUP reads it again, and so does a change of the file.\n\n"
+                       "| Section | Key | Required | Accepted | Meaning |\n|---|---|---|---|---|\n";
+    for (const key_row& row : rows()) {
+        text += std::string("| ") + row.section + " | " + row.key + " | " + (row.required ? "yes" : "no") + " | " +
+                row.accepted + " | " + row.meaning + " |\n";
+    }
+    return text;
+}
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/entry/settings.h
@@ -0,0 +1,28 @@
+// Settings of the entry balancer, read from an INI file (inih). All problems of a file are reported together.
+#pragma once
+
+#include "entry/model.h"
+#include "tamarack/result.h"
+
+namespace tamarack::entry {
+
+struct settings {
+    std::string           name;            // [balancer] unique among the balancers
+    std::string           failure_domain;  // [balancer] of the host
+    endpoint              packets;         // [balancer] receives callers' packets from the fabric
+    endpoint              readiness;       // [balancer] answers the fabric's readiness checks
+    std::optional<endpoint> metrics;       // [balancer] serves metrics; none: nowhere
+    endpoint              peer_address;    // [peers] receives messages of other balancers, UDP
+    std::vector<endpoint> contacts;        // [peers] hosts to contact first; their port is not used
+    endpoint              store;           // [store]
+    duration              stop_grace = std::chrono::seconds(6);    // [stop] the host ends the process after it
+    std::size_t           memory_mb = 64;  // [limits] of the process
+};
+
+result<settings, findings> read_settings(std::string_view text, const std::string& file_name);
+result<settings, findings> read_settings_file(const std::string& file_name);
+
+// The text of docs/entry-settings.md.
+std::string settings_reference();
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/entry/steering.h
@@ -0,0 +1,73 @@
+// The decision on each packet of a caller: to which backend server it goes, or whether it is answered with a reset.
+//
+// A packet of an open flow goes where its reference points, through whatever balancer. A SYN is placed by load, close by
+// first; the backend server then hands its reference to the caller.
+#pragma once
+
+#include "entry/flow_tracker.h"
+#include "entry/replica.h"
+#include "tamarack/resilience.h"
+
+namespace tamarack::entry {
+
+enum class verdict : std::uint8_t {
+    deliver, // to the backend server
+    reset,   // tell the caller that the flow is over
+    drop,    // the caller repeats it
+};
+
+// Why; a counter and a log field.
+enum class reason : std::uint8_t {
+    placed,            // a new flow
+    placed_again,      // a copy of a SYN, on the same backend server
+    placed_elsewhere,  // a copy of a SYN: the first backend server gave no sign of life
+    by_reference,      // a later packet
+    by_flow,           // a later packet whose reference differs from the backend server that the caller acknowledged
+    no_route,          // no route has the address
+    no_backend,        // the service has no backend server that takes new flows
+    not_synchronized,  // the balancer does not know enough yet
+    unknown_reference, // perhaps of a backend server that is not known yet
+    backend_gone,      // the flow's backend server has been removed
+};
+inline constexpr std::size_t reason_count = 10;
+
+std::string_view to_string(reason why);
+
+struct steering_decision {
+    verdict              what = verdict::drop;
+    reason               why = reason::not_synchronized;
+    const known_backend* target = nullptr; // set when delivered; valid until the replica changes
+};
+
+struct steering_settings {
+    std::string failure_domain;        // of this balancer
+    std::size_t flow_capacity = 65'536;
+    duration    settle_time = std::chrono::seconds(4); // after the first sync and a store's return nothing is reset for
+                                                       // an unknown reference
+};
+
+class steering {
+public:
+    steering(const steering_settings& settings, const replica& known, std::uint64_t random_seed);
+
+    steering_decision decide(const segment& packet, steady_time now);
+    void              expire(steady_time now);
+    const flow_tracker& flows() const { return flows_; }
+
+private:
+    steering_decision    decide_syn(const segment& packet, steady_time now);
+    steering_decision    decide_open(const segment& packet, steady_time now);
+    steering_decision    place(const segment& packet, const route& to, tracked_flow* earlier, steady_time now);
+    const known_backend* choose(const route& to, backend_reference except, steady_time now);
+    double               cost_of(const known_backend& candidate, steady_time now);
+    std::string_view     pick_service(const route& to);
+    void                 note_silence(backend_reference target, steady_time now);
+    bool                 settled(steady_time now) const;
+
+    steering_settings settings_;
+    const replica&    known_;
+    flow_tracker      flows_;
+    random_source     random_;
+};
+
+} // namespace tamarack::entry
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <glog/logging.h>
 
 namespace tamarack {
 
@@ -49,6 +48,23 @@
      "Probes failed: it gets no new flows, and its flows are reset once it has been out for 10 s."},
     {event::backend_server_back, severity::info, "backend server back", "Probes succeed again."},
 
+    {event::backend_server_registered, severity::info, "backend server registered",
+     "Entry balancer: a backend server registered or changed its registration in the store, as `revision`."},
+    {event::backend_server_removed, severity::info, "backend server removed",
+     "Entry balancer: a registration ended. It may be held for a while after an outage of the store."},
+
+    {event::flow_placed, severity::info, "flow placed",
+     "Entry balancer: the SYN of a flow, or its copy, went to a backend server. `copy`: 0 for the first SYN. "
+     "`reason` is explained in docs/entry-operations.md."},
+    {event::packet_not_delivered, severity::warning, "packet not delivered",
+     "Entry balancer: a packet was answered with a reset or dropped, see `reason` and `outcome`."},
+    {event::synchronized, severity::info, "synchronized",
+     "Entry balancer: configuration and backend servers are known; the balancer takes traffic."},
+    {event::record_unusable, severity::warning, "record unusable",
+     "Entry balancer: a record of the store cannot be used, see `reason`. Look for another program that writes it."},
+    {event::lines_left_out, severity::warning, "lines left out",
+     "Entry balancer: `count` lines of single packets exceeded the rate of the log since the last such line."},
+
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
      "Too many calls wait for the control thread; further ones are refused."},
@@ -78,11 +94,6 @@
      "The program contradicts one of its promises: a fault of the program. Report it with the lines around it."},
 });
 
-const event_description& describe(event number) {
-    const auto* found = std::ranges::find(descriptions, number, &event_description::number);
-    return found == descriptions.end() ? descriptions.back() : *found;
-}
-
 bool is_plain(char letter) {
     return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') ||
            std::string_view("._:/@+,[]-").find(letter) != std::string_view::npos;
@@ -125,6 +136,11 @@
     return descriptions;
 }
 
+const event_description& describe(event number) {
+    const auto* found = std::ranges::find(descriptions, number, &event_description::number);
+    return found == descriptions.end() ? descriptions.back() : *found;
+}
+
 std::string format_event(event number, std::initializer_list<event_field> fields) {
     std::string line("T");
     line.append(std::to_string(static_cast<unsigned>(number))).append(" ").append(describe(number).text);
@@ -139,11 +155,6 @@
     return line;
 }
 
-void log_event(event number, std::initializer_list<event_field> fields, const char* file, int line) {
-    const auto level = static_cast<google::LogSeverity>(describe(number).level); // glog counts from info, too
-    google::LogMessage(file, line, level).stream() << format_event(number, fields);
-}
-
 std::string event_reference() {
     std::string text =
         "# Log events\n\n"
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -39,6 +39,15 @@
     backend_server_out = 5001,
     backend_server_back = 5002,
 
+    backend_server_registered = 5003,
+    backend_server_removed = 5004,
+
+    flow_placed = 6001,
+    packet_not_delivered = 6002,
+    synchronized = 6003,
+    record_unusable = 6004,
+    lines_left_out = 6005,
+
     call_refused = 7001,
     calls_overloaded = 7002,
     grpc_message = 7003,
@@ -67,6 +76,9 @@
 
 std::span<const event_description> event_table();
 
+// The description of an event.
+const event_description& describe(event number);
+
 struct event_field {
     std::string key;
     std::string value;
