Avoid backend servers that do not answer SYNs

Cause: a crashed backend server resets SYNs or drops them, holds no request, and so looked idle to the choice by load: it attracted the new flows of its failure domain until its registration lapsed.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -1,4 +1,5 @@
-// The event loop of the entry balancer. One thread: the hosts give a part of one core, and only one thread runs at a time.
+// The event loop of the entry balancer. One thread: the hosts give a part of one core, and only one thread runs at a
+// time.
 #include "daemons/entry/entry_process.h"
 
 #include "daemons/entry/http_responder.h"
@@ -26,9 +27,9 @@
 constexpr std::chrono::milliseconds tick_interval(100);
 // Packets that arrive before the first sync wait in the socket's buffer for this long at most; callers repeat their SYN
 // after 200 ms and 600 ms.
-constexpr duration    first_sync_wait = std::chrono::milliseconds(1'500);
-constexpr std::size_t receive_buffer = 1'048'576; // bytes
-constexpr unsigned    service_unavailable = 503;
+constexpr duration                  first_sync_wait = std::chrono::milliseconds(1'500);
+constexpr std::size_t               receive_buffer = 1'048'576; // bytes
+constexpr unsigned                  service_unavailable = 503;
 
 std::uint64_t random_seed() {
     std::random_device device;
@@ -43,46 +44,46 @@
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    void start();
-    void wait_for_packets();
-    void receive_packets();
-    void handle_packet(byte_view bytes, steady_time now);
-    void flush();
-    void call_store();
-    void store_answered(result<store_page, store_error> outcome);
-    void wait_for_tick();
-    void tick();
-    void wait_for_signal();
+    void        start();
+    void        wait_for_packets();
+    void        receive_packets();
+    void        handle_packet(byte_view bytes, steady_time now);
+    void        flush();
+    void        call_store();
+    void        store_answered(result<store_page, store_error> outcome);
+    void        wait_for_tick();
+    void        tick();
+    void        wait_for_signal();
     http_answer answer(std::string_view path) const;
 
     steady_time now() const { return time.steady_now(); }
 
-    settings                        values;
-    std::string                     settings_file;
-    const clock&                    time;
-    asio::io_context                context{1};
-    event_log                       log;
-    replica                         known;
-    store_sync                      sync;
-    steering                        decisions;
-    lifecycle                       life;
-    udp_socket                      packets;
-    asio::posix::stream_descriptor  packet_events;
-    receive_batch                   batch;
-    action_buffer                   outgoing;
-    std::vector<outgoing_datagram>  datagrams;
-    platform::store_client          store;
-    asio::steady_timer              ticks;
-    asio::signal_set                signals;
-    std::optional<http_responder>   readiness;
-    std::optional<http_responder>   metrics;
-    steady_time                     started;
-    bool                            receiving = false;
-    bool                            store_was_reachable = false;
+    settings                                values;
+    std::string                             settings_file;
+    const clock&                            time;
+    asio::io_context                        context{1};
+    event_log                               log;
+    replica                                 known;
+    store_sync                              sync;
+    steering                                decisions;
+    lifecycle                               life;
+    udp_socket                              packets;
+    asio::posix::stream_descriptor          packet_events;
+    receive_batch                           batch;
+    action_buffer                           outgoing;
+    std::vector<outgoing_datagram>          datagrams;
+    platform::store_client                  store;
+    asio::steady_timer                      ticks;
+    asio::signal_set                        signals;
+    std::optional<http_responder>           readiness;
+    std::optional<http_responder>           metrics;
+    steady_time                             started;
+    bool                                    receiving = false;
+    bool                                    store_was_reachable = false;
     std::array<std::uint64_t, reason_count> reasons{};
-    std::uint64_t                   malformed = 0;
-    std::uint64_t                   unsent = 0;
-    std::map<std::string, std::uint64_t> store_calls; // by result
+    std::uint64_t                           malformed = 0;
+    std::uint64_t                           unsent = 0;
+    std::map<std::string, std::uint64_t>    store_calls; // by result
 };
 
 entry_process::impl::impl(const settings& given, std::string file, const clock& source, udp_socket socket)
@@ -226,7 +227,8 @@
 }
 
 http_answer entry_process::impl::answer(std::string_view path) const {
-    if (path.starts_with("/metrics")) return {.body = "tamarack_flows " + std::to_string(decisions.flows().size()) + "\n"};
+    if (path.starts_with("/metrics"))
+        return {.body = "tamarack_flows " + std::to_string(decisions.flows().size()) + "\n"};
     if (life.ready()) return {.body = "ready\n"};
     return {.status = service_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"};
 }
@@ -238,12 +240,12 @@
 entry_process::entry_process(std::unique_ptr<impl> parts) : impl_(std::move(parts)) {}
 entry_process::~entry_process() = default;
 
-result<std::unique_ptr<entry_process>, std::string> entry_process::open(const settings& values, std::string settings_file,
-                                                                        const clock& time) {
+result<std::unique_ptr<entry_process>, std::string> entry_process::open(const settings& values,
+                                                                        std::string settings_file, const clock& time) {
     auto socket = udp_socket::open(values.packets, {.receive_buffer = receive_buffer});
     if (!socket) return socket.error();
-    auto parts = std::make_unique<impl>(values, std::move(settings_file), time, std::move(socket).value());
-    impl* running = parts.get();
+    auto       parts = std::make_unique<impl>(values, std::move(settings_file), time, std::move(socket).value());
+    impl*      running = parts.get();
     const auto answer = [running](std::string_view path) { return running->answer(path); };
     auto       readiness = http_responder::open(running->context, values.readiness, answer);
     if (!readiness) return readiness.error();
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -107,7 +107,8 @@
 void event_log::note_records(std::span<const record> records, const replica& known) {
     for (const record& item : records) {
         if (const auto* unusable = std::get_if<unusable_record>(&item.content)) {
-            write(event::record_unusable, {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
+            write(event::record_unusable,
+                  {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
         } else if (std::holds_alternative<std::shared_ptr<const routing_table>>(item.content)) {
             write(event::revision_in_force, {{"version", version_of(known)}, {"revision", item.revision}});
         } else if (const auto* registration = std::get_if<backend_registration>(&item.content)) {
@@ -136,7 +137,8 @@
     write(number, {{"flow", flow_name(packet)},
                    {"reason", to_string(decision.why)},
                    {"outcome", delivered ? std::string_view("delivered")
-                                         : (decision.what == verdict::reset ? std::string_view("reset") : std::string_view("dropped"))},
+                                         : (decision.what == verdict::reset ? std::string_view("reset")
+                                                                            : std::string_view("dropped"))},
                    {"backend_server", delivered ? decision.target->registration.name : std::string("none")},
                    {"copy", packet.syn ? packet.acknowledged : 0},
                    {"version", version_of(known)},
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -30,9 +30,9 @@
 
     const clock&  time_;
     std::string   balancer_;
-    std::string   pending_;     // not yet written
-    token_bucket  failures_;    // lines of packets that were not delivered, or elsewhere
-    token_bucket  placements_;  // lines of placed flows
+    std::string   pending_;      // not yet written
+    token_bucket  failures_;     // lines of packets that were not delivered, or elsewhere
+    token_bucket  placements_;   // lines of placed flows
     std::uint64_t left_out_ = 0; // since the last summary
     steady_time   summary_due_;
 };
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr duration    closing_timeout = std::chrono::seconds(3); // late packets of a closed flow
+constexpr int         smoothing = 16;                            // samples of the handshake time
 constexpr std::size_t scan_share = 8;                            // expire looks at one in eight buckets a call
 
 // Sequence numbers wrap around.
@@ -66,18 +67,18 @@
     flow.last_seen = now;
     backend_activity& target = activity_[flow.target];
     const bool        handshake_answered = flow.seen_syn && !flow.open && !flow.closing;
-    const bool        answered =
-        packet.ack && (handshake_answered || is_after(packet.acknowledged, flow.acknowledged));
+    const bool        answered = packet.ack && (handshake_answered || is_after(packet.acknowledged, flow.acknowledged));
     if (!flow.open && !flow.closing) {
         flow.open = true;
         ++target.open;
     }
     if (answered) {
+        if (handshake_answered && !flow.copied) {
+            handshake_time_ += (now - flow.first_syn - handshake_time_) / smoothing;
+        }
         flow.acknowledged = packet.acknowledged;
         flow.progressed = now;
-        target.last_sign = now;
-        target.failures = 0;
-        target.avoid_until = {};
+        note_sign(target, now);
         stop_waiting(flow);
     }
     const std::uint32_t end = packet.sequence + packet.payload;
@@ -92,6 +93,19 @@
     if (packet.fin || packet.rst) close(flow);
 }
 
+void flow_tracker::note_sign(backend_activity& target, steady_time now) {
+    target.last_sign = now;
+    target.failures = 0;
+    target.avoid_until = {};
+    target.unanswered = 0;
+}
+
+void flow_tracker::note_syn(backend_reference target, steady_time now) {
+    backend_activity& seen = activity_[target];
+    seen.last_chosen = now;
+    if (seen.unanswered++ == 0) seen.unanswered_since = now;
+}
+
 void flow_tracker::stop_waiting(tracked_flow& flow) {
     if (!flow.waiting) return;
     flow.waiting = false;
@@ -108,8 +122,8 @@
 }
 
 void flow_tracker::expire(steady_time now, duration idle_timeout) {
-    const std::size_t buckets = flows_.bucket_count();
-    const std::size_t steps = buckets / scan_share + 1;
+    const std::size_t          buckets = flows_.bucket_count();
+    const std::size_t          steps = buckets / scan_share + 1;
     std::vector<std::uint64_t> old;
     for (std::size_t step = 0; step < steps; ++step) {
         const std::size_t bucket = scan_position_++ % buckets;
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -11,12 +11,14 @@
 
 // Load and signs of life of one backend server, as seen by this balancer.
 struct backend_activity {
-    std::uint32_t waiting = 0;     // flows whose request has no answer yet
-    std::uint32_t open = 0;        // flows
-    steady_time   last_sign{};     // of life: a caller acknowledged something new
-    steady_time   last_chosen{};   // for a new flow
-    steady_time   avoid_until{};   // no new flow before; the epoch: not avoided
-    unsigned      failures = 0;    // in a row, without a sign of life between
+    std::uint32_t waiting = 0;        // flows whose request has no answer yet
+    std::uint32_t open = 0;           // flows
+    steady_time   last_sign{};        // of life: a caller acknowledged something new
+    steady_time   last_chosen{};      // for a new flow
+    steady_time   avoid_until{};      // no new flow before; the epoch: not avoided
+    unsigned      failures = 0;       // in a row, without a sign of life between
+    unsigned      unanswered = 0;     // SYNs since the last sign of life
+    steady_time   unanswered_since{}; // the first of them
 };
 
 struct tracked_flow {
@@ -25,7 +27,8 @@
     std::uint32_t     acknowledged = 0; // by the caller
     steady_time       first_syn{};
     steady_time       last_seen{};
-    steady_time       progressed{}; // last new data or acknowledgement
+    steady_time       progressed{};     // last new data or acknowledgement
+    bool              copied = false;   // a copy of its SYN was seen
     bool              seen_syn = false; // the handshake passed this balancer
     bool              open = false;     // the caller has sent something after its SYN
     bool              waiting = false;  // a request without an answer
@@ -44,6 +47,11 @@
     // Moves a flow that is not open to another backend server.
     void          move(tracked_flow& flow, backend_reference target);
 
+    // A SYN goes to the backend server.
+    void     note_syn(backend_reference target, steady_time now);
+    // How long the caller's answer to a SYN+ACK usually takes, from the SYN on.
+    duration handshake_time() const { return handshake_time_; }
+
     backend_activity&       activity(backend_reference target) { return activity_[target]; }
     const backend_activity* find_activity(backend_reference target) const;
     std::size_t             size() const { return flows_.size(); }
@@ -52,12 +60,14 @@
 
 private:
     static std::uint64_t key_of(const segment& packet);
+    void                 note_sign(backend_activity& target, steady_time now);
     void                 stop_waiting(tracked_flow& flow);
     void                 close(tracked_flow& flow);
 
     std::size_t                                             capacity_; // flows
-    std::unordered_map<std::uint64_t, tracked_flow>         flows_;    // by hash of the caller's and the route's address
+    std::unordered_map<std::uint64_t, tracked_flow>         flows_; // by hash of the caller's and the route's address
     std::unordered_map<backend_reference, backend_activity> activity_;
+    duration                                                handshake_time_ = std::chrono::milliseconds(10); // smoothed
     std::uint64_t                                           scan_position_ = 0; // bucket at which expire goes on
 };
 
--- a/entry/lifecycle.h
+++ b/entry/lifecycle.h
@@ -1,8 +1,8 @@
 // When the balancer tells the fabric that it takes traffic, and when a graceful stop ends.
 //
-// Load pattern: the fabric checks readiness twice a second and takes a balancer out after two misses. Packets that reach a
-// balancer which has ended are lost, and callers repeat them after 200 ms at the earliest. So the balancer first says
-// that it is not ready, forwards what still arrives, and ends when nothing does.
+// Load pattern: the fabric checks readiness twice a second and takes a balancer out after two misses. Packets that
+// reach a balancer which has ended are lost, and callers repeat them after 200 ms at the earliest. So the balancer
+// first says that it is not ready, forwards what still arrives, and ends when nothing does.
 #pragma once
 
 #include "tamarack/tamarack.h"
--- a/entry/model.h
+++ b/entry/model.h
@@ -94,12 +94,12 @@
 
 // What steering looks at in a caller's packet.
 struct segment {
-    endpoint          source;          // the caller
-    endpoint          destination;     // a route's address
-    std::uint32_t     sequence = 0;
-    std::uint32_t     acknowledged = 0; // next byte expected from the backend server; in a SYN: 0 first, then its copies
+    endpoint      source;      // the caller
+    endpoint      destination; // a route's address
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0; // next byte expected from the backend server; in a SYN: 0 first, then its copies
     backend_reference reference = 0;
-    std::uint16_t     payload = 0;      // bytes
+    std::uint16_t     payload = 0; // bytes
     bool              syn = false;
     bool              ack = false;
     bool              fin = false;
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -188,7 +188,7 @@
     for (auto& [key, known] : backends_) {
         const known_backend*& slot = references_[known.reference];
         // The live one wins; among live ones the lower identity, so that all balancers agree.
-        const bool better = slot == nullptr || (slot->removed_at && !known.removed_at) ||
+        const bool            better = slot == nullptr || (slot->removed_at && !known.removed_at) ||
                             (slot->removed_at.has_value() == known.removed_at.has_value() &&
                              known.registration.identity < slot->registration.identity);
         if (better) slot = &known;
@@ -218,13 +218,15 @@
 std::vector<record> replica::changes_after(std::uint64_t revision) const {
     std::vector<record> changes;
     if (routing_ && routing_revision_ > revision)
-        changes.push_back({.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw = routing_raw_});
+        changes.push_back(
+            {.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw = routing_raw_});
     for (const auto& [key, known] : backends_) {
         if (known.revision <= revision) continue;
         if (known.removed_at) {
             changes.push_back({.key = key, .revision = known.revision, .content = removed_record{}, .raw = {}});
         } else if (const auto raw = raw_.find(key); raw != raw_.end()) {
-            changes.push_back({.key = key, .revision = known.revision, .content = known.registration, .raw = raw->second});
+            changes.push_back(
+                {.key = key, .revision = known.revision, .content = known.registration, .raw = raw->second});
         }
     }
     for (const auto& [key, removed] : tombstones_) {
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -23,41 +23,46 @@
     std::optional<steady_time> removal_due;   // set: a held removal
     bool                       usable = true; // false: its registration cannot be read, or its reference is ambiguous
 
-    bool takes_new_flows() const {
-        return usable && !removed_at && registration.state == backend_state::active;
-    }
+    bool takes_new_flows() const { return usable && !removed_at && registration.state == backend_state::active; }
 };
 
-enum class replica_change : std::uint8_t { none, routing, backend_registered, backend_changed, backend_removed, removal_held };
+enum class replica_change : std::uint8_t {
+    none,
+    routing,
+    backend_registered,
+    backend_changed,
+    backend_removed,
+    removal_held
+};
 
 class replica {
 public:
     // A record that is not newer than the known state of its key changes nothing.
-    replica_change apply(const record& item, steady_time now);
+    replica_change              apply(const record& item, steady_time now);
     // All records of the store up to a revision; keys that are missing in it have been removed. pages_end is the
     // revision of the first page: a key that is missing but newer than it was made later.
     std::vector<replica_change> apply_snapshot(std::span<const record> items, std::uint64_t revision, steady_time now);
 
     // The store did not answer, or refused; removals are held from now on until the hold after its return.
-    void store_lost(steady_time now);
+    void        store_lost(steady_time now);
     // The store answers again.
-    void store_returned(steady_time now);
+    void        store_returned(steady_time now);
     // Ends holds that are due and forgets what has been gone for long. Returns the number of removals that took effect.
     std::size_t expire(steady_time now);
 
     // Null until the first configuration is known.
-    const routing_table*                                         routing() const { return routing_.get(); }
-    const route*                                                 find_route(const endpoint& address) const;
-    const known_backend*                                         find(backend_reference reference) const;
-    std::span<const known_backend* const>                        backends_of(std::string_view service) const;
-    const std::unordered_map<std::string, known_backend>&        backends() const { return backends_; }
+    const routing_table*                                  routing() const { return routing_.get(); }
+    const route*                                          find_route(const endpoint& address) const;
+    const known_backend*                                  find(backend_reference reference) const;
+    std::span<const known_backend* const>                 backends_of(std::string_view service) const;
+    const std::unordered_map<std::string, known_backend>& backends() const { return backends_; }
     // The backend servers were read completely at least once.
-    bool          complete() const { return complete_; }
+    bool                                                  complete() const { return complete_; }
     // Every change up to this revision is contained.
-    std::uint64_t complete_to() const { return complete_to_; }
-    void          set_complete_to(std::uint64_t revision);
+    std::uint64_t                                         complete_to() const { return complete_to_; }
+    void                                                  set_complete_to(std::uint64_t revision);
     // Since when the store has answered without a break; nullopt while it does not.
-    std::optional<steady_time> store_steady_since() const { return steady_since_; }
+    std::optional<steady_time>                            store_steady_since() const { return steady_since_; }
 
     // Records in their last state with a revision above the given one, for peers; held removals are left out.
     std::vector<record> changes_after(std::uint64_t revision) const;
@@ -77,21 +82,21 @@
     bool           holds_removals(steady_time now) const;
     void           rebuild_index();
 
-    std::shared_ptr<const routing_table>                           routing_;
-    std::uint64_t                                                  routing_revision_ = 0;
-    std::string                                                    routing_key_;
-    std::string                                                    routing_raw_;
-    std::unordered_map<endpoint, const route*, endpoint_hash>      routes_;     // into *routing_
-    std::unordered_map<std::string, known_backend>                 backends_;   // by key of the store
-    std::unordered_map<std::string, std::string>                   raw_;        // by key; as stored
-    std::unordered_map<std::string, std::uint64_t>                 tombstones_; // revision of the removal, by key
-    std::unordered_map<backend_reference, const known_backend*>    references_; // into backends_
-    std::unordered_map<std::string, std::vector<const known_backend*>> services_; // those that take new flows
-    std::optional<steady_time>                                     steady_since_;
-    std::optional<steady_time>                                     returned_at_; // set after an outage
-    std::uint64_t                                                  complete_to_ = 0;
-    std::uint64_t                                                  generation_ = 0;
-    bool                                                           complete_ = false;
+    std::shared_ptr<const routing_table>                               routing_;
+    std::uint64_t                                                      routing_revision_ = 0;
+    std::string                                                        routing_key_;
+    std::string                                                        routing_raw_;
+    std::unordered_map<endpoint, const route*, endpoint_hash>          routes_;     // into *routing_
+    std::unordered_map<std::string, known_backend>                     backends_;   // by key of the store
+    std::unordered_map<std::string, std::string>                       raw_;        // by key; as stored
+    std::unordered_map<std::string, std::uint64_t>                     tombstones_; // revision of the removal, by key
+    std::unordered_map<backend_reference, const known_backend*>        references_; // into backends_
+    std::unordered_map<std::string, std::vector<const known_backend*>> services_;   // those that take new flows
+    std::optional<steady_time>                                         steady_since_;
+    std::optional<steady_time>                                         returned_at_; // set after an outage
+    std::uint64_t                                                      complete_to_ = 0;
+    std::uint64_t                                                      generation_ = 0;
+    bool                                                               complete_ = false;
 };
 
 } // namespace tamarack::entry
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -16,11 +16,11 @@
 constexpr std::size_t max_file_size = 65'536; // bytes
 
 struct key_row {
-    const char*                                   section;
-    const char*                                   key;
-    bool                                          required;
-    const char*                                   accepted;
-    const char*                                   meaning;
+    const char*                                      section;
+    const char*                                      key;
+    bool                                             required;
+    const char*                                      accepted;
+    const char*                                      meaning;
     std::function<bool(std::string_view, settings&)> read; // false: the text has not the accepted form
 };
 
@@ -151,16 +151,16 @@
     if (!file) return findings{{file_name, "the file cannot be opened", ""}};
     std::ostringstream text;
     text << file.rdbuf();
-    if (text.view().size() > max_file_size)
-        return findings{{file_name, "the file is too long", "at most 65536 bytes"}};
+    if (text.view().size() > max_file_size) return findings{{file_name, "the file is too long", "at most 65536 bytes"}};
     return read_settings(text.view(), file_name);
 }
 
 std::string settings_reference() {
-    std::string text = "# Settings of tamarack-entry\n\n"
-                       "<!-- Written by `tamarack-entry --reference=settings`; a test compares it with the table of keys. -->\n\n"
-                       "An INI file. SIGHUP reads it again, and so does a change of the file.\n\n"
-                       "| Section | Key | Required | Accepted | Meaning |\n|---|---|---|---|---|\n";
+    std::string text =
+        "# Settings of tamarack-entry\n\n"
+        "<!-- Written by `tamarack-entry --reference=settings`; a test compares it with the table of keys. -->\n\n"
+        "An INI file. SIGHUP reads it again, and so does a change of the file.\n\n"
+        "| Section | Key | Required | Accepted | Meaning |\n|---|---|---|---|---|\n";
     for (const key_row& row : rows()) {
         text += std::string("| ") + row.section + " | " + row.key + " | " + (row.required ? "yes" : "no") + " | " +
                 row.accepted + " | " + row.meaning + " |\n";
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -7,16 +7,16 @@
 namespace tamarack::entry {
 
 struct settings {
-    std::string           name;            // [balancer] unique among the balancers
-    std::string           failure_domain;  // [balancer] of the host
-    endpoint              packets;         // [balancer] receives callers' packets from the fabric
-    endpoint              readiness;       // [balancer] answers the fabric's readiness checks
-    std::optional<endpoint> metrics;       // [balancer] serves metrics; none: nowhere
-    endpoint              peer_address;    // [peers] receives messages of other balancers, UDP
-    std::vector<endpoint> contacts;        // [peers] hosts to contact first; their port is not used
-    endpoint              store;           // [store]
-    duration              stop_grace = std::chrono::seconds(6);    // [stop] the host ends the process after it
-    std::size_t           memory_mb = 64;  // [limits] of the process
+    std::string             name;           // [balancer] unique among the balancers
+    std::string             failure_domain; // [balancer] of the host
+    endpoint                packets;        // [balancer] receives callers' packets from the fabric
+    endpoint                readiness;      // [balancer] answers the fabric's readiness checks
+    std::optional<endpoint> metrics;        // [balancer] serves metrics; none: nowhere
+    endpoint                peer_address;   // [peers] receives messages of other balancers, UDP
+    std::vector<endpoint>   contacts;       // [peers] hosts to contact first; their port is not used
+    endpoint                store;          // [store]
+    duration                stop_grace = std::chrono::seconds(6); // [stop] the host ends the process after it
+    std::size_t             memory_mb = 64;                       // [limits] of the process
 };
 
 result<settings, findings> read_settings(std::string_view text, const std::string& file_name);
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -10,20 +10,23 @@
 
 // Extra waiting requests per slot that a backend server of another failure domain must save: its answers and requests
 // cross domains, which takes longer and is priced.
-constexpr double   other_domain_cost = 1.5;
+constexpr double           other_domain_cost = 1.5;
 // Weight of an open flow that does not wait at present, relative to one that does.
-constexpr double   open_flow_share = 0.1;
+constexpr double           open_flow_share = 0.1;
 // How much longer work takes during the warm-up.
-constexpr double   warmup_factor = 1.6;
+constexpr double           warmup_factor = 1.6;
 // A backend server without a sign of life is avoided for this long, doubling with each further failure.
-constexpr backoff_settings avoidance = {std::chrono::milliseconds(1'000), std::chrono::seconds(8)};
+constexpr backoff_settings avoidance = {std::chrono::milliseconds(400), std::chrono::seconds(6)};
+// A handshake takes at most this many times the usual time, and some time more for a busy host.
+constexpr int              handshake_factor = 3;
+constexpr duration         handshake_margin = std::chrono::milliseconds(25);
 
 } // namespace
 
 std::string_view to_string(reason why) {
     static constexpr std::array<std::string_view, reason_count> names = {
-        "placed",   "placed_again",     "placed_elsewhere",  "by_reference", "by_flow", "no_route",
-        "no_backend", "not_synchronized", "unknown_reference", "backend_gone"};
+        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "by_flow",
+        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone"};
     return names.at(static_cast<std::size_t>(why));
 }
 
@@ -59,10 +62,12 @@
     const bool        is_copy = earlier != nullptr && packet.acknowledged > 0 && !earlier->closing;
     backend_reference except = 0;
     if (is_copy) {
+        earlier->copied = true;
         const known_backend* first = known_.find(earlier->target);
         const bool           alive = flows_.activity(earlier->target).last_sign > earlier->first_syn;
         if (!alive) note_silence(earlier->target, now);
-        if (alive && first != nullptr && first->takes_new_flows()) return {verdict::deliver, reason::placed_again, first};
+        if (alive && first != nullptr && first->takes_new_flows())
+            return {verdict::deliver, reason::placed_again, first};
         except = earlier->target;
     }
     const known_backend* chosen = choose(to, except, now);
@@ -72,7 +77,7 @@
     } else {
         flows_.start(packet, chosen->reference, now);
     }
-    flows_.activity(chosen->reference).last_chosen = now;
+    flows_.note_syn(chosen->reference, now);
     return {verdict::deliver, is_copy ? reason::placed_elsewhere : reason::placed, chosen};
 }
 
@@ -99,6 +104,8 @@
     const auto           candidates = known_.backends_of(pick_service(to));
     for (const known_backend* candidate : candidates) {
         const backend_activity& seen = flows_.activity(candidate->reference);
+        if (seen.unanswered > 0 && now >= seen.unanswered_since + silence_limit())
+            note_silence(candidate->reference, now);
         if (candidate->reference == except || now < seen.avoid_until) {
             const bool sooner =
                 fallback == nullptr || seen.avoid_until < flows_.activity(fallback->reference).avoid_until;
@@ -118,18 +125,25 @@
     const backend_activity& seen = flows_.activity(candidate.reference);
     const bool              warming = now < candidate.registered + candidate.registration.warmup_left;
     const double            slots = std::max(1U, candidate.registration.slots);
-    const double            load = seen.waiting + open_flow_share * seen.open;
+    const double            load = seen.waiting + seen.unanswered + open_flow_share * seen.open;
     const double            cost = (load + 1.0) * (warming ? warmup_factor : 1.0) / slots;
     return candidate.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
 }
 
 void steering::note_silence(backend_reference target, steady_time now) {
     backend_activity& seen = flows_.activity(target);
+    seen.unanswered = 0;
     if (now < seen.avoid_until) return;
     seen.avoid_until = now + backoff_limit(avoidance, seen.failures);
     ++seen.failures;
 }
 
+// Load pattern: a backend server that answers SYNs with a reset, or not at all, holds no request and would look idle,
+// so that it attracted all new flows. A SYN without an answer counts as load, and one that is overdue as silence.
+duration steering::silence_limit() const {
+    return handshake_factor * flows_.handshake_time() + handshake_margin;
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Later packets
 //----------------------------------------------------------------------------------------------------------------------
@@ -144,7 +158,7 @@
     backend_reference reference = packet.reference;
     // Two backend servers may have answered copies of the SYN. The flow is at the one whose answer the caller
     // acknowledged first; the reference of a later answer does not move it.
-    const bool pinned = flow != nullptr && flow->open;
+    const bool        pinned = flow != nullptr && flow->open;
     if (pinned) reference = flow->target;
     const known_backend* target = known_.find(reference);
     if (target == nullptr) {
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -1,7 +1,7 @@
 // The decision on each packet of a caller: to which backend server it goes, or whether it is answered with a reset.
 //
-// A packet of an open flow goes where its reference points, through whatever balancer. A SYN is placed by load, close by
-// first; the backend server then hands its reference to the caller.
+// A packet of an open flow goes where its reference points, through whatever balancer. A SYN is placed by load, close
+// by first; the backend server then hands its reference to the caller.
 #pragma once
 
 #include "entry/flow_tracker.h"
@@ -40,7 +40,7 @@
 };
 
 struct steering_settings {
-    std::string failure_domain;        // of this balancer
+    std::string failure_domain; // of this balancer
     std::size_t flow_capacity = 65'536;
     duration    settle_time = std::chrono::seconds(4); // after the first sync and a store's return nothing is reset for
                                                        // an unknown reference
@@ -50,8 +50,8 @@
 public:
     steering(const steering_settings& settings, const replica& known, std::uint64_t random_seed);
 
-    steering_decision decide(const segment& packet, steady_time now);
-    void              expire(steady_time now);
+    steering_decision   decide(const segment& packet, steady_time now);
+    void                expire(steady_time now);
     const flow_tracker& flows() const { return flows_; }
 
 private:
@@ -62,6 +62,7 @@
     double               cost_of(const known_backend& candidate, steady_time now);
     std::string_view     pick_service(const route& to);
     void                 note_silence(backend_reference target, steady_time now);
+    duration             silence_limit() const;
     bool                 settled(steady_time now) const;
 
     steering_settings settings_;
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -19,11 +19,16 @@
 
 std::string_view to_string(store_error error) {
     switch (error) {
-    case store_error::unreachable: return "unreachable";
-    case store_error::timed_out: return "timed_out";
-    case store_error::refused: return "refused";
-    case store_error::history_dropped: return "history_dropped";
-    case store_error::unreadable: return "unreadable";
+    case store_error::unreachable:
+        return "unreachable";
+    case store_error::timed_out:
+        return "timed_out";
+    case store_error::refused:
+        return "refused";
+    case store_error::history_dropped:
+        return "history_dropped";
+    case store_error::unreadable:
+        return "unreadable";
     }
     return "unknown";
 }
@@ -88,7 +93,8 @@
     ++failures_;
     if (maybe_cut) return;
     known_.store_lost(now);
-    not_before_ = now + backoff_limit(retry_wait, failures_ - 1) / 2 + backoff_delay(retry_wait, failures_ - 1, random_) / 2;
+    not_before_ =
+        now + backoff_limit(retry_wait, failures_ - 1) / 2 + backoff_delay(retry_wait, failures_ - 1, random_) / 2;
 }
 
 } // namespace tamarack::entry
