--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -217,9 +217,10 @@
 
 std::vector<record> replica::changes_after(std::uint64_t revision) const {
     std::vector<record> changes;
-    if (routing_ && routing_revision_ > revision)
+    if (routing_ && routing_revision_ > revision) {
         changes.push_back(
             {.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw = routing_raw_});
+    }
     for (const auto& [key, known] : backends_) {
         if (known.revision <= revision) continue;
         if (known.removed_at) {
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -123,9 +123,10 @@
         return 1;
     }
     const bool left_out = !row->required && *value == '\0';
-    if (!left_out && !row->read(value, state.values))
+    if (!left_out && !row->read(value, state.values)) {
         state.problems.push_back(
             {place_of(state.file_name, section, key), "'" + std::string(value) + "' is not accepted", row->accepted});
+    }
     return 1;
 }
 
@@ -135,9 +136,10 @@
     reading           state{.file_name = file_name, .values = {}, .problems = {}, .seen = {}};
     const std::string terminated(text);
     const int         wrong_line = ini_parse_string(terminated.c_str(), take_key, &state);
-    if (wrong_line != 0)
+    if (wrong_line != 0) {
         state.problems.push_back({file_name + ":" + std::to_string(wrong_line), "the line is not in INI form",
                                   "[section], key = value, or a comment"});
+    }
     for (const key_row& row : rows()) {
         if (!row.required || state.seen.contains(std::string("[") + row.section + "] " + row.key)) continue;
         state.problems.push_back({place_of(file_name, row.section, row.key), "the key is missing", row.accepted});
--- /dev/null
+++ b/tests/entry_settings_test.cpp
@@ -0,0 +1,68 @@
+// Settings of the entry balancer: what is accepted, and that all problems are reported with their place.
+#define BOOST_TEST_MODULE entry_settings
+#include "entry/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <sstream>
+
+using namespace tamarack;
+using namespace tamarack::entry;
+
+namespace {
+
+const std::string good = "[balancer]\nname = one\nfailure_domain = north\npackets_address = 10.0.0.1:8172\n"
+                         "readiness_address = 10.0.0.1:8167\n[peers]\naddress = 10.0.0.1:7720\n"
+                         "contacts = 10.0.0.2:8166,10.0.0.3:8166\n[store]\naddress = 10.200.1.7:8169\n"
+                         "[stop]\ngrace_seconds = 4\n[limits]\nmemory_mb = 80\n";
+
+std::string problems_of(const std::string& text) {
+    const auto  values = read_settings(text, "test.ini");
+    std::string all;
+    if (values) return all;
+    for (const finding& each : values.error())
+        all += each.to_string() + "\n";
+    return all;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(good_settings_are_read) {
+    const auto values = read_settings(good, "test.ini");
+    BOOST_REQUIRE(values.has_value());
+    BOOST_TEST(values.value().name == "one");
+    BOOST_TEST(values.value().contacts.size() == 2U);
+    BOOST_TEST(values.value().store.port == 8169);
+    BOOST_TEST((values.value().stop_grace == std::chrono::seconds(4)));
+    BOOST_TEST(values.value().memory_mb == 80U);
+    BOOST_TEST(!values.value().metrics.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(all_problems_are_reported_together) {
+    const std::string problems =
+        problems_of("[balancer]\nname = one\npackets_address = nowhere\nreadiness_address = 10.0.0.1:0\ncolour = red\n"
+                    "[stop]\ngrace_seconds = 0\n");
+    for (const char* expected : {"packets_address", "readiness_address", "colour", "grace_seconds", "failure_domain",
+                                 "[store] address", "[peers] address"})
+        BOOST_TEST(problems.find(expected) != std::string::npos, expected);
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_is_set_twice_or_a_line_that_is_no_setting_is_reported) {
+    BOOST_TEST(problems_of(good + "memory_mb = 90\n").find("twice") != std::string::npos);
+    BOOST_TEST(problems_of(good + "nonsense\n").find("INI") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_optional_key_keeps_its_default) {
+    BOOST_TEST(problems_of(good + "[balancer]\nmetrics_address =\n").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_file_is_an_error) {
+    BOOST_TEST(!read_settings_file("/nonexistent/settings.ini").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_reference_page_agrees_with_the_table) {
+    std::ifstream      page(std::string(SOURCE_FOLDER) + "/docs/entry-settings.md");
+    std::ostringstream text;
+    text << page.rdbuf();
+    BOOST_TEST(text.str() == settings_reference());
+}
