Let one balancer of each failure domain read the store for the others

Cause: each of 84 hosts watched the store for itself, and each change answered 84 watches; calls were the largest price on the grown deployments.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -2,17 +2,11 @@
 // time.
 #include "daemons/entry/entry_process.h"
 
-#include "daemons/entry/http_responder.h"
-#include "entry/event_log.h"
+#include "daemons/entry/feed_server.h"
+#include "daemons/entry/packet_port.h"
 #include "entry/lifecycle.h"
-#include "entry/steering.h"
-#include "entry/store_sync.h"
-#include "platform/packet_format.h"
 #include "platform/store_client.h"
-#include "tamarack/udp_socket.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -29,139 +23,103 @@
 // after 200 ms and 600 ms.
 constexpr duration                  first_sync_wait = std::chrono::milliseconds(1'500);
 constexpr std::size_t               receive_buffer = 1'048'576; // bytes
-constexpr unsigned                  service_unavailable = 503;
+constexpr unsigned                  status_unavailable = 503;
 
-std::uint64_t random_seed() {
+// Hosts with less than these leave reading the store for others to stronger ones, by the delay.
+constexpr double   strong_processor_share = 0.4;
+constexpr double   strong_link_mbps = 100.0;
+constexpr duration weak_host_delay = std::chrono::milliseconds(700);
+
+std::uint64_t random_number() {
     std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    constexpr unsigned half = 32;
+    return (static_cast<std::uint64_t>(device()) << half) | device();
+}
+
+// Positions of a feed start anywhere, so that a position of an earlier process is told apart; they stay exact in JSON.
+std::uint64_t first_generation() {
+    constexpr unsigned unused_bits = 16;
+    return random_number() >> unused_bits;
+}
+
+source_settings sources_of(const settings& values) {
+    source_settings sources{.name = values.name, .failure_domain = values.failure_domain, .contacts = {}};
+    for (const endpoint& contact : values.contacts) {
+        if (contact.address != values.peer_address.address)
+            sources.contacts.push_back({contact.address, values.peer_address.port});
+    }
+    return sources;
+}
+
+claim_settings claim_of(const settings& values) {
+    const bool strong = values.processor_share >= strong_processor_share && values.link_mbps >= strong_link_mbps;
+    return {.self = {.name = values.name, .failure_domain = values.failure_domain, .address = values.peer_address},
+            .delay = strong ? duration::zero() : weak_host_delay};
 }
 
 } // namespace
 
 struct entry_process::impl {
     impl(const settings& given, std::string file, const clock& source, udp_socket socket);
-    ~impl() { packet_events.release(); }
-    impl(const impl&) = delete;
-    impl& operator=(const impl&) = delete;
 
     void        start();
-    void        wait_for_packets();
-    void        receive_packets();
-    void        handle_packet(byte_view bytes, steady_time now);
-    void        flush();
-    void        call_store();
-    void        store_answered(result<store_page, store_error> outcome);
+    void        read_store();
+    void        records_read(const result<record_page, read_error>& outcome);
+    void        claim_feeder();
     void        wait_for_tick();
     void        tick();
     void        wait_for_signal();
-    http_answer answer(std::string_view path) const;
+    void        answer_readiness(const http_responder::reply& respond) const;
+    std::string metrics_text() const;
 
     steady_time now() const { return time.steady_now(); }
 
-    settings                                values;
-    std::string                             settings_file;
-    const clock&                            time;
-    asio::io_context                        context{1};
-    event_log                               log;
-    replica                                 known;
-    store_sync                              sync;
-    steering                                decisions;
-    lifecycle                               life;
-    udp_socket                              packets;
-    asio::posix::stream_descriptor          packet_events;
-    receive_batch                           batch;
-    action_buffer                           outgoing;
-    std::vector<outgoing_datagram>          datagrams;
-    platform::store_client                  store;
-    asio::steady_timer                      ticks;
-    asio::signal_set                        signals;
-    std::optional<http_responder>           readiness;
-    std::optional<http_responder>           metrics;
-    steady_time                             started;
-    bool                                    receiving = false;
-    bool                                    store_was_reachable = false;
-    std::array<std::uint64_t, reason_count> reasons{};
-    std::uint64_t                           malformed = 0;
-    std::uint64_t                           unsent = 0;
-    std::map<std::string, std::uint64_t>    store_calls; // by result
+    settings                             values;
+    std::string                          settings_file;
+    const clock&                         time;
+    asio::io_context                     context{1};
+    event_log                            log;
+    replica                              known{first_generation()};
+    store_sync                           sync;
+    feeder_claim                         claim;
+    steering                             decisions;
+    lifecycle                            life;
+    packet_port                          packets;
+    feed_server                          followers;
+    platform::store_client               store;
+    asio::steady_timer                   ticks;
+    asio::signal_set                     signals;
+    std::vector<http_responder>          servers;
+    steady_time                          started;
+    bool                                 was_reachable = false;
+    bool                                 was_feeding = false;
+    std::map<std::string, std::uint64_t> store_calls; // by result
 };
 
 entry_process::impl::impl(const settings& given, std::string file, const clock& source, udp_socket socket)
-    : values(given), settings_file(std::move(file)), time(source), log(source, given.name), sync(known, random_seed()),
-      decisions({.failure_domain = given.failure_domain}, known, random_seed()), life(given.stop_grace),
-      packets(std::move(socket)), packet_events(context, packets.handle()), store(context, given.store), ticks(context),
-      signals(context, SIGTERM, SIGINT, SIGHUP), started(source.steady_now()) {}
+    : values(given), settings_file(std::move(file)), time(source), log(source, given.name),
+      sync(known, sources_of(given), random_number()), claim(claim_of(given), known, random_number()),
+      decisions({.failure_domain = given.failure_domain}, known, random_number()), life(given.stop_grace),
+      packets(context, std::move(socket), decisions, known, log, source), followers(known), store(context, given.store),
+      ticks(context), signals(context, SIGTERM, SIGINT, SIGHUP), started(source.steady_now()) {}
 
 void entry_process::impl::start() {
-    call_store();
+    read_store();
     wait_for_tick();
     wait_for_signal();
 }
 
-//----------------------------------------------------------------------------------------------------------------------
-// Packets
-//----------------------------------------------------------------------------------------------------------------------
-
-void entry_process::impl::wait_for_packets() {
-    packet_events.async_wait(asio::posix::stream_descriptor::wait_read, [this](const boost::system::error_code& error) {
-        if (error) return;
-        receive_packets();
-        wait_for_packets();
-    });
-}
-
-void entry_process::impl::receive_packets() {
-    const steady_time received = now();
-    for (;;) {
-        const auto taken = packets.receive(batch);
-        malformed += taken.too_long;
-        for (const receive_batch::item& item : batch.items())
-            handle_packet(item.bytes, received);
-        flush();
-        if (taken.taken < receive_batch::max_datagrams) break;
-    }
-    life.note_packet(received);
-}
-
-void entry_process::impl::handle_packet(byte_view bytes, steady_time received) {
-    const auto decoded = platform::decode_packet(bytes);
-    if (!decoded) {
-        ++malformed;
-        return;
-    }
-    const segment&          packet = decoded.value();
-    const steering_decision decision = decisions.decide(packet, received);
-    ++reasons.at(static_cast<std::size_t>(decision.why));
-    log.note_decision(packet, decision, known, received);
-    if (decision.what == verdict::deliver) {
-        const known_backend& target = *decision.target;
-        const auto           head = platform::delivery_head(bytes, target.registration.identity, target.reference);
-        outgoing.add(action_kind::deliver, target.registration.address, head, bytes.subspan(platform::head_size));
-    } else if (decision.what == verdict::reset) {
-        outgoing.add(action_kind::reply_to_caller, {packet.source.address, values.packets.port},
-                     platform::reset_for(packet), {});
-    }
-}
-
-void entry_process::impl::flush() {
-    datagrams.clear();
-    for (const action& each : outgoing.actions())
-        datagrams.push_back({each.to, outgoing.payload(each)});
-    if (!datagrams.empty()) unsent += packets.send(datagrams);
-    outgoing.clear();
-}
-
 //----------------------------------------------------------------------------------------------------------------------
 // Store
 //----------------------------------------------------------------------------------------------------------------------
 
-void entry_process::impl::call_store() {
+void entry_process::impl::read_store() {
     const auto next = sync.next_call(now());
     if (!next) return;
-    store.call(*next, [this](result<store_page, store_error> outcome) { store_answered(std::move(outcome)); });
+    store.read(*next, [this](const result<record_page, read_error>& outcome) { records_read(outcome); });
 }
 
-void entry_process::impl::store_answered(result<store_page, store_error> outcome) {
+void entry_process::impl::records_read(const result<record_page, read_error>& outcome) {
     const steady_time answered = now();
     if (outcome) {
         ++store_calls["ok"];
@@ -172,21 +130,43 @@
         ++store_calls[std::string(to_string(outcome.error()))];
         sync.failed(outcome.error(), answered);
     }
-    if (sync.reachable() != store_was_reachable) {
-        store_was_reachable = sync.reachable();
-        log.note_store(store_was_reachable, outcome ? "" : to_string(outcome.error()));
+    if (sync.reachable() != was_reachable) {
+        was_reachable = sync.reachable();
+        log.note_store(was_reachable, outcome ? "" : to_string(outcome.error()));
     }
     if (known.routing() != nullptr && known.complete()) life.note_synchronized();
-    if (life.ready() && !receiving) {
-        receiving = true;
+    if (life.ready() && !packets.started()) {
         log.note_synchronized(answered - started, known);
-        wait_for_packets();
+        packets.start();
     }
-    call_store();
+    followers.poll(sync.is_direct(answered), answered);
+    read_store();
+    claim_feeder();
+}
+
+void entry_process::impl::claim_feeder() {
+    const steady_time current = now();
+    const bool        eligible = sync.is_direct(current) && life.ready();
+    const auto        next = claim.next_call(current, eligible, sync.open_slot());
+    sync.set_feeding(claim.holds());
+    if (claim.holds() != was_feeding) {
+        was_feeding = claim.holds();
+        log.note_feeding(was_feeding);
+    }
+    if (!next) return;
+    store.claim(*next, [this](const result<std::uint64_t, claim_error>& outcome) {
+        ++store_calls[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
+        if (outcome) {
+            claim.succeeded(outcome.value(), now());
+        } else {
+            claim.failed(outcome.error(), now());
+        }
+        claim_feeder();
+    });
 }
 
 //----------------------------------------------------------------------------------------------------------------------
-// Timer, signals, HTTP
+// Timer and signals
 //----------------------------------------------------------------------------------------------------------------------
 
 void entry_process::impl::wait_for_tick() {
@@ -200,12 +180,12 @@
     const steady_time current = now();
     known.expire(current);
     decisions.expire(current);
-    call_store();
+    read_store();
+    claim_feeder();
+    followers.poll(sync.is_direct(current), current);
     log.flush();
-    if (!receiving && current - started >= first_sync_wait) {
-        receiving = true;
-        wait_for_packets();
-    }
+    if (current - started >= first_sync_wait) packets.start();
+    life.note_packet(packets.last_packet());
     if (life.may_end(current)) {
         context.stop();
         return;
@@ -221,16 +201,23 @@
         } else {
             log.note_stop_requested();
             life.ask_to_stop(now());
+            claim_feeder();
         }
         wait_for_signal();
     });
 }
 
-http_answer entry_process::impl::answer(std::string_view path) const {
-    if (path.starts_with("/metrics"))
-        return {.body = "tamarack_flows " + std::to_string(decisions.flows().size()) + "\n"};
-    if (life.ready()) return {.body = "ready\n"};
-    return {.status = service_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"};
+//----------------------------------------------------------------------------------------------------------------------
+// HTTP
+//----------------------------------------------------------------------------------------------------------------------
+
+void entry_process::impl::answer_readiness(const http_responder::reply& respond) const {
+    if (life.ready()) return respond({.body = "ready\n"});
+    respond({.status = status_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"});
+}
+
+std::string entry_process::impl::metrics_text() const {
+    return "tamarack_flows " + std::to_string(decisions.flows().size()) + "\n";
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -244,16 +231,30 @@
                                                                         std::string settings_file, const clock& time) {
     auto socket = udp_socket::open(values.packets, {.receive_buffer = receive_buffer});
     if (!socket) return socket.error();
-    auto       parts = std::make_unique<impl>(values, std::move(settings_file), time, std::move(socket).value());
-    impl*      running = parts.get();
-    const auto answer = [running](std::string_view path) { return running->answer(path); };
-    auto       readiness = http_responder::open(running->context, values.readiness, answer);
-    if (!readiness) return readiness.error();
-    parts->readiness.emplace(std::move(readiness).value());
+    auto  parts = std::make_unique<impl>(values, std::move(settings_file), time, std::move(socket).value());
+    impl* running = parts.get();
+    struct listener {
+        endpoint                where;
+        http_responder::handler handle;
+    };
+    std::vector<listener> listeners = {
+        {values.readiness,
+         [running](std::string_view, const http_responder::reply& respond) { running->answer_readiness(respond); }},
+        {values.peer_address,
+         [running](std::string_view target, http_responder::reply respond) {
+             const steady_time current = running->now();
+             running->followers.handle(target, running->sync.is_direct(current), current, std::move(respond));
+         }},
+    };
     if (values.metrics) {
-        auto metrics = http_responder::open(running->context, *values.metrics, answer);
-        if (!metrics) return metrics.error();
-        parts->metrics.emplace(std::move(metrics).value());
+        listeners.push_back({*values.metrics, [running](std::string_view, const http_responder::reply& respond) {
+                                 respond({.body = running->metrics_text()});
+                             }});
+    }
+    for (listener& each : listeners) {
+        auto server = http_responder::open(running->context, each.where, std::move(each.handle));
+        if (!server) return server.error();
+        parts->servers.push_back(std::move(server).value());
     }
     return std::unique_ptr<entry_process>(new entry_process(std::move(parts)));
 }
--- a/daemons/entry/http_responder.cpp
+++ b/daemons/entry/http_responder.cpp
@@ -22,7 +22,7 @@
 struct http_responder::impl : std::enable_shared_from_this<http_responder::impl> {
     struct session;
 
-    impl(asio::io_context& context, handler reply) : acceptor(context), answer(std::move(reply)) {}
+    impl(asio::io_context& context, handler handle) : acceptor(context), answer(std::move(handle)) {}
 
     void accept();
 
@@ -40,7 +40,8 @@
     session& operator=(const session&) = delete;
 
     void read();
-    void write();
+    void ask();
+    void write(http_answer reply);
 
     std::shared_ptr<impl>             server;
     beast::tcp_stream                 stream;
@@ -54,13 +55,18 @@
     stream.expires_after(idle_timeout);
     http::async_read(stream, buffer, request,
                      [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
-                         if (!error) self->write();
+                         if (!error) self->ask();
                      });
 }
 
-void http_responder::impl::session::write() {
-    const auto  target = request.target();
-    http_answer reply = server->answer({target.data(), target.size()});
+void http_responder::impl::session::ask() {
+    stream.expires_never();
+    const auto target = request.target();
+    server->answer({target.data(), target.size()},
+                   [self = shared_from_this()](http_answer reply) { self->write(std::move(reply)); });
+}
+
+void http_responder::impl::session::write(http_answer reply) {
     response = {};
     response.version(request.version());
     response.result(reply.status);
@@ -68,6 +74,7 @@
     response.body() = std::move(reply.body);
     response.keep_alive(request.keep_alive());
     response.prepare_payload();
+    stream.expires_after(idle_timeout);
     http::async_write(stream, response,
                       [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
                           if (!error && self->response.keep_alive()) self->read();
--- a/daemons/entry/http_responder.h
+++ b/daemons/entry/http_responder.h
@@ -1,4 +1,5 @@
-// A small HTTP server (Boost.Beast) for readiness checks and metrics: one answer a path, connections are kept.
+// A small HTTP server (Boost.Beast) for readiness checks, metrics and followers. Connections are kept; an answer may
+// come later than its request.
 #pragma once
 
 #include "tamarack/result.h"
@@ -17,7 +18,8 @@
 
 class http_responder {
 public:
-    using handler = std::function<http_answer(std::string_view path)>;
+    using reply = std::function<void(http_answer)>; // called once, at once or later
+    using handler = std::function<void(std::string_view target, reply respond)>;
 
     static result<http_responder, std::string> open(boost::asio::io_context& context, const endpoint& listen,
                                                     handler answer);
--- /dev/null
+++ b/daemons/entry/packet_port.cpp
@@ -0,0 +1,72 @@
+// The socket of callers' packets.
+#include "daemons/entry/packet_port.h"
+
+#include "platform/packet_format.h"
+
+namespace tamarack::entry {
+
+packet_port::packet_port(boost::asio::io_context& context, udp_socket socket, steering& decisions, const replica& known,
+                         event_log& log, const clock& time)
+    : socket_(std::move(socket)), readable_(context, socket_.handle()), decisions_(decisions), known_(known), log_(log),
+      time_(time), reset_port_(socket_.address().port) {}
+
+packet_port::~packet_port() {
+    readable_.release();
+}
+
+void packet_port::start() {
+    if (started_) return;
+    started_ = true;
+    wait();
+}
+
+void packet_port::wait() {
+    readable_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                         [this](const boost::system::error_code& error) {
+                             if (error) return;
+                             receive();
+                             wait();
+                         });
+}
+
+void packet_port::receive() {
+    last_packet_ = time_.steady_now();
+    for (;;) {
+        const auto taken = socket_.receive(batch_);
+        counters_.malformed += taken.too_long;
+        for (const receive_batch::item& item : batch_.items())
+            handle(item.bytes, last_packet_);
+        flush();
+        if (taken.taken < receive_batch::max_datagrams) return;
+    }
+}
+
+void packet_port::handle(byte_view bytes, steady_time now) {
+    const auto decoded = platform::decode_packet(bytes);
+    if (!decoded) {
+        ++counters_.malformed;
+        return;
+    }
+    const segment&          packet = decoded.value();
+    const steering_decision decision = decisions_.decide(packet, now);
+    ++counters_.decisions.at(static_cast<std::size_t>(decision.why));
+    log_.note_decision(packet, decision, known_, now);
+    if (decision.what == verdict::deliver) {
+        const known_backend& target = *decision.target;
+        const auto           head = platform::delivery_head(bytes, target.registration.identity, target.reference);
+        outgoing_.add(action_kind::deliver, target.registration.address, head, bytes.subspan(platform::head_size));
+    } else if (decision.what == verdict::reset) {
+        outgoing_.add(action_kind::reply_to_caller, {packet.source.address, reset_port_}, platform::reset_for(packet),
+                      {});
+    }
+}
+
+void packet_port::flush() {
+    datagrams_.clear();
+    for (const action& each : outgoing_.actions())
+        datagrams_.push_back({each.to, outgoing_.payload(each)});
+    if (!datagrams_.empty()) counters_.unsent += socket_.send(datagrams_);
+    outgoing_.clear();
+}
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/daemons/entry/packet_port.h
@@ -0,0 +1,54 @@
+// Receives callers' packets, has each decided on, and sends the deliveries and resets.
+#pragma once
+
+#include "entry/event_log.h"
+#include "entry/steering.h"
+#include "tamarack/udp_socket.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+
+namespace tamarack::entry {
+
+struct packet_counters {
+    std::array<std::uint64_t, reason_count> decisions{}; // by reason
+    std::uint64_t                           malformed = 0;
+    std::uint64_t                           unsent = 0; // the host did not take them
+};
+
+class packet_port {
+public:
+    packet_port(boost::asio::io_context& context, udp_socket socket, steering& decisions, const replica& known,
+                event_log& log, const clock& time);
+    ~packet_port();
+    packet_port(const packet_port&) = delete;
+    packet_port& operator=(const packet_port&) = delete;
+
+    // Packets that arrive before wait in the socket's buffer.
+    void                   start();
+    bool                   started() const { return started_; }
+    steady_time            last_packet() const { return last_packet_; }
+    const packet_counters& counters() const { return counters_; }
+
+private:
+    void wait();
+    void receive();
+    void handle(byte_view bytes, steady_time now);
+    void flush();
+
+    udp_socket                            socket_;
+    boost::asio::posix::stream_descriptor readable_; // of the socket, which it does not own
+    steering&                             decisions_;
+    const replica&                        known_;
+    event_log&                            log_;
+    const clock&                          time_;
+    std::uint16_t                         reset_port_; // at the callers' addresses
+    receive_batch                         batch_;
+    action_buffer                         outgoing_;
+    std::vector<outgoing_datagram>        datagrams_;
+    packet_counters                       counters_;
+    steady_time                           last_packet_{};
+    bool                                  started_ = false;
+};
+
+} // namespace tamarack::entry
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -104,6 +104,10 @@
     write(event::store_unavailable, {{"error", error}});
 }
 
+void event_log::note_feeding(bool feeding) {
+    write(feeding ? event::feeding_began : event::feeding_ended, {});
+}
+
 void event_log::note_records(std::span<const record> records, const replica& known) {
     for (const record& item : records) {
         if (const auto* unusable = std::get_if<unusable_record>(&item.content)) {
@@ -118,8 +122,13 @@
                                                      {"failure_domain", registration->failure_domain},
                                                      {"state", to_string(registration->state)},
                                                      {"revision", item.revision}});
+        } else if (const auto* feeder = std::get_if<feeder_registration>(&item.content)) {
+            write(event::feeder_registered, {{"feeder", feeder->name},
+                                             {"failure_domain", feeder->failure_domain},
+                                             {"slot", feeder->slot},
+                                             {"revision", item.revision}});
         } else {
-            write(event::backend_server_removed, {{"key", item.key}, {"revision", item.revision}});
+            write(event::record_removed, {{"key", item.key}, {"revision", item.revision}});
         }
     }
 }
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -19,6 +19,7 @@
     void note_stopped();
     void note_reload(const std::string& file);
     void note_store(bool reachable, std::string_view error);
+    void note_feeding(bool feeding);
     void note_records(std::span<const record> records, const replica& known);
     void note_decision(const segment& packet, const steering_decision& decision, const replica& known, steady_time now);
 
--- /dev/null
+++ b/entry/feed.h
@@ -0,0 +1,56 @@
+// Serves this balancer's replica to followers: which of their waiting calls are answered now, and with what.
+//
+// A feeder answers a watch only while it reads the store itself, so that two balancers never prove each other current.
+// Listings are given by every synchronized balancer, for those that start while the store is away.
+#pragma once
+
+#include "entry/replica.h"
+
+namespace tamarack::entry {
+
+enum class feed_status : std::uint8_t {
+    ok,
+    not_current, // read elsewhere
+    full,        // too many followers
+    dropped,     // the position is not known; list again
+};
+
+struct feed_answer {
+    feed_status         status = feed_status::ok;
+    std::vector<record> records;
+    std::uint64_t       position = 0;
+    std::uint64_t       revision = 0; // of the store
+};
+
+class feed {
+public:
+    explicit feed(const replica& known) : known_(known) {}
+
+    feed_answer list() const;
+
+    // Nullopt: the call waits, and poll returns its number when it is due.
+    std::optional<feed_answer> watch(std::uint64_t call, std::uint64_t position, duration wait, bool is_current,
+                                     steady_time now);
+    struct due_answer {
+        std::uint64_t call = 0;
+        feed_answer   answer;
+    };
+    // Answers to the waiting calls that have something to say, have waited long enough, or must go elsewhere.
+    std::vector<due_answer> poll(bool is_current, steady_time now);
+    // The follower has closed its connection.
+    void                    forget(std::uint64_t call) { waiting_.erase(call); }
+    std::size_t             followers() const { return waiting_.size(); }
+
+private:
+    struct waiting_call {
+        std::uint64_t position = 0;
+        steady_time   until{};
+    };
+
+    feed_answer answer_from(std::uint64_t position) const;
+
+    const replica&                        known_;
+    std::map<std::uint64_t, waiting_call> waiting_; // by number of the call
+};
+
+} // namespace tamarack::entry
--- a/entry/model.h
+++ b/entry/model.h
@@ -3,7 +3,7 @@
 // Index
 //   [1] Routing    request_kind, service_share, route, routing_table
 //   [2] Backends   backend_registration, backend_reference
-//   [3] Records    record, record_content
+//   [3] Records    feeder_registration, record, record_content
 //   [4] Packets    segment
 //
 // The adapter in platform/ decodes wire forms into these types; nothing here knows a wire name.
@@ -72,13 +72,21 @@
 // [3] Records
 //----------------------------------------------------------------------------------------------------------------------
 
+// A balancer that reads the store for the others of its failure domain.
+struct feeder_registration {
+    std::string name; // of the balancer
+    std::string failure_domain;
+    unsigned    slot = 0; // 0: the first; others follow when those before are full
+    endpoint    address;  // serves its replica as the store would
+};
+
 struct removed_record {};
 struct unusable_record {
     std::string reason; // why it names nothing to use
 };
 
-using record_content =
-    std::variant<removed_record, unusable_record, std::shared_ptr<const routing_table>, backend_registration>;
+using record_content = std::variant<removed_record, unusable_record, std::shared_ptr<const routing_table>,
+                                    backend_registration, feeder_registration>;
 
 // One key of the store in one state. Of two states of a key, the one with the higher revision is newer.
 struct record {
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -38,6 +38,8 @@
         return apply_routing(item, *table);
     if (const auto* registration = std::get_if<backend_registration>(&item.content))
         return apply_backend(item, *registration, now);
+    if (const auto* registration = std::get_if<feeder_registration>(&item.content))
+        return apply_feeder(item, *registration);
     if (std::holds_alternative<removed_record>(item.content)) return apply_removal(item, now);
     mark_unusable(item);
     return replica_change::none;
@@ -53,13 +55,13 @@
     routes_.clear();
     for (const route& each : routing_->routes)
         routes_[each.address] = &each;
-    ++generation_;
+    routing_changed_at_ = ++generation_;
     return replica_change::routing;
 }
 
 replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
     if (const auto gone = tombstones_.find(item.key); gone != tombstones_.end()) {
-        if (item.revision <= gone->second) return replica_change::none;
+        if (item.revision <= gone->second.revision) return replica_change::none;
         tombstones_.erase(gone);
     }
     known_backend& known = backends_[item.key];
@@ -72,16 +74,43 @@
     known.removed_at.reset();
     known.removal_due.reset();
     known.usable = true;
+    known.changed_at = ++generation_;
     raw_[item.key] = item.raw;
     rebuild_index();
     return is_new ? replica_change::backend_registered : replica_change::backend_changed;
 }
 
+replica_change replica::apply_feeder(const record& item, const feeder_registration& registration) {
+    if (const auto gone = tombstones_.find(item.key); gone != tombstones_.end()) {
+        if (item.revision <= gone->second.revision) return replica_change::none;
+        tombstones_.erase(gone);
+    }
+    const std::pair place(registration.failure_domain, registration.slot);
+    known_feeder&   known = feeders_[place];
+    if (item.revision <= known.revision) return replica_change::none;
+    known = {registration, item.revision, ++generation_};
+    feeder_keys_[item.key] = place;
+    raw_[item.key] = item.raw;
+    return replica_change::feeders;
+}
+
+replica_change replica::remove_feeder(const record& item) {
+    const auto found = feeder_keys_.find(item.key);
+    const auto known = feeders_.find(found->second);
+    if (known == feeders_.end() || item.revision <= known->second.revision) return replica_change::none;
+    feeders_.erase(known);
+    feeder_keys_.erase(found);
+    raw_.erase(item.key);
+    tombstones_[item.key] = {item.revision, ++generation_};
+    return replica_change::feeders;
+}
+
 replica_change replica::apply_removal(const record& item, steady_time now) {
+    if (feeder_keys_.contains(item.key)) return remove_feeder(item);
     const auto found = backends_.find(item.key);
     if (found == backends_.end()) {
-        std::uint64_t& revision = tombstones_[item.key];
-        revision = std::max(revision, item.revision);
+        tombstone& known = tombstones_[item.key];
+        if (item.revision > known.revision) known = {item.revision, ++generation_};
         return replica_change::none;
     }
     known_backend& known = found->second;
@@ -93,6 +122,7 @@
     known.revision = item.revision;
     known.removed_at = now;
     known.removal_due.reset();
+    known.changed_at = ++generation_;
     rebuild_index();
     return replica_change::backend_removed;
 }
@@ -102,6 +132,7 @@
     if (found == backends_.end() || item.revision <= found->second.revision) return;
     found->second.usable = false;
     found->second.revision = item.revision;
+    found->second.changed_at = ++generation_;
     raw_[item.key] = item.raw;
     rebuild_index();
 }
@@ -115,15 +146,16 @@
         changes.push_back(apply(item, now));
     }
     std::vector<record> missing;
+    for (const auto& [key, place] : feeder_keys_) {
+        if (feeders_.at(place).revision < revision && !present.contains(key))
+            missing.push_back({.key = key, .revision = revision, .content = removed_record{}, .raw = {}});
+    }
     for (const auto& [key, known] : backends_) {
-        if (!known.removed_at && known.revision <= revision && !present.contains(key))
-            missing.push_back({.key = key, .revision = revision + 1, .content = removed_record{}, .raw = {}});
+        if (!known.removed_at && known.revision < revision && !present.contains(key))
+            missing.push_back({.key = key, .revision = revision, .content = removed_record{}, .raw = {}});
     }
-    for (record& item : missing) {
-        // The removal lies at or before the snapshot's revision, and after the known state.
-        item.revision = std::max(revision, backends_.at(item.key).revision + 1);
+    for (const record& item : missing)
         changes.push_back(apply(item, now));
-    }
     complete_ = true;
     set_complete_to(revision);
     return changes;
@@ -163,12 +195,13 @@
         known.removal_due.reset();
         known.removed_at = now;
         ++known.revision;
+        known.changed_at = ++generation_;
         ++ended;
     }
     const std::size_t forgotten = std::erase_if(backends_, [&](const auto& each) {
         const bool old = each.second.removed_at && now > *each.second.removed_at + keep_removed;
         if (old) {
-            tombstones_[each.first] = each.second.revision;
+            tombstones_[each.first] = {each.second.revision, each.second.changed_at};
             raw_.erase(each.first);
         }
         return old;
@@ -182,7 +215,6 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 void replica::rebuild_index() {
-    ++generation_;
     references_.clear();
     services_.clear();
     for (auto& [key, known] : backends_) {
@@ -215,26 +247,38 @@
     return found->second;
 }
 
-std::vector<record> replica::changes_after(std::uint64_t revision) const {
+record replica::record_of(const std::string& key, const known_backend& known) const {
+    if (known.removed_at) return {.key = key, .revision = known.revision, .content = removed_record{}, .raw = {}};
+    return {.key = key, .revision = known.revision, .content = known.registration, .raw = raw_.at(key)};
+}
+
+std::optional<std::vector<record>> replica::changes_after(std::uint64_t generation) const {
+    if (generation < first_generation_ || generation > generation_) return std::nullopt;
     std::vector<record> changes;
-    if (routing_ && routing_revision_ > revision) {
+    if (routing_ && routing_changed_at_ > generation) {
         changes.push_back(
             {.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw = routing_raw_});
     }
     for (const auto& [key, known] : backends_) {
-        if (known.revision <= revision) continue;
-        if (known.removed_at) {
-            changes.push_back({.key = key, .revision = known.revision, .content = removed_record{}, .raw = {}});
-        } else if (const auto raw = raw_.find(key); raw != raw_.end()) {
+        if (known.changed_at > generation) changes.push_back(record_of(key, known));
+    }
+    for (const auto& [key, place] : feeder_keys_) {
+        const known_feeder& known = feeders_.at(place);
+        if (known.changed_at > generation)
             changes.push_back(
-                {.key = key, .revision = known.revision, .content = known.registration, .raw = raw->second});
-        }
+                {.key = key, .revision = known.revision, .content = known.registration, .raw = raw_.at(key)});
     }
     for (const auto& [key, removed] : tombstones_) {
-        if (removed > revision)
-            changes.push_back({.key = key, .revision = removed, .content = removed_record{}, .raw = {}});
+        if (removed.changed_at > generation)
+            changes.push_back({.key = key, .revision = removed.revision, .content = removed_record{}, .raw = {}});
     }
     return changes;
 }
 
+std::vector<record> replica::records() const {
+    auto all = changes_after(first_generation_).value_or(std::vector<record>{});
+    std::erase_if(all, [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
+    return all;
+}
+
 } // namespace tamarack::entry
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -9,25 +9,35 @@
 
 #include "entry/model.h"
 
+#include <map>
+
 namespace tamarack::entry {
 
 // Backend servers register again within about two seconds of the store's return.
 inline constexpr duration removal_hold = std::chrono::milliseconds(2'300);
 
+struct known_feeder {
+    feeder_registration registration;
+    std::uint64_t       revision = 0;
+    std::uint64_t       changed_at = 0; // generation
+};
+
 struct known_backend {
     backend_registration       registration;
     backend_reference          reference = 0;
     std::uint64_t              revision = 0;
-    steady_time                registered{};  // when this state was learned
-    std::optional<steady_time> removed_at;    // set: gone, kept for the packets of its flows
-    std::optional<steady_time> removal_due;   // set: a held removal
-    bool                       usable = true; // false: its registration cannot be read, or its reference is ambiguous
+    steady_time                registered{};   // when this state was learned
+    std::optional<steady_time> removed_at;     // set: gone, kept for the packets of its flows
+    std::optional<steady_time> removal_due;    // set: a held removal
+    std::uint64_t              changed_at = 0; // generation
+    bool                       usable = true;  // false: its registration cannot be read, or its reference is ambiguous
 
     bool takes_new_flows() const { return usable && !removed_at && registration.state == backend_state::active; }
 };
 
 enum class replica_change : std::uint8_t {
     none,
+    feeders,
     routing,
     backend_registered,
     backend_changed,
@@ -37,6 +47,9 @@
 
 class replica {
 public:
+    explicit replica(std::uint64_t first_generation = 0)
+        : generation_(first_generation), first_generation_(first_generation) {}
+
     // A record that is not newer than the known state of its key changes nothing.
     replica_change              apply(const record& item, steady_time now);
     // All records of the store up to a revision; keys that are missing in it have been removed. pages_end is the
@@ -64,11 +77,16 @@
     // Since when the store has answered without a break; nullopt while it does not.
     std::optional<steady_time>                            store_steady_since() const { return steady_since_; }
 
-    // Records in their last state with a revision above the given one, for peers; held removals are left out.
-    std::vector<record> changes_after(std::uint64_t revision) const;
-    std::uint64_t       routing_revision() const { return routing_revision_; }
-    // Changes with each applied record.
-    std::uint64_t       generation() const { return generation_; }
+    // Grows with each change of what is known. Starts at a number that differs from process to process, so that a
+    // position of another process is told apart.
+    std::uint64_t                                                   generation() const { return generation_; }
+    // What changed after a generation, in its last state; held removals are left out. Nullopt: the generation is not
+    // one of this process, or what was removed since is no longer known.
+    std::optional<std::vector<record>>                              changes_after(std::uint64_t generation) const;
+    // All records in their last state.
+    std::vector<record>                                             records() const;
+    // By failure domain and slot.
+    const std::map<std::pair<std::string, unsigned>, known_feeder>& feeders() const { return feeders_; }
 
 private:
     struct endpoint_hash {
@@ -77,25 +95,37 @@
 
     replica_change apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
     replica_change apply_backend(const record& item, const backend_registration& registration, steady_time now);
+    replica_change apply_feeder(const record& item, const feeder_registration& registration);
+    replica_change remove_feeder(const record& item);
     replica_change apply_removal(const record& item, steady_time now);
     void           mark_unusable(const record& item);
+    record         record_of(const std::string& key, const known_backend& known) const;
     bool           holds_removals(steady_time now) const;
     void           rebuild_index();
 
+    struct tombstone {
+        std::uint64_t revision = 0;   // of the removal
+        std::uint64_t changed_at = 0; // generation
+    };
+
     std::shared_ptr<const routing_table>                               routing_;
     std::uint64_t                                                      routing_revision_ = 0;
+    std::uint64_t                                                      routing_changed_at_ = 0; // generation
     std::string                                                        routing_key_;
     std::string                                                        routing_raw_;
-    std::unordered_map<endpoint, const route*, endpoint_hash>          routes_;     // into *routing_
-    std::unordered_map<std::string, known_backend>                     backends_;   // by key of the store
-    std::unordered_map<std::string, std::string>                       raw_;        // by key; as stored
-    std::unordered_map<std::string, std::uint64_t>                     tombstones_; // revision of the removal, by key
-    std::unordered_map<backend_reference, const known_backend*>        references_; // into backends_
-    std::unordered_map<std::string, std::vector<const known_backend*>> services_;   // those that take new flows
+    std::unordered_map<endpoint, const route*, endpoint_hash>          routes_;      // into *routing_
+    std::unordered_map<std::string, known_backend>                     backends_;    // by key of the store
+    std::unordered_map<std::string, std::string>                       raw_;         // as stored, by key
+    std::unordered_map<std::string, tombstone>                         tombstones_;  // by key
+    std::unordered_map<backend_reference, const known_backend*>        references_;  // into backends_
+    std::unordered_map<std::string, std::vector<const known_backend*>> services_;    // those that take new flows
+    std::map<std::pair<std::string, unsigned>, known_feeder>           feeders_;     // by failure domain and slot
+    std::unordered_map<std::string, std::pair<std::string, unsigned>>  feeder_keys_; // into feeders_, by key
     std::optional<steady_time>                                         steady_since_;
     std::optional<steady_time>                                         returned_at_; // set after an outage
     std::uint64_t                                                      complete_to_ = 0;
     std::uint64_t                                                      generation_ = 0;
+    std::uint64_t                                                      first_generation_ = 0;
     bool                                                               complete_ = false;
 };
 
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -12,10 +12,12 @@
     endpoint                packets;        // [balancer] receives callers' packets from the fabric
     endpoint                readiness;      // [balancer] answers the fabric's readiness checks
     std::optional<endpoint> metrics;        // [balancer] serves metrics; none: nowhere
-    endpoint                peer_address;   // [peers] receives messages of other balancers, UDP
-    std::vector<endpoint>   contacts;       // [peers] hosts to contact first; their port is not used
+    endpoint                peer_address;   // [peers] serves what is known of the store to other balancers
+    std::vector<endpoint>   contacts;       // [peers] hosts to ask at the start; their port is not used
     endpoint                store;          // [store]
     duration                stop_grace = std::chrono::seconds(6); // [stop] the host ends the process after it
+    double                  processor_share = 1.0;                // [limits] of one core
+    double                  link_mbps = 1'000.0;                  // [limits] of the host's link
     std::size_t             memory_mb = 64;                       // [limits] of the process
 };
 
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -7,94 +7,130 @@
 
 namespace {
 
-// The store's longest useful wait is bounded by how soon a silent connection must be noticed.
-constexpr duration         watch_wait = std::chrono::milliseconds(2'500);
-constexpr duration         watch_grace = std::chrono::milliseconds(700); // for the answer to a watch that has ended
-constexpr duration         list_timeout = std::chrono::milliseconds(1'200);
-// Changes that come in quick succession share one answer.
-constexpr duration         watch_pause = std::chrono::milliseconds(100);
-constexpr backoff_settings retry_wait = {std::chrono::milliseconds(100), std::chrono::milliseconds(800)};
+// The longest useful wait is bounded by how soon a silent connection must be noticed. Waits on feeders have no price.
+constexpr duration store_watch_wait = std::chrono::milliseconds(2'500);
+constexpr duration feeder_watch_wait = std::chrono::milliseconds(1'500);
+constexpr duration watch_grace = std::chrono::milliseconds(700); // for the answer to a watch that has ended
+constexpr duration list_timeout = std::chrono::milliseconds(1'200);
+// Changes in quick succession share one answer of the store; a single one is seen at once.
+constexpr duration burst_window = std::chrono::milliseconds(1'000);
+constexpr duration burst_pause = std::chrono::milliseconds(250);
+constexpr duration single_pause = std::chrono::milliseconds(50);
+// Failures in a row until the store counts as away: a watch may be cut, and a feeder end, at any time.
+constexpr unsigned failures_until_lost = 2;
 
 } // namespace
 
-std::string_view to_string(store_error error) {
+std::string_view to_string(read_error error) {
     switch (error) {
-    case store_error::unreachable:
+    case read_error::unreachable:
         return "unreachable";
-    case store_error::timed_out:
+    case read_error::timed_out:
         return "timed_out";
-    case store_error::refused:
+    case read_error::refused:
         return "refused";
-    case store_error::history_dropped:
+    case read_error::full:
+        return "full";
+    case read_error::history_dropped:
         return "history_dropped";
-    case store_error::unreadable:
+    case read_error::unreadable:
         return "unreadable";
     }
     return "unknown";
 }
 
-store_sync::store_sync(replica& known, std::uint64_t random_seed) : known_(known), random_(random_seed) {}
+store_sync::store_sync(replica& known, const source_settings& settings, std::uint64_t random_seed)
+    : known_(known), sources_(settings, known, random_seed) {}
 
-std::optional<store_call> store_sync::next_call(steady_time now) {
+// Positions belong to their source. The store's is its revision, so that a watch can go on from what a feeder gave.
+void store_sync::turn_to(const record_source& source) {
+    if (source == call_.source) return;
+    const bool goes_on = source.kind == source_kind::store && known_.complete();
+    call_ = {.kind = goes_on ? read_kind::watch : read_kind::list,
+             .source = source,
+             .after_key = {},
+             .after_position = known_.complete_to()};
+    listed_.clear();
+}
+
+std::optional<read_call> store_sync::next_call(steady_time now) {
     if (under_way_ || now < not_before_) return std::nullopt;
-    under_way_ = true;
-    if (call_.kind == store_call_kind::list) {
-        call_.timeout = list_timeout;
-    } else {
-        call_.after_revision = known_.complete_to();
-        call_.wait = watch_wait;
-        call_.timeout = watch_wait + watch_grace;
+    if (!repeat_) {
+        const bool in_listing = call_.kind == read_kind::list && !call_.after_key.empty();
+        const auto source = in_listing ? call_.source : sources_.choose(now);
+        if (!source) {
+            not_before_ = sources_.next_due();
+            return std::nullopt;
+        }
+        turn_to(*source);
     }
+    repeat_ = false;
+    under_way_ = true;
+    call_.wait = call_.source.kind == source_kind::store ? store_watch_wait : feeder_watch_wait;
+    call_.timeout = call_.kind == read_kind::list ? list_timeout : call_.wait + watch_grace;
     return call_;
 }
 
-std::optional<steady_time> store_sync::due() const {
-    if (under_way_) return std::nullopt;
-    return not_before_;
-}
-
-std::vector<replica_change> store_sync::succeeded(const store_page& page, steady_time now) {
+std::vector<replica_change> store_sync::succeeded(const record_page& page, steady_time now) {
     under_way_ = false;
     failures_ = 0;
-    last_success_ = now;
-    known_.store_returned(now);
+    reachable_ = true;
+    sources_.succeeded(call_.source);
+    if (reads_store()) direct_success_ = now;
+    // A contact may be as cut off as this balancer; only the store and its feeders prove that the store is there.
+    if (call_.source.kind != source_kind::contact) known_.store_returned(now);
     std::vector<replica_change> changes;
-    if (call_.kind == store_call_kind::watch) {
-        for (const record& item : page.records)
-            changes.push_back(known_.apply(item, now));
-        known_.set_complete_to(page.revision);
-        not_before_ = page.records.empty() ? now : now + watch_pause;
+    if (call_.kind == read_kind::list) {
+        take_listing(page, now, changes);
         return changes;
     }
+    for (const record& item : page.records)
+        changes.push_back(known_.apply(item, now));
+    known_.set_complete_to(page.revision);
+    call_.after_position = page.position;
+    if (page.records.empty()) return changes;
+    not_before_ = now + (now - last_change_ < burst_window ? burst_pause : single_pause);
+    last_change_ = now;
+    return changes;
+}
+
+void store_sync::take_listing(const record_page& page, steady_time now, std::vector<replica_change>& changes) {
     if (call_.after_key.empty()) {
         listed_.clear();
-        listed_revision_ = page.revision;
+        first_page_ = {.records = {}, .position = page.position, .revision = page.revision};
     }
     listed_.insert(listed_.end(), page.records.begin(), page.records.end());
     if (page.more && !page.records.empty()) {
         call_.after_key = page.records.back().key;
-        return changes;
+        return;
     }
-    changes = known_.apply_snapshot(listed_, listed_revision_, now);
+    changes = known_.apply_snapshot(listed_, first_page_.revision, now);
     listed_.clear();
-    call_ = {.kind = store_call_kind::watch, .after_key = {}};
-    return changes;
+    call_.kind = read_kind::watch;
+    call_.after_key.clear();
+    call_.after_position = first_page_.position;
 }
 
-void store_sync::failed(store_error error, steady_time now) {
+void store_sync::failed(read_error error, steady_time now) {
     under_way_ = false;
-    if (error == store_error::history_dropped) {
-        call_ = {.kind = store_call_kind::list, .after_key = {}};
+    if (error == read_error::history_dropped) {
+        call_.kind = read_kind::list;
+        call_.after_key.clear();
+        repeat_ = true;
         return;
     }
-    if (call_.kind == store_call_kind::list) call_.after_key.clear();
-    // A watch may be cut at any time; the first repetition follows at once and decides whether the store is away.
-    const bool maybe_cut = failures_ == 0 && error == store_error::unreachable && call_.kind == store_call_kind::watch;
+    if (call_.kind == read_kind::list) call_.after_key.clear();
     ++failures_;
-    if (maybe_cut) return;
+    repeat_ = failures_ == 1 && error == read_error::unreachable && call_.kind == read_kind::watch && reads_store();
+    if (!repeat_) sources_.failed(call_.source, error == read_error::full, now);
+    if (failures_ < failures_until_lost) return;
+    reachable_ = false;
     known_.store_lost(now);
-    not_before_ =
-        now + backoff_limit(retry_wait, failures_ - 1) / 2 + backoff_delay(retry_wait, failures_ - 1, random_) / 2;
+}
+
+bool store_sync::is_direct(steady_time now) const {
+    return reachable_ && reads_store() && known_.complete() &&
+           now - direct_success_ <= store_watch_wait + watch_grace + burst_pause;
 }
 
 } // namespace tamarack::entry
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -50,8 +50,11 @@
 
     {event::backend_server_registered, severity::info, "backend server registered",
      "Entry balancer: a backend server registered or changed its registration in the store, as `revision`."},
-    {event::backend_server_removed, severity::info, "backend server removed",
-     "Entry balancer: a registration ended. It may be held for a while after an outage of the store."},
+    {event::record_removed, severity::info, "record removed",
+     "Entry balancer: a registration of a backend server or feeder ended. A backend server may be held in use for a while "
+     "after an outage of the store."},
+    {event::feeder_registered, severity::info, "feeder registered",
+     "Entry balancer: a balancer reads the store for the others of its failure domain."},
 
     {event::flow_placed, severity::info, "flow placed",
      "Entry balancer: the SYN of a flow, or its copy, went to a backend server. `copy`: 0 for the first SYN. "
@@ -65,6 +68,11 @@
     {event::lines_left_out, severity::warning, "lines left out",
      "Entry balancer: `count` lines of single packets exceeded the rate of the log since the last such line."},
 
+    {event::feeding_began, severity::info, "feeding began",
+     "Entry balancer: this balancer reads the store for the others of its failure domain."},
+    {event::feeding_ended, severity::info, "feeding ended",
+     "Entry balancer: the balancer stops, lost the store, or lost its lease; others read the store until there is a new feeder."},
+
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
      "Too many calls wait for the control thread; further ones are refused."},
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -40,13 +40,16 @@
     backend_server_back = 5002,
 
     backend_server_registered = 5003,
-    backend_server_removed = 5004,
+    record_removed = 5004,
+    feeder_registered = 5005,
 
     flow_placed = 6001,
     packet_not_delivered = 6002,
     synchronized = 6003,
     record_unusable = 6004,
     lines_left_out = 6005,
+    feeding_began = 6006,
+    feeding_ended = 6007,
 
     call_refused = 7001,
     calls_overloaded = 7002,
