--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -1,5 +1,6 @@
 // Wire forms of the users' platform: packets, deliveries, resets, records and answers of the store.
 #define BOOST_TEST_MODULE platform_format
+#include "platform/feed_format.h"
 #include "platform/packet_format.h"
 #include "platform/record_format.h"
 
@@ -130,6 +131,41 @@
     BOOST_TEST(std::holds_alternative<removed_record>(changes.value().records.front().content));
 }
 
+BOOST_AUTO_TEST_CASE(a_feeders_answer_is_read_as_the_stores) {
+    const feed_answer answer{
+        .records = {decode_record("servers/i-7f3a91c2", 3, good_backend), removed_key("servers/i-1", 4)},
+        .position = 9'000'000'000'000U,
+        .revision = 5};
+    const auto changes = decode_changes(encode_changes(answer));
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_TEST(changes.value().position == 9'000'000'000'000U);
+    BOOST_TEST(changes.value().revision == 5U);
+    BOOST_REQUIRE(changes.value().records.size() == 2U);
+    BOOST_TEST(changes.value().records[0].raw == good_backend);
+    BOOST_TEST(std::holds_alternative<removed_record>(changes.value().records[1].content));
+    BOOST_TEST(decode_listing(encode_listing(answer)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(calls_of_followers_are_read) {
+    const auto watch = decode_feed_request("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500");
+    BOOST_REQUIRE((watch && std::holds_alternative<feed_watch_request>(*watch)));
+    BOOST_TEST(std::get<feed_watch_request>(*watch).position == 77U);
+    BOOST_TEST((std::get<feed_watch_request>(*watch).wait == std::chrono::milliseconds(1'500)));
+    BOOST_TEST(decode_feed_request("/tamarackshore/kv-range?prefix=").has_value());
+    for (const char* target : {"", "/", "/tamarackshore/kv-watch", "/tamarackshore/kv-watch?after=x&wait_ms=5",
+                               "/tamarackshore/kv-watch?after=5&wait_ms=99999999", "/tamarackshore/kv-txn?after=1"})
+        BOOST_TEST(!decode_feed_request(target).has_value(), target);
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_names_its_key_lease_and_condition) {
+    const std::string body = encode_feeder_claim({"one", "north", 1, {ip_address::v4(0x0a010001), 7720}}, 42);
+    BOOST_TEST(body.find(R"("expected_rev":[{"key":"tamarack/feeders/north/1","revision":0}])") != std::string::npos);
+    BOOST_TEST(body.find(R"("lease":42)") != std::string::npos);
+    BOOST_TEST(decode_lease(R"({"lease":77120,"ttl_ms":3000})").value() == 77120U);
+    BOOST_TEST(!decode_lease("{}").has_value());
+    BOOST_TEST(encode_lease_request(std::chrono::seconds(6)) == R"({"ttl_ms":6000})");
+}
+
 BOOST_AUTO_TEST_CASE(answers_that_are_cut_or_altered_are_refused_or_read_without_harm) {
     const std::string body =
         R"({"events":[{"key":"servers/i-1","value":"bm9kZS0x","revision":413}],"current_rev":413,"has_more":false})";
