Log requests by their ids, serve metrics, and read changed settings

A request's first packet, a stalled one and each refusal are logged with the request's id, the flow, the reason, the versions and the age of what the balancer knew; lines are limited by rate for each kind. Metrics hold decisions by reason, calls by result and the distributions of handshakes and answers. SIGHUP and a changed file are read; what needs a restart is said.

--- /dev/null
+++ b/daemons/entry/entry_metrics.cpp
@@ -0,0 +1,44 @@
+// Names of the metrics.
+#include "daemons/entry/entry_metrics.h"
+
+namespace tamarack::entry {
+
+namespace {
+
+std::uint64_t age_ms(steady_time since, steady_time now) {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+}
+
+void add_backends(const replica& known, counter_map& values) {
+    for (const char* state : {"active", "draining", "removed"})
+        values["entry_backend_servers_" + std::string(state)] = 0;
+    for (const auto& [key, backend] : known.backends()) {
+        const auto state = backend.removed_at ? std::string_view("removed") : to_string(backend.registration.state);
+        ++values["entry_backend_servers_" + std::string(state)];
+    }
+}
+
+} // namespace
+
+std::string metrics_text(const packet_counters& packets, const process_status& status, const replica& known,
+                         steady_time now) {
+    counter_map values;
+    for (std::size_t i = 0; i < reason_count; ++i)
+        values["entry_decisions_" + std::string(to_string(static_cast<reason>(i)))] = packets.decisions.at(i);
+    values["entry_packets_malformed"] = packets.malformed;
+    values["entry_packets_unsent"] = packets.unsent;
+    values["entry_ready"] = status.ready ? 1 : 0;
+    values["entry_feeding"] = status.feeding ? 1 : 0;
+    values["entry_followers"] = status.followers;
+    values["entry_flows"] = status.flows;
+    values["entry_configuration_version"] = known.routing() == nullptr ? 0 : known.routing()->version;
+    values["entry_store_revision"] = known.complete_to();
+    values["entry_knowledge_age_ms"] = age_ms(known.last_proof(), now);
+    for (const auto& [outcome, count] : status.calls)
+        values["entry_calls_" + outcome] = count;
+    add_backends(known, values);
+    return exposition_text(values, {{"entry_handshake_seconds", packets.handshakes.snapshot()},
+                                    {"entry_answer_seconds", packets.answers.snapshot()}});
+}
+
+} // namespace tamarack::entry
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -2,6 +2,7 @@
 // time.
 #include "daemons/entry/entry_process.h"
 
+#include "daemons/entry/entry_metrics.h"
 #include "daemons/entry/feed_server.h"
 #include "daemons/entry/packet_port.h"
 #include "entry/lifecycle.h"
@@ -10,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <filesystem>
 #include <random>
 
 namespace tamarack::entry {
@@ -23,6 +25,7 @@
 // after 200 ms and 600 ms.
 constexpr duration                  first_sync_wait = std::chrono::milliseconds(1'500);
 constexpr std::size_t               receive_buffer = 1'048'576; // bytes
+constexpr duration                  file_check_interval = std::chrono::seconds(2);
 constexpr unsigned                  status_unavailable = 503;
 
 // Hosts with less than these leave reading the store for others to stronger ones, by the delay.
@@ -42,6 +45,20 @@
     return random_number() >> unused_bits;
 }
 
+// Epoch where the file cannot be read; reading it then reports the reason.
+std::filesystem::file_time_type last_change(const std::string& file) {
+    std::error_code error;
+    const auto      changed = std::filesystem::last_write_time(file, error);
+    return error ? std::filesystem::file_time_type{} : changed;
+}
+
+std::size_t flow_capacity(const settings& values) {
+    constexpr std::size_t bytes_per_mb = 1'048'576;
+    constexpr std::size_t bytes_per_flow = 256; // of the table, with the memory manager's share
+    constexpr std::size_t share = 4;            // a quarter of the memory
+    return values.memory_mb * bytes_per_mb / share / bytes_per_flow;
+}
+
 source_settings sources_of(const settings& values) {
     source_settings sources{.name = values.name, .failure_domain = values.failure_domain, .contacts = {}};
     for (const endpoint& contact : values.contacts) {
@@ -62,15 +79,17 @@
 struct entry_process::impl {
     impl(const settings& given, std::string file, const clock& source, udp_socket socket);
 
-    void        start();
-    void        read_store();
-    void        records_read(const result<record_page, read_error>& outcome);
-    void        claim_feeder();
-    void        wait_for_tick();
-    void        tick();
-    void        wait_for_signal();
-    void        answer_readiness(const http_responder::reply& respond) const;
-    std::string metrics_text() const;
+    void start();
+    void read_store();
+    void records_read(const result<record_page, read_error>& outcome);
+    void claim_feeder();
+    void wait_for_tick();
+    void tick();
+    void wait_for_signal();
+    void answer_readiness(const http_responder::reply& respond) const;
+    void answer_metrics(const http_responder::reply& respond) const;
+    void reload();
+    void watch_settings_file();
 
     steady_time now() const { return time.steady_now(); }
 
@@ -91,17 +110,21 @@
     asio::signal_set                     signals;
     std::vector<http_responder>          servers;
     steady_time                          started;
+    std::filesystem::file_time_type      file_changed; // of the settings file, when it was last read
+    steady_time                          file_check_due{};
     bool                                 was_reachable = false;
     bool                                 was_feeding = false;
-    std::map<std::string, std::uint64_t> store_calls; // by result
+    std::map<std::string, std::uint64_t> calls; // by result
 };
 
 entry_process::impl::impl(const settings& given, std::string file, const clock& source, udp_socket socket)
     : values(given), settings_file(std::move(file)), time(source), log(source, given.name),
       sync(known, sources_of(given), random_number()), claim(claim_of(given), known, random_number()),
-      decisions({.failure_domain = given.failure_domain}, known, random_number()), life(given.stop_grace),
-      packets(context, std::move(socket), decisions, known, log, source), followers(known), store(context, given.store),
-      ticks(context), signals(context, SIGTERM, SIGINT, SIGHUP), started(source.steady_now()) {}
+      decisions({.failure_domain = given.failure_domain, .flow_capacity = flow_capacity(given)}, known,
+                random_number()),
+      life(given.stop_grace), packets(context, std::move(socket), decisions, known, log, source), followers(known),
+      store(context, given.store), ticks(context), signals(context, SIGTERM, SIGINT, SIGHUP),
+      started(source.steady_now()) {}
 
 void entry_process::impl::start() {
     read_store();
@@ -122,12 +145,12 @@
 void entry_process::impl::records_read(const result<record_page, read_error>& outcome) {
     const steady_time answered = now();
     if (outcome) {
-        ++store_calls["ok"];
+        ++calls["ok"];
         const std::uint64_t before = known.generation();
         sync.succeeded(outcome.value(), answered);
         if (known.generation() != before) log.note_records(outcome.value().records, known);
     } else {
-        ++store_calls[std::string(to_string(outcome.error()))];
+        ++calls[std::string(to_string(outcome.error()))];
         sync.failed(outcome.error(), answered);
     }
     if (sync.reachable() != was_reachable) {
@@ -155,7 +178,7 @@
     }
     if (!next) return;
     store.claim(*next, [this](const result<std::uint64_t, claim_error>& outcome) {
-        ++store_calls[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
+        ++calls[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
         if (outcome) {
             claim.succeeded(outcome.value(), now());
         } else {
@@ -183,6 +206,7 @@
     read_store();
     claim_feeder();
     followers.poll(sync.is_direct(current), current);
+    watch_settings_file();
     log.flush();
     if (current - started >= first_sync_wait) packets.start();
     life.note_packet(packets.last_packet());
@@ -197,7 +221,7 @@
     signals.async_wait([this](const boost::system::error_code& error, int number) {
         if (error) return;
         if (number == SIGHUP) {
-            log.note_reload(settings_file);
+            reload();
         } else {
             log.note_stop_requested();
             life.ask_to_stop(now());
@@ -207,6 +231,25 @@
     });
 }
 
+void entry_process::impl::reload() {
+    file_changed = last_change(settings_file);
+    const auto next = read_settings_file(settings_file);
+    if (!next) return log.note_bad_settings(next.error());
+    const settings_difference difference = compare(values, next.value());
+    log.note_reload(difference);
+    values.stop_grace = next.value().stop_grace;
+    life.set_stop_grace(values.stop_grace);
+    values.texts = next.value().texts;
+}
+
+// The file may change without a signal.
+void entry_process::impl::watch_settings_file() {
+    const steady_time current = now();
+    if (current < file_check_due) return;
+    file_check_due = current + file_check_interval;
+    if (last_change(settings_file) != file_changed) reload();
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // HTTP
 //----------------------------------------------------------------------------------------------------------------------
@@ -216,8 +259,14 @@
     respond({.status = status_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"});
 }
 
-std::string entry_process::impl::metrics_text() const {
-    return "tamarack_flows " + std::to_string(decisions.flows().size()) + "\n";
+void entry_process::impl::answer_metrics(const http_responder::reply& respond) const {
+    const process_status status{.ready = life.ready(),
+                                .feeding = claim.holds(),
+                                .followers = followers.followers(),
+                                .flows = decisions.flows().size(),
+                                .calls = calls};
+    respond(
+        {.body = metrics_text(packets.counters(), status, known, now()), .content_type = "text/plain; version=0.0.4"});
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -248,7 +297,7 @@
     };
     if (values.metrics) {
         listeners.push_back({*values.metrics, [running](std::string_view, const http_responder::reply& respond) {
-                                 respond({.body = running->metrics_text()});
+                                 running->answer_metrics(respond);
                              }});
     }
     for (listener& each : listeners) {
--- a/daemons/entry/packet_port.cpp
+++ b/daemons/entry/packet_port.cpp
@@ -50,6 +50,7 @@
     const segment&          packet = decoded.value();
     const steering_decision decision = decisions_.decide(packet, now);
     ++counters_.decisions.at(static_cast<std::size_t>(decision.why));
+    note_progress(decision.progress);
     log_.note_decision(packet, decision, known_, now);
     if (decision.what == verdict::deliver) {
         const known_backend& target = *decision.target;
@@ -61,6 +62,11 @@
     }
 }
 
+void packet_port::note_progress(const flow_progress& progress) {
+    if (progress.handshake) counters_.handshakes.add(std::chrono::duration<double>(*progress.handshake).count());
+    if (progress.answered) counters_.answers.add(std::chrono::duration<double>(*progress.answered).count());
+}
+
 void packet_port::flush() {
     datagrams_.clear();
     for (const action& each : outgoing_.actions())
--- a/daemons/entry/packet_port.h
+++ b/daemons/entry/packet_port.h
@@ -3,6 +3,7 @@
 
 #include "entry/event_log.h"
 #include "entry/steering.h"
+#include "tamarack/metrics.h"
 #include "tamarack/udp_socket.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,7 +14,9 @@
 struct packet_counters {
     std::array<std::uint64_t, reason_count> decisions{}; // by reason
     std::uint64_t                           malformed = 0;
-    std::uint64_t                           unsent = 0; // the host did not take them
+    std::uint64_t                           unsent = 0;                   // the host did not take them
+    distribution                            handshakes{latency_bounds()}; // s, from a SYN to the caller's answer
+    distribution                            answers{latency_bounds()};    // s, from a request to its first answer
 };
 
 class packet_port {
@@ -34,6 +37,7 @@
     void wait();
     void receive();
     void handle(byte_view bytes, steady_time now);
+    void note_progress(const flow_progress& progress);
     void flush();
 
     udp_socket                            socket_;
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t max_pending = 262'144; // bytes
 constexpr double      failure_lines_per_second = 30.0;
 constexpr double      placement_lines_per_second = 10.0;
+constexpr double      request_lines_per_second = 10.0;
 constexpr duration    summary_interval = std::chrono::seconds(1);
 
 std::string timestamp(wall_time now) {
@@ -33,12 +34,27 @@
     return packet.source.to_string() + ">" + packet.destination.to_string();
 }
 
+std::string join(std::span<const std::string> texts) {
+    std::string all;
+    for (const std::string& each : texts)
+        all += (all.empty() ? "" : ",") + each;
+    return all;
+}
+
 std::uint64_t version_of(const replica& known) {
     return known.routing() == nullptr ? 0 : known.routing()->version;
 }
 
-bool is_placement(reason why) {
-    return why == reason::placed || why == reason::placed_again;
+std::string_view outcome_of(verdict what) {
+    switch (what) {
+    case verdict::deliver:
+        return "delivered";
+    case verdict::reset:
+        return "reset";
+    case verdict::drop:
+        return "dropped";
+    }
+    return "unknown";
 }
 
 } // namespace
@@ -47,6 +63,7 @@
     : time_(time), balancer_(std::move(balancer)),
       failures_(failure_lines_per_second, failure_lines_per_second, time.steady_now()),
       placements_(placement_lines_per_second, placement_lines_per_second, time.steady_now()),
+      requests_(request_lines_per_second, request_lines_per_second, time.steady_now()),
       summary_due_(time.steady_now() + summary_interval) {}
 
 void event_log::write(event number, std::initializer_list<event_field> fields) {
@@ -95,8 +112,16 @@
     write(event::stopped, {});
 }
 
-void event_log::note_reload(const std::string& file) {
-    write(event::settings_reread, {{"file", file}});
+void event_log::note_reload(const settings_difference& difference) {
+    write(event::settings_reread, {{"in_force", join(difference.in_force)}});
+    for (const std::string& key : difference.needs_restart)
+        write(event::setting_needs_restart, {{"key", key}});
+}
+
+void event_log::note_bad_settings(const findings& problems) {
+    for (const finding& each : problems)
+        write(event::settings_problem, {{"problem", each.to_string()}});
+    write(event::settings_kept, {});
 }
 
 void event_log::note_store(bool reachable, std::string_view error) {
@@ -133,25 +158,40 @@
     }
 }
 
+token_bucket* event_log::budget_of(const segment& packet, const steering_decision& decision) {
+    switch (decision.why) {
+    case reason::placed:
+    case reason::placed_again:
+        return &placements_;
+    case reason::by_reference:
+    case reason::by_flow:
+        return packet.request_id.empty() ? nullptr : &requests_;
+    default:
+        return &failures_;
+    }
+}
+
 void event_log::note_decision(const segment& packet, const steering_decision& decision, const replica& known,
                               steady_time now) {
-    if (decision.why == reason::by_reference || decision.why == reason::by_flow) return;
-    token_bucket& budget = is_placement(decision.why) ? placements_ : failures_;
-    if (!budget.take(1.0, now)) {
+    token_bucket* budget = budget_of(packet, decision);
+    if (budget == nullptr) return;
+    if (!budget->take(1.0, now)) {
         ++left_out_;
         return;
     }
-    const bool  delivered = decision.what == verdict::deliver;
-    const event number = delivered ? event::flow_placed : event::packet_not_delivered;
-    write(number, {{"flow", flow_name(packet)},
-                   {"reason", to_string(decision.why)},
-                   {"outcome", delivered ? std::string_view("delivered")
-                                         : (decision.what == verdict::reset ? std::string_view("reset")
-                                                                            : std::string_view("dropped"))},
-                   {"backend_server", delivered ? decision.target->registration.name : std::string("none")},
-                   {"copy", packet.syn ? packet.acknowledged : 0},
-                   {"version", version_of(known)},
-                   {"store_revision", known.complete_to()}});
+    const bool        delivered = decision.what == verdict::deliver;
+    const std::string request = decision.flow != nullptr ? decision.flow->request_id : std::string(packet.request_id);
+    const auto        age = now - known.last_proof();
+    write(delivered ? event::packet_delivered : event::packet_not_delivered,
+          {{"request", request.empty() ? "unknown" : request},
+           {"flow", flow_name(packet)},
+           {"reason", to_string(decision.why)},
+           {"outcome", outcome_of(decision.what)},
+           {"backend_server", delivered ? decision.target->registration.name : std::string("none")},
+           {"copy", packet.syn ? packet.acknowledged : 0},
+           {"version", version_of(known)},
+           {"store_revision", known.complete_to()},
+           {"knowledge_age_ms", milliseconds(age)}});
 }
 
 } // namespace tamarack::entry
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -4,6 +4,7 @@
 // Lines of single packets are limited by rate, failures before placements; a summary tells how many were left out.
 #pragma once
 
+#include "entry/settings.h"
 #include "entry/steering.h"
 #include "tamarack/events.h"
 
@@ -17,7 +18,8 @@
     void note_synchronized(duration after, const replica& known);
     void note_stop_requested();
     void note_stopped();
-    void note_reload(const std::string& file);
+    void note_reload(const settings_difference& difference);
+    void note_bad_settings(const findings& problems);
     void note_store(bool reachable, std::string_view error);
     void note_feeding(bool feeding);
     void note_records(std::span<const record> records, const replica& known);
@@ -27,13 +29,15 @@
     void flush();
 
 private:
-    void write(event number, std::initializer_list<event_field> fields);
+    token_bucket* budget_of(const segment& packet, const steering_decision& decision);
+    void          write(event number, std::initializer_list<event_field> fields);
 
     const clock&  time_;
     std::string   balancer_;
     std::string   pending_;      // not yet written
     token_bucket  failures_;     // lines of packets that were not delivered, or elsewhere
     token_bucket  placements_;   // lines of placed flows
+    token_bucket  requests_;     // lines of requests on open flows
     std::uint64_t left_out_ = 0; // since the last summary
     steady_time   summary_due_;
 };
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -63,7 +63,8 @@
     flow.target = target;
 }
 
-void flow_tracker::note_packet(tracked_flow& flow, const segment& packet, steady_time now) {
+flow_progress flow_tracker::note_packet(tracked_flow& flow, const segment& packet, steady_time now) {
+    flow_progress progress;
     flow.last_seen = now;
     backend_activity& target = activity_[flow.target];
     const bool        handshake_answered = flow.seen_syn && !flow.open && !flow.closing;
@@ -74,11 +75,13 @@
     }
     if (answered) {
         if (handshake_answered && !flow.copied) {
+            progress.handshake = now - flow.first_syn;
             handshake_time_ += (now - flow.first_syn - handshake_time_) / smoothing;
         }
         flow.acknowledged = packet.acknowledged;
         flow.progressed = now;
         note_sign(target, now);
+        if (flow.waiting) progress.answered = now - flow.request_at;
         stop_waiting(flow);
     }
     const std::uint32_t end = packet.sequence + packet.payload;
@@ -87,10 +90,15 @@
         flow.progressed = now;
         if (!flow.waiting && !flow.closing) {
             flow.waiting = true;
+            flow.request_at = now;
             ++target.waiting;
         }
+        if (!packet.request_id.empty()) flow.request_id = packet.request_id;
+    } else if (packet.payload > 0) {
+        progress.repeated = true;
     }
     if (packet.fin || packet.rst) close(flow);
+    return progress;
 }
 
 void flow_tracker::note_sign(backend_activity& target, steady_time now) {
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -28,6 +28,8 @@
     steady_time       first_syn{};
     steady_time       last_seen{};
     steady_time       progressed{};     // last new data or acknowledgement
+    steady_time       request_at{};     // when the waiting request came
+    std::string       request_id{};       // of the last request; empty: none seen
     bool              copied = false;   // a copy of its SYN was seen
     bool              seen_syn = false; // the handshake passed this balancer
     bool              open = false;     // the caller has sent something after its SYN
@@ -35,6 +37,13 @@
     bool              closing = false;  // FIN or RST seen
 };
 
+// What a packet showed about its flow.
+struct flow_progress {
+    std::optional<duration> handshake;        // from the SYN to the caller's answer to the SYN+ACK
+    std::optional<duration> answered;         // from the request to the caller's first acknowledgement of an answer
+    bool                    repeated = false; // data that was sent before
+};
+
 class flow_tracker {
 public:
     explicit flow_tracker(std::size_t capacity) : capacity_(capacity) {}
@@ -43,7 +52,7 @@
     // Starts or restarts a flow; null when the table is full.
     tracked_flow* start(const segment& packet, backend_reference target, steady_time now);
     // Takes a later packet of the flow into account.
-    void          note_packet(tracked_flow& flow, const segment& packet, steady_time now);
+    flow_progress note_packet(tracked_flow& flow, const segment& packet, steady_time now);
     // Moves a flow that is not open to another backend server.
     void          move(tracked_flow& flow, backend_reference target);
 
--- a/entry/model.h
+++ b/entry/model.h
@@ -112,6 +112,7 @@
     bool              ack = false;
     bool              fin = false;
     bool              rst = false;
+    std::string_view  request_id; // where the payload begins a request that names one; valid as long as the packet
 };
 
 } // namespace tamarack::entry
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -175,6 +175,7 @@
 }
 
 void replica::store_returned(steady_time now) {
+    last_proof_ = now;
     if (steady_since_) return;
     steady_since_ = now;
     returned_at_ = now;
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -74,6 +74,8 @@
     // Every change up to this revision is contained.
     std::uint64_t                                         complete_to() const { return complete_to_; }
     void                                                  set_complete_to(std::uint64_t revision);
+    // When the store last proved, directly or through a feeder, that this balancer knows everything.
+    steady_time                                           last_proof() const { return last_proof_; }
     // Since when the store has answered without a break; nullopt while it does not.
     std::optional<steady_time>                            store_steady_since() const { return steady_since_; }
 
@@ -123,6 +125,7 @@
     std::unordered_map<std::string, std::pair<std::string, unsigned>>  feeder_keys_; // into feeders_, by key
     std::optional<steady_time>                                         steady_since_;
     std::optional<steady_time>                                         returned_at_; // set after an outage
+    steady_time                                                        last_proof_{};
     std::uint64_t                                                      complete_to_ = 0;
     std::uint64_t                                                      generation_ = 0;
     std::uint64_t                                                      first_generation_ = 0;
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -15,12 +15,15 @@
 
 constexpr std::size_t max_file_size = 65'536; // bytes
 
+enum class when : std::uint8_t { at_restart, at_once }; // a changed value takes effect
+
 struct key_row {
     const char*                                      section;
     const char*                                      key;
     bool                                             required;
     const char*                                      accepted;
     const char*                                      meaning;
+    when                                             takes_effect;
     std::function<bool(std::string_view, settings&)> read; // false: the text has not the accepted form
 };
 
@@ -66,34 +69,38 @@
 
 const std::vector<key_row>& rows() {
     static const std::vector<key_row> table = {
-        {"balancer", "name", true, "a text", "Name of this balancer, unique among the balancers.",
+        {"balancer", "name", true, "a text", "Name of this balancer, unique among the balancers.", when::at_restart,
          [](std::string_view text, settings& to) { return read_text(text, to.name); }},
         {"balancer", "failure_domain", true, "a text", "Failure domain of the host; its backend servers are preferred.",
-         [](std::string_view text, settings& to) { return read_text(text, to.failure_domain); }},
+         when::at_restart, [](std::string_view text, settings& to) { return read_text(text, to.failure_domain); }},
         {"balancer", "packets_address", true, "ADDRESS:PORT",
          "Where the fabric sends callers' packets (UDP). Callers receive resets at the same port number.",
-         [](std::string_view text, settings& to) { return read_endpoint(text, to.packets); }},
+         when::at_restart, [](std::string_view text, settings& to) { return read_endpoint(text, to.packets); }},
         {"balancer", "readiness_address", true, "ADDRESS:PORT", "Where the fabric asks for readiness (HTTP).",
-         [](std::string_view text, settings& to) { return read_endpoint(text, to.readiness); }},
+         when::at_restart, [](std::string_view text, settings& to) { return read_endpoint(text, to.readiness); }},
         {"balancer", "metrics_address", false, "ADDRESS:PORT", "Where metrics are served (HTTP); without it nowhere.",
+         when::at_restart,
          [](std::string_view text, settings& to) { return read_endpoint(text, to.metrics.emplace()); }},
         {"peers", "address", true, "ADDRESS:PORT",
          "Where other balancers read what this one knows of the store (HTTP). The port is the same on all balancers.",
-         [](std::string_view text, settings& to) { return read_endpoint(text, to.peer_address); }},
+         when::at_restart, [](std::string_view text, settings& to) { return read_endpoint(text, to.peer_address); }},
         {"peers", "contacts", false, "ADDRESS:PORT, separated by commas",
          "Hosts of other balancers to ask when the store does not answer at the start; only their addresses count.",
-         [](std::string_view text, settings& to) { return read_endpoints(text, to.contacts); }},
-        {"store", "address", true, "ADDRESS:PORT", "The platform's key-value store.",
+         when::at_restart, [](std::string_view text, settings& to) { return read_endpoints(text, to.contacts); }},
+        {"store", "address", true, "ADDRESS:PORT", "The platform's key-value store.", when::at_restart,
          [](std::string_view text, settings& to) { return read_endpoint(text, to.store); }},
         {"stop", "grace_seconds", false, "0.5 to 3600",
-         "A graceful stop ends before this time, since the host then ends the process. Default 6.",
+         "A graceful stop ends before this time, since the host then ends the process. Default 6.", when::at_once,
          [](std::string_view text, settings& to) { return read_seconds(text, 0.5, 3600.0, to.stop_grace); }},
         {"limits", "processor_share", false, "0.01 to 1024",
          "Cores that the process may use. Weak hosts leave reading the store for others to strong ones. Default 1.",
+         when::at_restart,
          [](std::string_view text, settings& to) { return read_number(text, 0.01, 1'024.0, to.processor_share); }},
         {"limits", "link_mbps", false, "0.1 to 1000000", "Speed of the host's link in Mbit/s. Default 1000.",
+         when::at_restart,
          [](std::string_view text, settings& to) { return read_number(text, 0.1, 1'000'000.0, to.link_mbps); }},
         {"limits", "memory_mb", false, "16 to 1048576", "Memory that the process may use. Default 64.",
+         when::at_restart,
          [](std::string_view text, settings& to) {
              return read_number<std::size_t>(text, 16, 1'048'576, to.memory_mb);
          }},
@@ -127,6 +134,7 @@
         state.problems.push_back({place_of(state.file_name, section, key), "the key is set twice", ""});
         return 1;
     }
+    state.values.texts[id] = value;
     const bool left_out = !row->required && *value == '\0';
     if (!left_out && !row->read(value, state.values)) {
         state.problems.push_back(
@@ -162,15 +170,31 @@
     return read_settings(text.view(), file_name);
 }
 
+settings_difference compare(const settings& present, const settings& next) {
+    settings_difference difference;
+    for (const key_row& row : rows()) {
+        const std::string id = std::string("[") + row.section + "] " + row.key;
+        const auto        before = present.texts.find(id);
+        const auto        after = next.texts.find(id);
+        const auto        text_of = [](const auto& found, const auto& texts) {
+            return found == texts.end() ? std::string() : found->second;
+        };
+        if (text_of(before, present.texts) == text_of(after, next.texts)) continue;
+        (row.takes_effect == when::at_once ? difference.in_force : difference.needs_restart).push_back(id);
+    }
+    return difference;
+}
+
 std::string settings_reference() {
     std::string text =
         "# Settings of tamarack-entry\n\n"
         "<!-- Written by `tamarack-entry --reference=settings`; a test compares it with the table of keys. -->\n\n"
         "An INI file. SIGHUP reads it again, and so does a change of the file.\n\n"
-        "| Section | Key | Required | Accepted | Meaning |\n|---|---|---|---|---|\n";
+        "| Section | Key | Required | Accepted | Change takes effect | Meaning |\n|---|---|---|---|---|---|\n";
     for (const key_row& row : rows()) {
         text += std::string("| ") + row.section + " | " + row.key + " | " + (row.required ? "yes" : "no") + " | " +
-                row.accepted + " | " + row.meaning + " |\n";
+                row.accepted + " | " + (row.takes_effect == when::at_once ? "at once" : "at a restart") + " | " +
+                row.meaning + " |\n";
     }
     return text;
 }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -4,6 +4,8 @@
 #include "entry/model.h"
 #include "tamarack/result.h"
 
+#include <map>
+
 namespace tamarack::entry {
 
 struct settings {
@@ -18,12 +20,23 @@
     duration                stop_grace = std::chrono::seconds(6); // [stop] the host ends the process after it
     double                  processor_share = 1.0;                // [limits] of one core
     double                  link_mbps = 1'000.0;                  // [limits] of the host's link
-    std::size_t             memory_mb = 64;                       // [limits] of the process
+    std::map<std::string, std::string> texts;                     // of each key that the file sets, by "[section] key"
+    std::size_t                        memory_mb = 64;            // [limits] of the process
 };
 
 result<settings, findings> read_settings(std::string_view text, const std::string& file_name);
 result<settings, findings> read_settings_file(const std::string& file_name);
 
+// What a newly read file changes. Only some keys take effect without a restart.
+struct settings_difference {
+    std::vector<std::string> in_force;      // "[section] key"
+    std::vector<std::string> needs_restart; // "[section] key"
+
+    bool empty() const { return in_force.empty() && needs_restart.empty(); }
+};
+
+settings_difference compare(const settings& present, const settings& next);
+
 // The text of docs/entry-settings.md.
 std::string settings_reference();
 
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -17,6 +17,8 @@
 constexpr double           warmup_factor = 1.6;
 // A backend server without a sign of life is avoided for this long, doubling with each further failure.
 constexpr backoff_settings avoidance = {std::chrono::milliseconds(400), std::chrono::seconds(6)};
+// Ends repeat data after 200 ms and after 400 ms more; the second repetition is no accident of one packet.
+constexpr duration         stall_time = std::chrono::milliseconds(450);
 // A handshake takes at most this many times the usual time, and some time more for a busy host.
 constexpr int              handshake_factor = 3;
 constexpr duration         handshake_margin = std::chrono::milliseconds(25);
@@ -25,7 +27,7 @@
 
 std::string_view to_string(reason why) {
     static constexpr std::array<std::string_view, reason_count> names = {
-        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "by_flow",
+        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",     "by_flow",
         "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone"};
     return names.at(static_cast<std::size_t>(why));
 }
@@ -175,8 +177,21 @@
     } else if (!flow->open && flow->target != reference) {
         flows_.move(*flow, reference);
     }
-    if (flow != nullptr) flows_.note_packet(*flow, packet, now);
-    return {verdict::deliver, packet.reference == reference ? reason::by_reference : reason::by_flow, target};
+    steering_decision decision{verdict::deliver, reason::by_reference, target, flow, {}};
+    if (flow != nullptr) decision.progress = flows_.note_packet(*flow, packet, now);
+    if (packet.reference != reference) decision.why = reason::by_flow;
+    if (decision.progress.repeated && is_stalled(*flow, now)) {
+        decision.why = reason::stalled;
+        note_silence(reference, now);
+    }
+    return decision;
+}
+
+// Load pattern: a backend server that went dark holds many open flows, whose requests are repeated without progress
+// before new flows notice. One of them is enough to send new flows elsewhere.
+bool steering::is_stalled(const tracked_flow& flow, steady_time now) {
+    const backend_activity& seen = flows_.activity(flow.target);
+    return now - flow.progressed >= stall_time && seen.last_sign <= flow.progressed;
 }
 
 bool steering::settled(steady_time now) const {
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -22,6 +22,7 @@
     placed_again,      // a copy of a SYN, on the same backend server
     placed_elsewhere,  // a copy of a SYN: the first backend server gave no sign of life
     by_reference,      // a later packet
+    stalled,           // a later packet: data sent again, and no sign of life of the backend server since
     by_flow,           // a later packet whose reference differs from the backend server that the caller acknowledged
     no_route,          // no route has the address
     no_backend,        // the service has no backend server that takes new flows
@@ -29,7 +30,7 @@
     unknown_reference, // perhaps of a backend server that is not known yet
     backend_gone,      // the flow's backend server has been removed
 };
-inline constexpr std::size_t reason_count = 10;
+inline constexpr std::size_t reason_count = 11;
 
 std::string_view to_string(reason why);
 
@@ -37,6 +38,8 @@
     verdict              what = verdict::drop;
     reason               why = reason::not_synchronized;
     const known_backend* target = nullptr; // set when delivered; valid until the replica changes
+    const tracked_flow*  flow = nullptr;   // of a later packet, where it is tracked; valid until the next decision
+    flow_progress        progress{};         // what the packet showed
 };
 
 struct steering_settings {
@@ -63,6 +66,7 @@
     std::string_view     pick_service(const route& to);
     void                 note_silence(backend_reference target, steady_time now);
     duration             silence_limit() const;
+    bool                 is_stalled(const tracked_flow& flow, steady_time now);
     bool                 settled(steady_time now) const;
 
     steering_settings settings_;
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -51,14 +51,16 @@
     {event::backend_server_registered, severity::info, "backend server registered",
      "Entry balancer: a backend server registered or changed its registration in the store, as `revision`."},
     {event::record_removed, severity::info, "record removed",
-     "Entry balancer: a registration of a backend server or feeder ended. A backend server may be held in use for a while "
+     "Entry balancer: a registration of a backend server or feeder ended. A backend server may be held in use for a "
+     "while "
      "after an outage of the store."},
     {event::feeder_registered, severity::info, "feeder registered",
      "Entry balancer: a balancer reads the store for the others of its failure domain."},
 
-    {event::flow_placed, severity::info, "flow placed",
-     "Entry balancer: the SYN of a flow, or its copy, went to a backend server. `copy`: 0 for the first SYN. "
-     "`reason` is explained in docs/entry-operations.md."},
+    {event::packet_delivered, severity::info, "packet delivered",
+     "Entry balancer: a SYN (`reason` placed..., `copy`: 0 for the first), the first packet of a request, or a packet "
+     "that "
+     "shows a stalled flow went to a backend server. `reason` is explained in docs/OPERATIONS.md."},
     {event::packet_not_delivered, severity::warning, "packet not delivered",
      "Entry balancer: a packet was answered with a reset or dropped, see `reason` and `outcome`."},
     {event::synchronized, severity::info, "synchronized",
@@ -71,7 +73,8 @@
     {event::feeding_began, severity::info, "feeding began",
      "Entry balancer: this balancer reads the store for the others of its failure domain."},
     {event::feeding_ended, severity::info, "feeding ended",
-     "Entry balancer: the balancer stops, lost the store, or lost its lease; others read the store until there is a new feeder."},
+     "Entry balancer: the balancer stops, lost the store, or lost its lease; others read the store until there is a "
+     "new feeder."},
 
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -43,7 +43,7 @@
     record_removed = 5004,
     feeder_registered = 5005,
 
-    flow_placed = 6001,
+    packet_delivered = 6001,
     packet_not_delivered = 6002,
     synchronized = 6003,
     record_unusable = 6004,
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -56,6 +56,17 @@
     BOOST_TEST(problems_of(good + "[balancer]\nmetrics_address =\n").empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_new_file_says_what_takes_effect_and_what_needs_a_restart) {
+    const auto  present = read_settings(good, "test.ini").value();
+    std::string text = good;
+    text.replace(text.find("grace_seconds = 4"), 17, "grace_seconds = 9");
+    text.replace(text.find("memory_mb = 80"), 14, "memory_mb = 90");
+    const settings_difference difference = compare(present, read_settings(text, "test.ini").value());
+    BOOST_TEST(difference.in_force == std::vector<std::string>{"[stop] grace_seconds"});
+    BOOST_TEST(difference.needs_restart == std::vector<std::string>{"[limits] memory_mb"});
+    BOOST_TEST(compare(present, present).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_missing_file_is_an_error) {
     BOOST_TEST(!read_settings_file("/nonexistent/settings.ini").has_value());
 }
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -88,6 +88,39 @@
     BOOST_TEST(second.target == first.target);
 }
 
+// Open flows show a dark backend server before new ones do.
+BOOST_AUTO_TEST_CASE(a_request_that_is_repeated_without_progress_keeps_new_flows_away) {
+    const backend_reference dark = open(1);
+    decide(later(1, dark, 5'000, 100));
+    time.advance(200ms);
+    BOOST_TEST((decide(later(1, dark, 5'000, 100)).why == reason::by_reference));
+    time.advance(400ms);
+    BOOST_TEST((decide(later(1, dark, 5'000, 100)).why == reason::stalled));
+    for (std::uint16_t port = 10; port < 20; ++port)
+        BOOST_TEST((open(port) != dark));
+}
+
+// Another flow's answer shows that the backend server lives: the packet was lost on the way.
+BOOST_AUTO_TEST_CASE(a_repeated_request_is_no_stall_while_other_flows_progress) {
+    const backend_reference alive = open(1);
+    decide(later(1, alive, 5'000, 100));
+    decide(later(900, alive, 1, 10));
+    time.advance(600ms);
+    decide(later(900, alive, 900));
+    BOOST_TEST((decide(later(1, alive, 5'000, 100)).why == reason::by_reference));
+}
+
+BOOST_AUTO_TEST_CASE(the_id_of_a_flows_last_request_is_kept_for_the_log) {
+    const backend_reference reference = open(1);
+    segment                 request = later(1, reference, 5'000, 100);
+    request.request_id = "attempt-1";
+    decide(request);
+    const auto later_packet = decide(later(1, reference, 5'100));
+    BOOST_REQUIRE(later_packet.flow != nullptr);
+    BOOST_TEST(later_packet.flow->request_id == "attempt-1");
+    BOOST_TEST(later_packet.progress.answered.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_backend_server_that_recovers_is_used_again) {
     const auto first = decide(syn(1));
     time.advance(200ms);
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/feed_format.h"
 #include "platform/packet_format.h"
 #include "platform/record_format.h"
+#include "platform/request_id.h"
 
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
@@ -72,6 +73,16 @@
     BOOST_TEST((decode_packet(longer).error() == packet_error::too_long));
 }
 
+BOOST_AUTO_TEST_CASE(the_id_of_a_request_is_found_in_its_first_packet_only) {
+    const auto id_of = [](std::string_view text) { return request_id(std::as_bytes(std::span(text))); };
+    BOOST_TEST(id_of("GET / HTTP/1.1\r\nHost: a\r\nAttempt-Id: 3565092b3dafd36b\r\n\r\n") == "3565092b3dafd36b");
+    BOOST_TEST(id_of("POST /x HTTP/1.1\r\nAttempt-Id: 7\r\n") == "7");
+    BOOST_TEST(id_of("part of a body\r\nAttempt-Id: 7\r\n").empty());
+    BOOST_TEST(id_of("GET / HTTP/1.1\r\nAttempt-Id: cut").empty());
+    BOOST_TEST(id_of("GET / HTTP/1.1\r\nAttempt-Id: " + std::string(65, 'x') + "\r\n").empty());
+    BOOST_TEST(id_of("").empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_registration_is_read) {
     const auto  item = decode_record("servers/i-7f3a91c2", 3, good_backend);
     const auto* registration = std::get_if<backend_registration>(&item.content);
