--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -29,7 +29,7 @@
     steady_time       last_seen{};
     steady_time       progressed{};     // last new data or acknowledgement
     steady_time       request_at{};     // when the waiting request came
-    std::string       request_id{};       // of the last request; empty: none seen
+    std::string       request_id{};     // of the last request; empty: none seen
     bool              copied = false;   // a copy of its SYN was seen
     bool              seen_syn = false; // the handshake passed this balancer
     bool              open = false;     // the caller has sent something after its SYN
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -265,9 +265,8 @@
     }
     for (const auto& [key, place] : feeder_keys_) {
         const known_feeder& known = feeders_.at(place);
-        if (known.changed_at > generation)
-            changes.push_back(
-                {.key = key, .revision = known.revision, .content = known.registration, .raw = raw_.at(key)});
+        if (known.changed_at <= generation) continue;
+        changes.push_back({.key = key, .revision = known.revision, .content = known.registration, .raw = raw_.at(key)});
     }
     for (const auto& [key, removed] : tombstones_) {
         if (removed.changed_at > generation)
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -39,7 +39,7 @@
     reason               why = reason::not_synchronized;
     const known_backend* target = nullptr; // set when delivered; valid until the replica changes
     const tracked_flow*  flow = nullptr;   // of a later packet, where it is tracked; valid until the next decision
-    flow_progress        progress{};         // what the packet showed
+    flow_progress        progress{};       // what the packet showed
 };
 
 struct steering_settings {
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -100,7 +100,7 @@
 BOOST_AUTO_TEST_CASE(entries_of_other_writers_are_unusable) {
     BOOST_TEST(usable("servers/i-1", good_backend));
     BOOST_TEST(!usable("servers/i-xyz", good_backend));
-    BOOST_TEST(!usable("servers/i-1", "\xff\x00 not JSON"));
+    BOOST_TEST(!usable("servers/i-1", "\xff\x01 not JSON"));
     BOOST_TEST(!usable("servers/i-1", "[]"));
     BOOST_TEST(!usable("servers/i-1", R"({"service":"desk","address":"10.0.0.1:80"})"));
     BOOST_TEST(!usable("servers/i-1", R"({"service":7,"address":"10.0.0.1:80","state":"ready"})"));
