--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -288,15 +288,15 @@
     };
     std::vector<listener> listeners = {
         {values.readiness,
-         [running](std::string_view, const http_responder::reply& respond) { running->answer_readiness(respond); }},
+         [running](const http_call&, const http_responder::reply& respond) { running->answer_readiness(respond); }},
         {values.peer_address,
-         [running](std::string_view target, http_responder::reply respond) {
+         [running](const http_call& call, http_responder::reply respond) {
              const steady_time current = running->now();
-             running->followers.handle(target, running->sync.is_direct(current), current, std::move(respond));
+             running->followers.handle(call.target, running->sync.is_direct(current), current, std::move(respond));
          }},
     };
     if (values.metrics) {
-        listeners.push_back({*values.metrics, [running](std::string_view, const http_responder::reply& respond) {
+        listeners.push_back({*values.metrics, [running](const http_call&, const http_responder::reply& respond) {
                                  running->answer_metrics(respond);
                              }});
     }
--- a/daemons/entry/http_responder.cpp
+++ b/daemons/entry/http_responder.cpp
@@ -61,8 +61,9 @@
 
 void http_responder::impl::session::ask() {
     stream.expires_never();
+    const auto method = request.method_string();
     const auto target = request.target();
-    server->answer({target.data(), target.size()},
+    server->answer({{method.data(), method.size()}, {target.data(), target.size()}, request.body()},
                    [self = shared_from_this()](http_answer reply) { self->write(std::move(reply)); });
 }
 
--- a/daemons/entry/http_responder.h
+++ b/daemons/entry/http_responder.h
@@ -1,5 +1,5 @@
-// A small HTTP server (Boost.Beast) for readiness checks, metrics and followers. Connections are kept; an answer may
-// come later than its request.
+// A small HTTP server (Boost.Beast) for readiness checks, metrics, followers, and the stand-in of the store.
+// Connections are kept; an answer may come later than its request.
 #pragma once
 
 #include "tamarack/result.h"
@@ -10,6 +10,13 @@
 
 namespace tamarack::entry {
 
+// A request; the views are valid until it is answered.
+struct http_call {
+    std::string_view method; // GET, POST, DELETE
+    std::string_view target;
+    std::string_view body;
+};
+
 struct http_answer {
     unsigned    status = 200;
     std::string body;
@@ -19,7 +26,7 @@
 class http_responder {
 public:
     using reply = std::function<void(http_answer)>; // called once, at once or later
-    using handler = std::function<void(std::string_view target, reply respond)>;
+    using handler = std::function<void(const http_call& call, reply respond)>;
 
     static result<http_responder, std::string> open(boost::asio::io_context& context, const endpoint& listen,
                                                     handler answer);
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -2,6 +2,7 @@
 #include "daemons/entry/entry_process.h"
 #include "tamarack/clock.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -49,6 +50,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    (void)std::signal(SIGPIPE, SIG_IGN); // a reader of the log that is gone must not end the process
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
