--- a/entry/feeder_claim.cpp
+++ b/entry/feeder_claim.cpp
@@ -42,8 +42,8 @@
     if (state_ == state::holding && now >= expires_) reset(now);
     if (!eligible) {
         claim_at_.reset();
-        if (state_ == state::idle || now < due_) return std::nullopt;
-        return start(end_lease{lease_});
+        if (state_ == state::idle) return std::nullopt;
+        return start(end_lease{lease_}); // at once: a process that stops may end before the next renewal
     }
     if (now < due_) return std::nullopt;
     if (state_ == state::idle) return claim_when_vacant(now, slot);
