Order equal backend servers differently on each balancer

The test fails without the change (all 64 choose the same). The soak's checks are split into short functions.

--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -36,7 +36,7 @@
 }
 
 steering::steering(const steering_settings& settings, const replica& known, std::uint64_t random_seed)
-    : settings_(settings), known_(known), flows_(settings.flow_capacity), random_(random_seed) {}
+    : settings_(settings), known_(known), flows_(settings.flow_capacity), random_(random_seed), order_(random_()) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_open(packet, now);
@@ -107,7 +107,6 @@
     const known_backend* best = nullptr;
     const known_backend* fallback = nullptr; // of the avoided ones, that whose time ends first
     double               best_cost = std::numeric_limits<double>::infinity();
-    steady_time          best_chosen{};
     const auto           candidates = known_.backends_of(pick_service(to));
     for (const known_backend* candidate : candidates) {
         const backend_activity& seen = flows_.activity(candidate->reference);
@@ -120,14 +119,22 @@
             continue;
         }
         const double cost = cost_of(*candidate, now);
-        if (cost > best_cost || (cost == best_cost && seen.last_chosen >= best_chosen)) continue;
+        if (cost > best_cost || (cost == best_cost && !is_better_tie(*candidate, *best))) continue;
         best = candidate;
         best_cost = cost;
-        best_chosen = seen.last_chosen;
     }
     return best != nullptr ? best : fallback;
 }
 
+// Equal ones take turns, in an order of this balancer's own: balancers that start together must not send their first
+// flows to the same backend server.
+bool steering::is_better_tie(const known_backend& left, const known_backend& right) {
+    const steady_time left_chosen = flows_.activity(left.reference).last_chosen;
+    const steady_time right_chosen = flows_.activity(right.reference).last_chosen;
+    if (left_chosen != right_chosen) return left_chosen < right_chosen;
+    return reference_of(left.reference ^ order_) < reference_of(right.reference ^ order_);
+}
+
 double steering::cost_of(const known_backend& candidate, steady_time now) {
     const backend_activity& seen = flows_.activity(candidate.reference);
     const bool              warming = now < candidate.registered + candidate.registration.warmup_left;
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -62,6 +62,7 @@
     steering_decision    decide_open(const segment& packet, steady_time now);
     steering_decision    place(const segment& packet, const route& to, tracked_flow* earlier, steady_time now);
     const known_backend* choose(const route& to, backend_reference except, steady_time now);
+    bool                 is_better_tie(const known_backend& left, const known_backend& right);
     double               cost_of(const known_backend& candidate, steady_time now);
     std::string_view     pick_service(const route& to);
     void                 note_silence(backend_reference target, steady_time now);
@@ -74,6 +75,7 @@
     const replica&    known_;
     flow_tracker      flows_;
     random_source     random_;
+    std::uint64_t     order_; // of this balancer among equal backend servers
     std::unordered_map<backend_reference, steady_time>
         unknown_since_; // first packet with a reference that is not known
 };
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -26,10 +26,11 @@
 constexpr duration      contact_time = 4s;    // after the last fault the bounds hold
 constexpr duration      drain_bound = 3s;
 constexpr duration      configuration_bound = 3s;
-constexpr duration      lease_silence = 2s;         // a crashed backend server's registration lapses
-constexpr duration      reuse_time = 2s;            // its address may be used again
-constexpr std::uint16_t packet_port = 8172;         // of balancers, and of callers for packets to them
-constexpr std::uint32_t route_network = 0xc6120000; // 198.18.0.0
+constexpr duration      lease_silence = 2s;              // a crashed backend server's registration lapses
+constexpr duration      reuse_time = 2s;                 // its address may be used again
+constexpr std::uint16_t packet_port = 8172;              // of balancers, and of callers for packets to them
+constexpr std::uint32_t route_network = 0xc6120000;      // 198.18.0.0
+constexpr std::size_t   hash_multiplier = 2'654'435'761; // Knuth's multiplicative hash
 constexpr std::array    services = {"desk", "ledger"};
 constexpr std::array    domains = {"north", "south"};
 
@@ -41,6 +42,13 @@
     return packet::take<std::uint32_t>(std::as_bytes(std::span(where.address.bytes)), 12);
 }
 
+constexpr std::string_view id_field = "Attempt-Id: ";
+constexpr unsigned         request_copies = 4; // then the caller gives up
+
+std::string request_text(const caller_flow& flow) {
+    return "GET / HTTP/1.1\r\n" + std::string(id_field) + flow.request + "\r\n\r\n";
+}
+
 class world {
 public:
     explicit world(const run_settings& settings);
@@ -65,17 +73,26 @@
     void          harm_backend();
     void          end_faults();
     // Flows
-    void          start_flow(duration patience);
+    void          start_flow();
     void          step_flows();
+    void          step_opening(caller_flow& flow);
+    void          step_open(caller_flow& flow);
+    void          repeat_request(caller_flow& flow);
     void          send(caller_flow& flow, std::uint8_t flags, const std::string& payload, unsigned copy);
     void          receive_at_callers();
     void          receive_at(soak_backend& backend);
     void          take_syn(soak_backend& backend, const packet& received);
+    void          take_packet(soak_backend& backend, const packet& received);
+    void          run_request(soak_backend& backend, const packet& received);
+    void          take_reset(std::uint16_t port);
     void          answer(soak_backend& backend, const packet& received, std::uint8_t flags, std::uint32_t sequence,
                          const std::string& payload);
     void          take_answer(const packet& received, const std::string& backend);
     // Promises
     void          violated(const std::string& what);
+    void          check_flow(const soak_backend& backend, const packet& received);
+    void          check_placement(const soak_backend& backend, const caller_flow& flow, bool is_fixed_route);
+    std::string   name_of(unsigned balancer) const { return balancers_[balancer]->settings().name; }
     bool          in_touch(unsigned balancer) const;
     soak_backend* find_backend(const std::string& id);
 
@@ -208,9 +225,10 @@
         balancer_process& balancer = *balancers_[i];
         if (balancer.running()) {
             if (const auto status = balancer.collect()) {
-                if (!balancer.stopping())
+                if (!balancer.stopping()) {
                     violated("balancer " + balancer.settings().name + " ended by itself, status " +
                              std::to_string(*status));
+                }
                 balancer.start_at = now() + 300ms;
             }
         } else if (!balancer.start_at || now() >= *balancer.start_at) {
@@ -409,7 +427,7 @@
 // Callers
 //----------------------------------------------------------------------------------------------------------------------
 
-void world::start_flow(duration /*patience*/) {
+void world::start_flow() {
     caller_flow flow;
     flow.port = ++last_port_;
     flow.route_address = route_network + 1 + pick(2);
@@ -429,7 +447,8 @@
     }
     flow.sent_at = now();
     if (rotation.empty()) return;
-    const unsigned index = rotation[(flow.port * 2'654'435'761U) % rotation.size()];
+    // Nearly all flows move when the rotation changes, as with the fabric's hash.
+    const unsigned index = rotation[std::hash<std::uint16_t>()(flow.port) * hash_multiplier % rotation.size()];
     flow.balancer = index;
     packet                                           out{.sequence = flow.sequence,
                                                          .acknowledged = (flags & syn) != 0 ? copy : flow.acknowledged,
@@ -448,43 +467,53 @@
 void world::step_flows() {
     if (now() >= next_flow_) {
         next_flow_ = now() + flow_interval;
-        start_flow({});
+        start_flow();
     }
     for (auto& [port, flow] : flows_) {
-        if (flow.at == caller_flow::state::closed) continue;
-        const duration silent = now() - flow.sent_at;
-        if (flow.at == caller_flow::state::opening) {
-            if (now() - flow.started > 1'400ms) {
-                flow.at = caller_flow::state::closed;
-                ++report_.failed;
-            } else if (silent >= (flow.copies == 0 ? 200ms : 400ms) && flow.copies < 2) {
-                send(flow, syn, {}, ++flow.copies);
-            }
-        } else if (!flow.request.empty()) {
-            if (flow.copies >= 4) {
-                flow.at = caller_flow::state::closed;
-                ++report_.failed;
-            } else if (silent >= 200ms * (1U << flow.copies)) {
-                ++flow.copies;
-                send(flow, ack, "GET / HTTP/1.1\r\nAttempt-Id: " + flow.request + "\r\n\r\n", 0);
-            }
-        } else if (now() >= flow.next_request) {
-            if (flow.requests_left == 0) {
-                send(flow, fin | ack, {}, 0);
-                flow.at = caller_flow::state::closed;
-            } else {
-                --flow.requests_left;
-                flow.copies = 0;
-                flow.request = std::to_string(++last_request_);
-                send(flow, ack, "GET / HTTP/1.1\r\nAttempt-Id: " + flow.request + "\r\n\r\n", 0);
-            }
-        }
+        if (flow.at == caller_flow::state::opening) step_opening(flow);
+        if (flow.at == caller_flow::state::open) step_open(flow);
     }
     std::erase_if(flows_, [this](const auto& each) {
         return each.second.at == caller_flow::state::closed && now() - each.second.sent_at > 3s;
     });
 }
 
+// Copies of the SYN after 200 ms and 600 ms; the attempt ends after 1.4 s.
+void world::step_opening(caller_flow& flow) {
+    const duration silent = now() - flow.sent_at;
+    if (now() - flow.started > 1'400ms) {
+        flow.at = caller_flow::state::closed;
+        ++report_.failed;
+    } else if (silent >= (flow.copies == 0 ? 200ms : 400ms) && flow.copies < 2) {
+        send(flow, syn, {}, ++flow.copies);
+    }
+}
+
+void world::step_open(caller_flow& flow) {
+    if (!flow.request.empty()) return repeat_request(flow);
+    if (now() < flow.next_request) return;
+    if (flow.requests_left == 0) {
+        send(flow, fin | ack, {}, 0);
+        flow.at = caller_flow::state::closed;
+        return;
+    }
+    --flow.requests_left;
+    flow.copies = 0;
+    flow.request = std::to_string(++last_request_);
+    send(flow, ack, request_text(flow), 0);
+}
+
+// After 200 ms, doubling.
+void world::repeat_request(caller_flow& flow) {
+    if (flow.copies >= request_copies) {
+        flow.at = caller_flow::state::closed;
+        ++report_.failed;
+    } else if (now() - flow.sent_at >= 200ms * (1U << flow.copies)) {
+        ++flow.copies;
+        send(flow, ack, request_text(flow), 0);
+    }
+}
+
 void world::take_answer(const packet& received, const std::string& backend) {
     const auto found = flows_.find(received.destination_port);
     if (found == flows_.end() || found->second.at == caller_flow::state::closed) return;
@@ -508,8 +537,7 @@
     if (flow.backend != backend) return violated("an answer of " + backend + " on a flow of " + flow.backend);
     if (received.payload != flow.request || flow.request.empty()) return; // a repeated answer
     flow.acknowledged = received.sequence + static_cast<std::uint32_t>(received.payload.size());
-    flow.sequence +=
-        static_cast<std::uint32_t>(std::string("GET / HTTP/1.1\r\nAttempt-Id: \r\n\r\n").size() + flow.request.size());
+    flow.sequence += static_cast<std::uint32_t>(request_text(flow).size());
     flow.request.clear();
     flow.next_request = now() + std::chrono::milliseconds(20 + pick(400));
     ++report_.answered;
@@ -521,88 +549,100 @@
     while (caller_socket_->receive(batch_).taken > 0) {
         for (const auto& item : batch_.items()) {
             const auto received = packet::decode(item.bytes);
-            if (!received || received->flags != rst) {
+            if (received && received->flags == rst) {
+                take_reset(received->destination_port);
+            } else {
                 violated("a balancer sent a caller something else than a reset");
-                continue;
             }
-            const auto found = flows_.find(received->destination_port);
-            if (found == flows_.end() || found->second.at == caller_flow::state::closed) continue;
-            caller_flow& flow = found->second;
-            const auto*  backend = find_backend(flow.backend);
-            if (flow.at == caller_flow::state::open && backend != nullptr && backend->alive())
-                violated("flow " + std::to_string(flow.port) + " was reset by " +
-                         balancers_[flow.balancer]->settings().name + " while its backend server " + flow.backend +
-                         " lives");
-            flow.at = caller_flow::state::closed;
-            ++report_.failed;
         }
     }
 }
 
+void world::take_reset(std::uint16_t port) {
+    const auto found = flows_.find(port);
+    if (found == flows_.end() || found->second.at == caller_flow::state::closed) return;
+    caller_flow& flow = found->second;
+    const auto*  backend = find_backend(flow.backend);
+    if (flow.at == caller_flow::state::open && backend != nullptr && backend->alive()) {
+        violated("flow " + std::to_string(flow.port) + " was reset by " + name_of(flow.balancer) +
+                 " while its backend server " + flow.backend + " lives");
+    }
+    flow.at = caller_flow::state::closed;
+    ++report_.failed;
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Backend servers
 //----------------------------------------------------------------------------------------------------------------------
 
 void world::receive_at(soak_backend& backend) {
+    constexpr std::size_t identity_size = 8; // bytes
     while (backend.socket->receive(batch_).taken > 0) {
-        std::vector<std::vector<std::byte>> datagrams;
-        for (const auto& item : batch_.items())
-            datagrams.emplace_back(item.bytes.begin(), item.bytes.end());
-        for (const auto& bytes : datagrams) {
-            if (bytes.size() < 8 || backend.at == soak_backend::state::dark) continue;
-            const auto identity = packet::take<std::uint64_t>(bytes, 0);
-            const auto received = packet::decode(std::span(bytes).subspan(8));
-            if (!received || (identity != 0 && identity != backend.identity)) continue;
-            if (backend.at == soak_backend::state::crashed) {
-                answer(backend, *received, rst, 0, {});
-            } else if ((received->flags & syn) != 0) {
-                take_syn(backend, *received);
-            } else {
-                const auto found = backend.flows.find(received->source_port);
-                const auto flow = flows_.find(received->source_port);
-                if (flow != flows_.end() && flow->second.at == caller_flow::state::open &&
-                    flow->second.backend != backend.id) {
-                    const auto* own = find_backend(flow->second.backend);
-                    if (own != nullptr && own->alive())
-                        violated("a packet of a flow of " + own->id + " reached " + backend.id);
-                }
-                if (found == backend.flows.end()) {
-                    if ((received->flags & fin) == 0) answer(backend, *received, rst, 0, {});
-                    continue;
-                }
-                found->second.open = true;
-                if (received->payload.empty()) continue;
-                const std::size_t start = received->payload.find("Attempt-Id: ") + 12;
-                const std::string id = received->payload.substr(start, received->payload.find('\r', start) - start);
-                const auto [run, first] = runs_.emplace(id, backend.id);
-                if (!first && run->second != backend.id)
-                    violated("request " + id + " ran at " + run->second + " and " + backend.id);
-                answer(backend, *received, ack, received->acknowledged, id);
-            }
+        std::vector<packet> packets;
+        for (const auto& item : batch_.items()) {
+            if (item.bytes.size() < identity_size) continue;
+            const auto identity = packet::take<std::uint64_t>(item.bytes, 0);
+            const auto received = packet::decode(item.bytes.subspan(identity_size));
+            if (received && (identity == 0 || identity == backend.identity)) packets.push_back(*received);
         }
+        for (const packet& received : packets)
+            take_packet(backend, received);
+    }
+}
+
+void world::take_packet(soak_backend& backend, const packet& received) {
+    if (backend.at == soak_backend::state::dark) return;
+    if (backend.at == soak_backend::state::crashed) return answer(backend, received, rst, 0, {});
+    if ((received.flags & syn) != 0) return take_syn(backend, received);
+    check_flow(backend, received);
+    const auto found = backend.flows.find(received.source_port);
+    if (found != backend.flows.end()) {
+        found->second.open = true;
+        if (!received.payload.empty()) run_request(backend, received);
+    } else if ((received.flags & fin) == 0) {
+        answer(backend, received, rst, 0, {});
     }
 }
 
+// An open flow's packets go to its own backend server only, as long as that lives.
+void world::check_flow(const soak_backend& backend, const packet& received) {
+    const auto found = flows_.find(received.source_port);
+    if (found == flows_.end() || found->second.at != caller_flow::state::open) return;
+    if (found->second.backend == backend.id) return;
+    const auto* own = find_backend(found->second.backend);
+    if (own != nullptr && own->alive()) violated("a packet of a flow of " + own->id + " reached " + backend.id);
+}
+
+void world::run_request(soak_backend& backend, const packet& received) {
+    const std::size_t start = received.payload.find(id_field) + id_field.size();
+    const std::string id = received.payload.substr(start, received.payload.find('\r', start) - start);
+    const auto [run, first] = runs_.emplace(id, backend.id);
+    if (!first && run->second != backend.id)
+        violated("request " + id + " ran at " + run->second + " and " + backend.id);
+    answer(backend, received, ack, received.acknowledged, id);
+}
+
 void world::take_syn(soak_backend& backend, const packet& received) {
     const auto found = flows_.find(received.source_port);
     if (found == flows_.end()) return;
-    const caller_flow& flow = found->second;
-    const bool         fixed = received.destination == route_network + 1;
-    if (fixed && backend.service != services[0])
-        violated("a flow of service desk reached " + backend.id + " of " + backend.service);
-    const duration age = now() - flow.started;
-    if (backend.at == soak_backend::state::draining && in_touch(flow.balancer) &&
-        now() - age - backend.changed_at > drain_bound)
-        violated(backend.id + " got a new flow from " + balancers_[flow.balancer]->settings().name +
-                 " too long after it began to drain");
-    if (!fixed && backend.service != route_service_ && in_touch(flow.balancer) &&
-        flow.started - route_changed_ > configuration_bound)
-        violated(balancers_[flow.balancer]->settings().name + " placed a flow by an old configuration");
+    check_placement(backend, found->second, received.destination == route_network + 1);
     backend_flow& opened = backend.flows[received.source_port];
     if (opened.sequence == 0) opened.sequence = static_cast<std::uint32_t>(random_()) | 1U;
     answer(backend, received, syn | ack, opened.sequence, {});
 }
 
+// The bounds hold for hosts that were left alone for a while.
+void world::check_placement(const soak_backend& backend, const caller_flow& flow, bool is_fixed_route) {
+    if (is_fixed_route && backend.service != services[0])
+        violated("a flow of service desk reached " + backend.id + " of " + backend.service);
+    if (!in_touch(flow.balancer)) return;
+    if (backend.at == soak_backend::state::draining && flow.started - backend.changed_at > drain_bound) {
+        violated(backend.id + " got a new flow from " + name_of(flow.balancer) + " too long after it began to drain");
+    }
+    if (!is_fixed_route && backend.service != route_service_ && flow.started - route_changed_ > configuration_bound)
+        violated(name_of(flow.balancer) + " placed a flow by an old configuration");
+}
+
 // Straight to the caller, as on the platform.
 void world::answer(soak_backend& backend, const packet& received, std::uint8_t flags, std::uint32_t sequence,
                    const std::string& payload) {
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -52,6 +52,24 @@
     BOOST_TEST(flows[1] > flows[3]);
 }
 
+// Seen in inc-7412: after a loss of all hosts their first flows fell on the same backend servers.
+BOOST_AUTO_TEST_CASE(balancers_that_start_together_choose_in_different_orders) {
+    replica             many;
+    std::vector<record> records = {configuration_record(1, 1)};
+    for (std::uint64_t identity = 1; identity <= 8; ++identity)
+        records.push_back(backend_record(1 + identity, registration_of(identity)));
+    many.apply_snapshot(records, 9, time.steady_now());
+    std::map<std::uint64_t, int> first_choices;
+    for (std::uint64_t seed = 1; seed <= 64; ++seed) {
+        steering fresh({.failure_domain = "north"}, many, seed);
+        ++first_choices[fresh.decide(syn(1), time.steady_now()).target->registration.identity];
+    }
+    // 64 balancers on 8 backend servers: 8 each on average.
+    BOOST_TEST(first_choices.size() == 8U);
+    for (const auto& [identity, count] : first_choices)
+        BOOST_TEST(count <= 20);
+}
+
 // A crashed backend server answers SYNs with resets that pass no balancer. It holds no request and would look idle.
 BOOST_AUTO_TEST_CASE(a_backend_server_that_resets_flows_attracts_no_more_of_them) {
     open(1);
