--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -5,10 +5,6 @@
 
 namespace {
 
-std::uint64_t age_ms(steady_time since, steady_time now) {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
-}
-
 void add_backends(const replica& known, counter_map& values) {
     for (const char* state : {"active", "draining", "removed"})
         values["entry_backend_servers_" + std::string(state)] = 0;
@@ -34,7 +30,7 @@
     values["entry_flows"] = status.flows;
     values["entry_configuration_version"] = known.routing() == nullptr ? 0 : known.routing()->version;
     values["entry_store_revision"] = known.complete_to();
-    values["entry_knowledge_age_ms"] = age_ms(known.last_proof(), now);
+    values["entry_knowledge_age_ms"] = to_milliseconds(now - known.last_proof());
     for (const auto& [outcome, count] : status.calls)
         values["entry_calls_" + outcome] = count;
     add_backends(known, values);
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -26,17 +26,13 @@
     return text + "." + std::string(3 - fraction.size(), '0') + fraction + "Z";
 }
 
-std::uint64_t milliseconds(duration value) {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 std::string flow_name(const segment& packet) {
     return packet.source.to_string() + ">" + packet.destination.to_string();
 }
 
 std::string age_of(const replica& known, steady_time now) {
     if (known.last_proof() == steady_time{}) return "none"; // a contact gave what is known
-    return std::to_string(milliseconds(now - known.last_proof()));
+    return std::to_string(to_milliseconds(now - known.last_proof()));
 }
 
 std::string join(std::span<const std::string> texts) {
@@ -103,7 +99,7 @@
 }
 
 void event_log::note_synchronized(duration after, const replica& known) {
-    write(event::synchronized, {{"after_ms", milliseconds(after)},
+    write(event::synchronized, {{"after_ms", to_milliseconds(after)},
                                 {"version", version_of(known)},
                                 {"backend_servers", known.backends().size()},
                                 {"store_revision", known.complete_to()}});
--- a/tamarack/control_loop.cpp
+++ b/tamarack/control_loop.cpp
@@ -161,7 +161,7 @@
         const duration    gap = now - last_round_;
         last_round_ = now;
         if (gap <= pause_threshold) return;
-        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
+        const auto milliseconds = to_milliseconds(gap);
         log_event(event::pause_detected,
                   {{"thread", "control"}, {"milliseconds", static_cast<std::uint64_t>(milliseconds)}});
         while (socket_.receive(batch_).taken == receive_batch::max_datagrams) {
--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -7,11 +7,12 @@
 #include "tamarack/flow_progress.h"
 #include "tamarack/invariant.h"
 #include "tamarack/place_sequence.h"
+#include "tamarack/refused_syns.h"
+#include "tamarack/resilience.h"
 #include "tamarack/selection.h"
 #include "tamarack/service_index.h"
 
 #include <algorithm>
-#include <deque>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -20,9 +21,6 @@
 namespace {
 
 constexpr duration    pause_threshold = std::chrono::seconds(1); // without a packet or a call of tick
-constexpr duration    refusal_memory = std::chrono::seconds(10); // a late copy of a refused SYN is refused too
-constexpr duration    refusal_step = std::chrono::seconds(1);    // a repeated refusal within it is not noted again
-constexpr std::size_t max_refusals = 16'384;
 constexpr std::size_t max_learned_tunnels = 1'024;
 constexpr std::size_t slots_per_tick = 8'192;               // of the flow table, looked at for expiry
 constexpr std::size_t slots_per_collection = 16'384;        // looked at for replication
@@ -32,26 +30,6 @@
     std::size_t operator()(const flow_key& key) const { return key.low; }
 };
 
-// Limits replies to packets without a placement, so that a flood of them is not answered one by one.
-class reply_limiter {
-public:
-    explicit reply_limiter(std::uint32_t per_second) : per_second_(per_second) {}
-
-    bool take(steady_time now) {
-        const double refill = std::chrono::duration<double>(now - last_).count() * per_second_;
-        tokens_ = std::min<double>(per_second_, tokens_ + refill);
-        last_ = now;
-        if (tokens_ < 1) return false;
-        tokens_ -= 1;
-        return true;
-    }
-
-private:
-    double      per_second_;
-    double      tokens_ = 0; // 0 .. per_second_
-    steady_time last_{};
-};
-
 // New flows a second of a service or backend server: this balancer's share of the limit, with a burst of one second.
 struct rate_state {
     double      tokens = 0;
@@ -68,49 +46,6 @@
     }
 };
 
-// SYNs that were refused: a copy that arrives late must be refused again, since the caller has been told "not run".
-class refusal_memory_table {
-public:
-    // False if there is no room: then nothing may be refused.
-    bool remember(const flow_key& key, std::uint32_t sequence, steady_time now) {
-        forget_old(now);
-        const refused_syn syn{key, sequence};
-        const auto        known = last_.find(syn);
-        if (known != last_.end() && now - known->second < refusal_step) return true;
-        if (order_.size() >= max_refusals) return false;
-        order_.emplace_back(now, syn);
-        last_[syn] = now;
-        return true;
-    }
-    bool contains(const flow_key& key, std::uint32_t sequence, steady_time now) {
-        forget_old(now);
-        return last_.contains({key, sequence});
-    }
-
-private:
-    struct refused_syn {
-        flow_key      key;
-        std::uint32_t sequence = 0;
-
-        friend bool operator==(const refused_syn&, const refused_syn&) = default;
-    };
-    struct syn_hash {
-        std::size_t operator()(const refused_syn& syn) const { return syn.key.low ^ syn.sequence; }
-    };
-
-    // An entry that has been renewed since is left to its later one.
-    void forget_old(steady_time now) {
-        while (!order_.empty() && now - order_.front().first > refusal_memory + refusal_step) {
-            const auto known = last_.find(order_.front().second);
-            if (known != last_.end() && known->second == order_.front().first) last_.erase(known);
-            order_.pop_front();
-        }
-    }
-
-    std::deque<std::pair<steady_time, refused_syn>>        order_; // oldest first; at most max_refusals
-    std::unordered_map<refused_syn, steady_time, syn_hash> last_;
-};
-
 // A packet on its way through the decision.
 struct packet_context {
     packet_info    info;
@@ -138,7 +73,8 @@
 class forwarder::impl {
 public:
     impl(const forwarder_settings& settings, const clock& time)
-        : settings_(settings), time_(time), table_(settings.table), replies_(settings.replies_per_second),
+        : settings_(settings), time_(time), table_(settings.table),
+          replies_(settings.replies_per_second, settings.replies_per_second, time.steady_now()),
           started_(time.steady_now()), last_active_(started_), sequences_(life_token(settings.self, settings.life)) {}
 
     void publish(std::shared_ptr<const forwarding_state> state) {
@@ -352,7 +288,7 @@
     // A RST, or for UDP an ICMP error. The kind of event is counted by the callers of this function.
     bool answer_caller(const packet_context& packet) {
         if (packet.fabric.port == 0 || packet.info.icmp_error) return false;
-        if (!replies_.take(packet.now)) {
+        if (!replies_.take(1.0, packet.now)) {
             ++counters_.replies_suppressed;
             return false;
         }
@@ -1274,7 +1210,7 @@
     forwarder_settings settings_;
     const clock&       time_;
     flow_table         table_;
-    reply_limiter      replies_;
+    token_bucket       replies_; // to packets without a placement, so that a flood of them is not answered one by one
     steady_time        started_;
     steady_time        last_active_;
     bool               paused_ = false;
@@ -1285,7 +1221,7 @@
     std::unordered_map<member_id, member>             members_;     // of state_
     std::unordered_set<std::uint32_t>                 live_tokens_; // of members_ without this balancer
     place_sequences                                   sequences_;
-    refusal_memory_table                              refusals_;
+    refused_syns                                      refusals_;
     std::unordered_map<service_id, rate_state>        service_rates_;
     std::unordered_map<backend_server_id, rate_state> server_rates_;
     std::unordered_map<backend_server_id, endpoint>   learned_tunnels_; // at most max_learned_tunnels
--- a/tamarack/platform_grpc.cpp
+++ b/tamarack/platform_grpc.cpp
@@ -47,9 +47,10 @@
 // A watch is asked to answer this long before the deadline of its call, so that "unchanged" is not taken for a failure.
 constexpr duration watch_margin = std::chrono::seconds(1);
 
-std::uint32_t to_milliseconds(duration time) {
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+// Longer times than the field holds are cut.
+std::uint32_t milliseconds_field(duration time) {
+    constexpr std::uint64_t longest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::min(to_milliseconds(time), longest));
 }
 
 bool is_refused_on_the_way_in(grpc::StatusCode code) {
@@ -267,7 +268,7 @@
         platform::WatchRequest message;
         message.set_key(what.key);
         message.set_version(what.expected_version);
-        message.set_wait_milliseconds(to_milliseconds(what.deadline - std::min(watch_margin, what.deadline / 4)));
+        message.set_wait_milliseconds(milliseconds_field(what.deadline - std::min(watch_margin, what.deadline / 4)));
         start(&stub::AsyncWatch, what, message, std::move(done));
     }
 
@@ -275,7 +276,7 @@
         platform::GrantLeaseRequest message;
         message.set_name(what.key);
         message.set_holder(what.value);
-        message.set_milliseconds(to_milliseconds(what.lease_time));
+        message.set_milliseconds(milliseconds_field(what.lease_time));
         start(&stub::AsyncGrantLease, what, message, std::move(done));
     }
 
--- a/tamarack/tamarack.h
+++ b/tamarack/tamarack.h
@@ -43,6 +43,9 @@
 using steady_time = std::chrono::time_point<std::chrono::steady_clock, duration>; // for intervals and timeouts
 using wall_time = std::chrono::time_point<std::chrono::system_clock, duration>;   // for records shown to operators
 
+// Whole milliseconds, for messages and logs; 0 for negative ones.
+std::uint64_t to_milliseconds(duration value);
+
 // Source of time. Passed in, so that tests control it.
 class clock {
 public:
--- a/tamarack/traffic_loop.cpp
+++ b/tamarack/traffic_loop.cpp
@@ -47,7 +47,7 @@
     const duration    gap = now - last_round_;
     last_round_ = now;
     if (gap <= pause_threshold) return;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
+    const auto milliseconds = to_milliseconds(gap);
     log_event(event::pause_detected, {{"thread", thread_}, {"milliseconds", static_cast<std::uint64_t>(milliseconds)}});
     for (const udp_socket* socket : {&fabric_, &relay_}) {
         std::size_t taken = 0;
--- a/tamarack/types.cpp
+++ b/tamarack/types.cpp
@@ -20,6 +20,11 @@
 
 } // namespace
 
+std::uint64_t to_milliseconds(duration value) {
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    return whole > 0 ? static_cast<std::uint64_t>(whole) : 0;
+}
+
 bool ip_address::is_v4() const {
     return std::equal(v4_mapped_prefix.begin(), v4_mapped_prefix.end(), bytes.begin());
 }
