--- a/entry/replica.h
+++ b/entry/replica.h
@@ -22,6 +22,7 @@
     std::uint64_t       changed_at = 0; // generation
 };
 
+// A backend server with what the balancer knows beside its registration.
 struct known_backend {
     backend_registration       registration;
     backend_reference          reference = 0;
@@ -35,6 +36,7 @@
     bool takes_new_flows() const { return usable && !removed_at && registration.state == backend_state::active; }
 };
 
+// What applying a record did.
 enum class replica_change : std::uint8_t {
     none,
     feeders,
@@ -52,8 +54,8 @@
 
     // A record that is not newer than the known state of its key changes nothing.
     replica_change              apply(const record& item, steady_time now);
-    // All records of the store up to a revision; keys that are missing in it have been removed. pages_end is the
-    // revision of the first page: a key that is missing but newer than it was made later.
+    // All records of the store up to a revision, that of the listing's first page. Known keys that are missing in it
+    // have been removed, unless their state is newer: those were made while the other pages were read.
     std::vector<replica_change> apply_snapshot(std::span<const record> items, std::uint64_t revision, steady_time now);
 
     // The store did not answer, or refused; removals are held from now on until the hold after its return.
