--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -76,7 +76,7 @@
     known.usable = true;
     known.changed_at = ++generation_;
     raw_[item.key] = item.raw;
-    rebuild_index();
+    index_current_ = false;
     return is_new ? replica_change::backend_registered : replica_change::backend_changed;
 }
 
@@ -123,7 +123,7 @@
     known.removed_at = now;
     known.removal_due.reset();
     known.changed_at = ++generation_;
-    rebuild_index();
+    index_current_ = false;
     return replica_change::backend_removed;
 }
 
@@ -134,7 +134,7 @@
     found->second.revision = item.revision;
     found->second.changed_at = ++generation_;
     raw_[item.key] = item.raw;
-    rebuild_index();
+    index_current_ = false;
 }
 
 std::vector<replica_change> replica::apply_snapshot(std::span<const record> items, std::uint64_t revision,
@@ -207,7 +207,7 @@
         }
         return old;
     });
-    if (ended + forgotten > 0) rebuild_index();
+    if (ended + forgotten > 0) index_current_ = false;
     return ended;
 }
 
@@ -215,10 +215,13 @@
 // Lookup
 //----------------------------------------------------------------------------------------------------------------------
 
-void replica::rebuild_index() {
+// Built when it is needed, since a listing brings thousands of records.
+void replica::refresh_index() const {
+    if (index_current_) return;
+    index_current_ = true;
     references_.clear();
     services_.clear();
-    for (auto& [key, known] : backends_) {
+    for (const auto& [key, known] : backends_) {
         const known_backend*& slot = references_[known.reference];
         // The live one wins; among live ones the lower identity, so that all balancers agree.
         const bool            better = slot == nullptr || (slot->removed_at && !known.removed_at) ||
@@ -226,7 +229,7 @@
                              known.registration.identity < slot->registration.identity);
         if (better) slot = &known;
     }
-    for (auto& [key, known] : backends_) {
+    for (const auto& [key, known] : backends_) {
         if (!known.takes_new_flows() || references_[known.reference] != &known) continue;
         services_[known.registration.service].push_back(&known);
     }
@@ -238,11 +241,13 @@
 }
 
 const known_backend* replica::find(backend_reference reference) const {
+    refresh_index();
     const auto found = references_.find(reference);
     return found == references_.end() ? nullptr : found->second;
 }
 
 std::span<const known_backend* const> replica::backends_of(std::string_view service) const {
+    refresh_index();
     const auto found = services_.find(std::string(service));
     if (found == services_.end()) return {};
     return found->second;
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -105,33 +105,36 @@
     void           mark_unusable(const record& item);
     record         record_of(const std::string& key, const known_backend& known) const;
     bool           holds_removals(steady_time now) const;
-    void           rebuild_index();
+    void           refresh_index() const;
 
     struct tombstone {
         std::uint64_t revision = 0;   // of the removal
         std::uint64_t changed_at = 0; // generation
     };
 
-    std::shared_ptr<const routing_table>                               routing_;
-    std::uint64_t                                                      routing_revision_ = 0;
-    std::uint64_t                                                      routing_changed_at_ = 0; // generation
-    std::string                                                        routing_key_;
-    std::string                                                        routing_raw_;
-    std::unordered_map<endpoint, const route*, endpoint_hash>          routes_;      // into *routing_
-    std::unordered_map<std::string, known_backend>                     backends_;    // by key of the store
-    std::unordered_map<std::string, std::string>                       raw_;         // as stored, by key
-    std::unordered_map<std::string, tombstone>                         tombstones_;  // by key
-    std::unordered_map<backend_reference, const known_backend*>        references_;  // into backends_
-    std::unordered_map<std::string, std::vector<const known_backend*>> services_;    // those that take new flows
-    std::map<std::pair<std::string, unsigned>, known_feeder>           feeders_;     // by failure domain and slot
-    std::unordered_map<std::string, std::pair<std::string, unsigned>>  feeder_keys_; // into feeders_, by key
-    std::optional<steady_time>                                         steady_since_;
-    std::optional<steady_time>                                         returned_at_; // set after an outage
-    steady_time                                                        last_proof_{};
-    std::uint64_t                                                      complete_to_ = 0;
-    std::uint64_t                                                      generation_ = 0;
-    std::uint64_t                                                      first_generation_ = 0;
-    bool                                                               complete_ = false;
+    std::shared_ptr<const routing_table>                      routing_;
+    std::uint64_t                                             routing_revision_ = 0;
+    std::uint64_t                                             routing_changed_at_ = 0; // generation
+    std::string                                               routing_key_;
+    std::string                                               routing_raw_;
+    std::unordered_map<endpoint, const route*, endpoint_hash> routes_;     // into *routing_
+    std::unordered_map<std::string, known_backend>            backends_;   // by key of the store
+    std::unordered_map<std::string, std::string>              raw_;        // as stored, by key
+    std::unordered_map<std::string, tombstone>                tombstones_; // by key
+    mutable std::unordered_map<backend_reference, const known_backend*>
+        references_; // into backends_, if index_current_
+    mutable std::unordered_map<std::string, std::vector<const known_backend*>>
+                                                                      services_; // those that take new flows, likewise
+    mutable bool                                                      index_current_ = true;
+    std::map<std::pair<std::string, unsigned>, known_feeder>          feeders_;     // by failure domain and slot
+    std::unordered_map<std::string, std::pair<std::string, unsigned>> feeder_keys_; // into feeders_, by key
+    std::optional<steady_time>                                        steady_since_;
+    std::optional<steady_time>                                        returned_at_; // set after an outage
+    steady_time                                                       last_proof_{};
+    std::uint64_t                                                     complete_to_ = 0;
+    std::uint64_t                                                     generation_ = 0;
+    std::uint64_t                                                     first_generation_ = 0;
+    bool                                                              complete_ = false;
 };
 
 } // namespace tamarack::entry
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -164,6 +164,18 @@
     BOOST_TEST(std::holds_alternative<removed_record>(news.front().content));
 }
 
+// The time of a listing must grow with its size, not with its square: 13,000 records took a minute.
+BOOST_AUTO_TEST_CASE(a_listing_of_thousands_of_backend_servers_is_taken_at_once) {
+    replica             known = steady_replica();
+    std::vector<record> records;
+    for (std::uint64_t identity = 1; identity <= 13'000; ++identity)
+        records.push_back(backend_record(identity, registration_of(identity)));
+    const auto begin = std::chrono::steady_clock::now();
+    known.apply_snapshot(records, 20'000, start);
+    BOOST_TEST(known.backends_of("desk").size() >= 12'999U);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 2s));
+}
+
 BOOST_AUTO_TEST_CASE(references_are_never_zero_and_rarely_meet) {
     std::map<backend_reference, int> seen;
     for (std::uint64_t identity = 0; identity < 13'000; ++identity)
