--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -124,7 +124,7 @@
                 random_number()),
       life(given.stop_grace), packets(context, std::move(socket), decisions, known, log, source), followers(known),
       store(context, given.store), ticks(context), signals(context, SIGTERM, SIGINT, SIGHUP),
-      started(source.steady_now()) {}
+      started(source.steady_now()), file_changed(last_change(settings_file)) {}
 
 void entry_process::impl::start() {
     read_store();
