Forget old removals and idle backend servers; one token bucket for all rates

Removals are now kept for ten minutes; a follower whose position is before a forgotten one lists again. Load and failures of backend servers end two minutes after their last flow. The forwarder's own copy of a token bucket is replaced by the shared one, which can change its rate.

--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -11,7 +11,10 @@
 
 constexpr duration    closing_timeout = std::chrono::seconds(3); // late packets of a closed flow
 constexpr int         smoothing = 16;                            // samples of the handshake time
-constexpr std::size_t scan_share = 8;                            // expire looks at one in eight buckets a call
+// Load and failures of a backend server mean nothing after this time without a flow.
+constexpr duration    keep_activity = std::chrono::minutes(2);
+constexpr duration    activity_scan_interval = std::chrono::seconds(30);
+constexpr std::size_t scan_share = 8; // expire looks at one in eight buckets a call
 
 // Sequence numbers wrap around.
 bool is_after(std::uint32_t left, std::uint32_t right) {
@@ -145,6 +148,17 @@
         close(found->second);
         flows_.erase(found);
     }
+    expire_activity(now);
+}
+
+void flow_tracker::expire_activity(steady_time now) {
+    if (now < activity_scan_due_) return;
+    activity_scan_due_ = now + activity_scan_interval;
+    std::erase_if(activity_, [&](const auto& each) {
+        const backend_activity& seen = each.second;
+        if (seen.open > 0 || seen.waiting > 0) return false;
+        return now > std::max({seen.last_chosen, seen.last_sign, seen.avoid_until}) + keep_activity;
+    });
 }
 
 } // namespace tamarack::entry
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -64,7 +64,9 @@
     backend_activity&       activity(backend_reference target) { return activity_[target]; }
     const backend_activity* find_activity(backend_reference target) const;
     std::size_t             size() const { return flows_.size(); }
-    // Forgets flows idle for longer than the timeout, a part of the table with each call.
+    std::size_t             activity_size() const { return activity_.size(); } // backend servers
+    // Forgets flows idle for longer than the timeout, a part of the table with each call, and what is known of backend
+    // servers that have had no flow for long.
     void                    expire(steady_time now, duration idle_timeout);
 
 private:
@@ -72,12 +74,14 @@
     void                 note_sign(backend_activity& target, steady_time now);
     void                 stop_waiting(tracked_flow& flow);
     void                 close(tracked_flow& flow);
+    void                 expire_activity(steady_time now);
 
     std::size_t                                             capacity_; // flows
     std::unordered_map<std::uint64_t, tracked_flow>         flows_; // by hash of the caller's and the route's address
     std::unordered_map<backend_reference, backend_activity> activity_;
     duration                                                handshake_time_ = std::chrono::milliseconds(10); // smoothed
     std::uint64_t                                           scan_position_ = 0; // bucket at which expire goes on
+    steady_time                                             activity_scan_due_{};
 };
 
 } // namespace tamarack::entry
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -10,6 +10,8 @@
 
 // Flows are at most this old, so that no packet needs a removed backend server for longer.
 constexpr duration keep_removed = std::chrono::seconds(60);
+// Sources that are behind by more than this are not followed, so that no older state of the key can arrive.
+constexpr duration keep_tombstone = std::chrono::minutes(10);
 
 } // namespace
 
@@ -59,11 +61,16 @@
     return replica_change::routing;
 }
 
+bool replica::was_removed_after(const record& item) {
+    const auto gone = tombstones_.find(item.key);
+    if (gone == tombstones_.end()) return false;
+    if (item.revision <= gone->second.revision) return true;
+    tombstones_.erase(gone);
+    return false;
+}
+
 replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
-    if (const auto gone = tombstones_.find(item.key); gone != tombstones_.end()) {
-        if (item.revision <= gone->second.revision) return replica_change::none;
-        tombstones_.erase(gone);
-    }
+    if (was_removed_after(item)) return replica_change::none;
     known_backend& known = backends_[item.key];
     if (item.revision <= known.revision) return replica_change::none;
     const bool is_new = known.revision == 0 || known.removed_at.has_value();
@@ -81,10 +88,7 @@
 }
 
 replica_change replica::apply_feeder(const record& item, const feeder_registration& registration) {
-    if (const auto gone = tombstones_.find(item.key); gone != tombstones_.end()) {
-        if (item.revision <= gone->second.revision) return replica_change::none;
-        tombstones_.erase(gone);
-    }
+    if (was_removed_after(item)) return replica_change::none;
     const std::pair place(registration.failure_domain, registration.slot);
     known_feeder&   known = feeders_[place];
     if (item.revision <= known.revision) return replica_change::none;
@@ -94,23 +98,23 @@
     return replica_change::feeders;
 }
 
-replica_change replica::remove_feeder(const record& item) {
+replica_change replica::remove_feeder(const record& item, steady_time now) {
     const auto found = feeder_keys_.find(item.key);
     const auto known = feeders_.find(found->second);
     if (known == feeders_.end() || item.revision <= known->second.revision) return replica_change::none;
     feeders_.erase(known);
     feeder_keys_.erase(found);
     raw_.erase(item.key);
-    tombstones_[item.key] = {item.revision, ++generation_};
+    tombstones_[item.key] = {item.revision, ++generation_, now};
     return replica_change::feeders;
 }
 
 replica_change replica::apply_removal(const record& item, steady_time now) {
-    if (feeder_keys_.contains(item.key)) return remove_feeder(item);
+    if (feeder_keys_.contains(item.key)) return remove_feeder(item, now);
     const auto found = backends_.find(item.key);
     if (found == backends_.end()) {
         tombstone& known = tombstones_[item.key];
-        if (item.revision > known.revision) known = {item.revision, ++generation_};
+        if (item.revision > known.revision) known = {item.revision, ++generation_, now};
         return replica_change::none;
     }
     known_backend& known = found->second;
@@ -137,13 +141,11 @@
     index_current_ = false;
 }
 
-std::vector<replica_change> replica::apply_snapshot(std::span<const record> items, std::uint64_t revision,
-                                                    steady_time now) {
-    std::vector<replica_change>          changes;
+void replica::apply_snapshot(std::span<const record> items, std::uint64_t revision, steady_time now) {
     std::unordered_set<std::string_view> present;
     for (const record& item : items) {
         present.insert(item.key);
-        changes.push_back(apply(item, now));
+        apply(item, now);
     }
     std::vector<record> missing;
     for (const auto& [key, place] : feeder_keys_) {
@@ -155,10 +157,9 @@
             missing.push_back({.key = key, .revision = revision, .content = removed_record{}, .raw = {}});
     }
     for (const record& item : missing)
-        changes.push_back(apply(item, now));
+        apply(item, now);
     complete_ = true;
     set_complete_to(revision);
-    return changes;
 }
 
 void replica::set_complete_to(std::uint64_t revision) {
@@ -169,7 +170,7 @@
 // The store's absence
 //----------------------------------------------------------------------------------------------------------------------
 
-void replica::store_lost(steady_time /*now*/) {
+void replica::store_lost() {
     steady_since_.reset();
     returned_at_.reset();
 }
@@ -202,15 +203,25 @@
     const std::size_t forgotten = std::erase_if(backends_, [&](const auto& each) {
         const bool old = each.second.removed_at && now > *each.second.removed_at + keep_removed;
         if (old) {
-            tombstones_[each.first] = {each.second.revision, each.second.changed_at};
+            tombstones_[each.first] = {each.second.revision, each.second.changed_at, now};
             raw_.erase(each.first);
         }
         return old;
     });
     if (ended + forgotten > 0) index_current_ = false;
+    forget_removals(now);
     return ended;
 }
 
+// A follower whose position is before a forgotten removal has to list again.
+void replica::forget_removals(steady_time now) {
+    std::erase_if(tombstones_, [&](const auto& each) {
+        const bool old = now > each.second.since + keep_tombstone;
+        if (old) forgotten_to_ = std::max(forgotten_to_, each.second.changed_at);
+        return old;
+    });
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Lookup
 //----------------------------------------------------------------------------------------------------------------------
@@ -259,7 +270,11 @@
 }
 
 std::optional<std::vector<record>> replica::changes_after(std::uint64_t generation) const {
-    if (generation < first_generation_ || generation > generation_) return std::nullopt;
+    if (generation < std::max(first_generation_, forgotten_to_) || generation > generation_) return std::nullopt;
+    return collect_changes(generation);
+}
+
+std::vector<record> replica::collect_changes(std::uint64_t generation) const {
     std::vector<record> changes;
     if (routing_ && routing_changed_at_ > generation) {
         changes.push_back(
@@ -281,7 +296,7 @@
 }
 
 std::vector<record> replica::records() const {
-    auto all = changes_after(first_generation_).value_or(std::vector<record>{});
+    auto all = collect_changes(first_generation_);
     std::erase_if(all, [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
     return all;
 }
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -53,13 +53,13 @@
         : generation_(first_generation), first_generation_(first_generation) {}
 
     // A record that is not newer than the known state of its key changes nothing.
-    replica_change              apply(const record& item, steady_time now);
+    replica_change apply(const record& item, steady_time now);
     // All records of the store up to a revision, that of the listing's first page. Known keys that are missing in it
     // have been removed, unless their state is newer: those were made while the other pages were read.
-    std::vector<replica_change> apply_snapshot(std::span<const record> items, std::uint64_t revision, steady_time now);
+    void           apply_snapshot(std::span<const record> items, std::uint64_t revision, steady_time now);
 
     // The store did not answer, or refused; removals are held from now on until the hold after its return.
-    void        store_lost(steady_time now);
+    void        store_lost();
     // The store, or a feeder that heard from it so long ago, has answered.
     void        store_returned(steady_time now, duration proof_age = {});
     // Ends holds that are due and forgets what has been gone for long. Returns the number of removals that took effect.
@@ -85,7 +85,7 @@
     // position of another process is told apart.
     std::uint64_t                                                   generation() const { return generation_; }
     // What changed after a generation, in its last state; held removals are left out. Nullopt: the generation is not
-    // one of this process, or what was removed since is no longer known.
+    // one of this process, or removals since then have been forgotten.
     std::optional<std::vector<record>>                              changes_after(std::uint64_t generation) const;
     // All records in their last state.
     std::vector<record>                                             records() const;
@@ -97,19 +97,25 @@
         std::size_t operator()(const endpoint& value) const;
     };
 
-    replica_change apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
-    replica_change apply_backend(const record& item, const backend_registration& registration, steady_time now);
-    replica_change apply_feeder(const record& item, const feeder_registration& registration);
-    replica_change remove_feeder(const record& item);
-    replica_change apply_removal(const record& item, steady_time now);
-    void           mark_unusable(const record& item);
-    record         record_of(const std::string& key, const known_backend& known) const;
-    bool           holds_removals(steady_time now) const;
-    void           refresh_index() const;
+    replica_change      apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
+    replica_change      apply_backend(const record& item, const backend_registration& registration, steady_time now);
+    replica_change      apply_feeder(const record& item, const feeder_registration& registration);
+    replica_change      remove_feeder(const record& item, steady_time now);
+    replica_change      apply_removal(const record& item, steady_time now);
+    void                mark_unusable(const record& item);
+    // Whether the key was removed at this revision or later; ends the memory of an earlier removal.
+    bool                was_removed_after(const record& item);
+    void                forget_removals(steady_time now);
+    record              record_of(const std::string& key, const known_backend& known) const;
+    // Everything that changed after a generation of this process.
+    std::vector<record> collect_changes(std::uint64_t generation) const;
+    bool                holds_removals(steady_time now) const;
+    void                refresh_index() const;
 
     struct tombstone {
         std::uint64_t revision = 0;   // of the removal
         std::uint64_t changed_at = 0; // generation
+        steady_time   since{};
     };
 
     std::shared_ptr<const routing_table>                      routing_;
@@ -134,7 +140,8 @@
     std::uint64_t                                                     complete_to_ = 0;
     std::uint64_t                                                     generation_ = 0;
     std::uint64_t                                                     first_generation_ = 0;
-    bool                                                              complete_ = false;
+    std::uint64_t forgotten_to_ = 0; // generation of the newest removal that was forgotten
+    bool          complete_ = false;
 };
 
 } // namespace tamarack::entry
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -35,6 +35,8 @@
         return "history_dropped";
     case read_error::unreadable:
         return "unreadable";
+    case read_error::unproved:
+        return "unproved";
     }
     return "unknown";
 }
@@ -49,7 +51,7 @@
     call_ = {.kind = goes_on ? read_kind::watch : read_kind::list,
              .source = source,
              .after_key = {},
-             .after_position = known_.complete_to()};
+             .after_position = goes_on ? known_.complete_to() : 0};
     listed_.clear();
 }
 
@@ -71,7 +73,7 @@
     return call_;
 }
 
-std::vector<replica_change> store_sync::succeeded(const record_page& page, steady_time now) {
+void store_sync::succeeded(const record_page& page, steady_time now) {
     under_way_ = false;
     failures_ = 0;
     reachable_ = true;
@@ -79,22 +81,17 @@
     if (reads_store()) direct_success_ = now;
     // A contact may be as cut off as this balancer; only the store and its feeders prove that the store is there.
     if (call_.source.kind != source_kind::contact) known_.store_returned(now, page.proof_age);
-    std::vector<replica_change> changes;
-    if (call_.kind == read_kind::list) {
-        take_listing(page, now, changes);
-        return changes;
-    }
+    if (call_.kind == read_kind::list) return take_listing(page, now);
     for (const record& item : page.records)
-        changes.push_back(known_.apply(item, now));
+        known_.apply(item, now);
     known_.set_complete_to(page.revision);
     call_.after_position = page.position;
-    if (page.records.empty()) return changes;
+    if (page.records.empty()) return;
     not_before_ = now + (now - last_change_ < burst_window ? burst_pause : single_pause);
     last_change_ = now;
-    return changes;
 }
 
-void store_sync::take_listing(const record_page& page, steady_time now, std::vector<replica_change>& changes) {
+void store_sync::take_listing(const record_page& page, steady_time now) {
     if (call_.after_key.empty()) {
         listed_.clear();
         first_page_ = {.records = {}, .position = page.position, .revision = page.revision, .proof_age = {}};
@@ -104,7 +101,7 @@
         call_.after_key = page.records.back().key;
         return;
     }
-    changes = known_.apply_snapshot(listed_, first_page_.revision, now);
+    known_.apply_snapshot(listed_, first_page_.revision, now);
     listed_.clear();
     call_.kind = read_kind::watch;
     call_.after_key.clear();
@@ -125,7 +122,7 @@
     if (!repeat_) sources_.failed(call_.source, error == read_error::full, now);
     if (failures_ < failures_until_lost) return;
     reachable_ = false;
-    known_.store_lost(now);
+    known_.store_lost();
 }
 
 bool store_sync::is_direct(steady_time now) const {
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -27,6 +27,7 @@
     full,            // a feeder with as many followers as it takes
     history_dropped, // a watch begins before the kept history
     unreadable,      // not an answer in the protocol
+    unproved,        // not of the feeder that was asked
 };
 
 std::string_view to_string(read_error error);
@@ -45,9 +46,9 @@
     store_sync(replica& known, const source_settings& settings, std::uint64_t random_seed);
 
     // The call to make now; nullopt: one is under way, or the wait after failures is not over.
-    std::optional<read_call>    next_call(steady_time now);
-    std::vector<replica_change> succeeded(const record_page& page, steady_time now);
-    void                        failed(read_error error, steady_time now);
+    std::optional<read_call> next_call(steady_time now);
+    void                     succeeded(const record_page& page, steady_time now);
+    void                     failed(read_error error, steady_time now);
 
     // Some source has answered the last call.
     bool     reachable() const { return reachable_; }
@@ -59,7 +60,7 @@
 
 private:
     void turn_to(const record_source& source);
-    void take_listing(const record_page& page, steady_time now, std::vector<replica_change>& changes);
+    void take_listing(const record_page& page, steady_time now);
 
     replica&            known_;
     source_choice       sources_;
--- a/tamarack/forwarder.cpp
+++ b/tamarack/forwarder.cpp
@@ -30,21 +30,9 @@
     std::size_t operator()(const flow_key& key) const { return key.low; }
 };
 
-// New flows a second of a service or backend server: this balancer's share of the limit, with a burst of one second.
-struct rate_state {
-    double      tokens = 0;
-    steady_time last{};
-
-    bool take(double per_second, steady_time now) {
-        const double burst = std::max(1.0, per_second);
-        if (last == steady_time{}) tokens = burst;
-        tokens = std::min(burst, tokens + std::chrono::duration<double>(now - last).count() * per_second);
-        last = now;
-        if (tokens < 1) return false;
-        tokens -= 1;
-        return true;
-    }
-};
+// New flows a second, by service or backend server.
+template <typename Id>
+using new_flow_rates = std::unordered_map<Id, token_bucket>;
 
 // A packet on its way through the decision.
 struct packet_context {
@@ -551,7 +539,7 @@
         const bool            keep = kept != nullptr && kept->owner == target && effective_weight(*kept, input.now) > 0;
         const indexed_server* chosen = keep ? kept : select(settings_.policy, input);
         if (chosen == nullptr ||
-            !within_rate(chosen->server->limits, server_rates_[chosen->server->id], members, packet.now))
+            !within_rate(chosen->server->limits, server_rates_, chosen->server->id, members, packet.now))
             return nullptr;
         check(invariant::no_flow_to_draining, chosen->server->state == backend_state::active, chosen->server->name);
         check(invariant::right_service, chosen->owner == target, target->name);
@@ -564,12 +552,19 @@
         const double held = static_cast<double>(table_.service_count(target.id));
         const double share = members < 2 ? 1.0 : 2.0 / members; // each placement is held twice
         if (target.limits.max_flows != 0 && held >= std::max(1.0, target.limits.max_flows * share)) return true;
-        return !within_rate(target.limits, service_rates_[target.id], members, now);
+        return !within_rate(target.limits, service_rates_, target.id, members, now);
     }
 
-    static bool within_rate(const flow_limits& limits, rate_state& rate, std::uint32_t members, steady_time now) {
+    // This balancer's share of the limit, with a burst of one second.
+    template <typename Id>
+    static bool within_rate(const flow_limits& limits, new_flow_rates<Id>& rates, const Id& id, std::uint32_t members,
+                            steady_time now) {
         if (limits.max_new_flows_per_second == 0) return true;
-        return rate.take(static_cast<double>(limits.max_new_flows_per_second) / members, now);
+        const double  per_second = static_cast<double>(limits.max_new_flows_per_second) / members;
+        const double  burst = std::max(1.0, per_second);
+        token_bucket& rate = rates.try_emplace(id, per_second, burst, now).first->second;
+        rate.set_rate(per_second, burst, now);
+        return rate.take(1.0, now);
     }
 
     //------------------------------------------------------------------------------------------------------------------
@@ -1216,19 +1211,19 @@
     bool               paused_ = false;
     steady_time        paused_at_{};
     std::uint32_t      resumed_ticks_ = 0; // end of the last pause; placements not used since are in doubt
-    std::shared_ptr<const forwarding_state>           state_;       // null until the first publish
-    std::optional<service_index>                      index_;       // of state_
-    std::unordered_map<member_id, member>             members_;     // of state_
-    std::unordered_set<std::uint32_t>                 live_tokens_; // of members_ without this balancer
-    place_sequences                                   sequences_;
-    refused_syns                                      refusals_;
-    std::unordered_map<service_id, rate_state>        service_rates_;
-    std::unordered_map<backend_server_id, rate_state> server_rates_;
-    std::unordered_map<backend_server_id, endpoint>   learned_tunnels_; // at most max_learned_tunnels
-    seen_revision                                     newest_revision_;
-    std::size_t                                       replication_position_ = 0;
-    std::vector<std::byte>                            scratch_;
-    forwarder_counters                                counters_;
+    std::shared_ptr<const forwarding_state>         state_;       // null until the first publish
+    std::optional<service_index>                    index_;       // of state_
+    std::unordered_map<member_id, member>           members_;     // of state_
+    std::unordered_set<std::uint32_t>               live_tokens_; // of members_ without this balancer
+    place_sequences                                 sequences_;
+    refused_syns                                    refusals_;
+    new_flow_rates<service_id>                      service_rates_;
+    new_flow_rates<backend_server_id>               server_rates_;
+    std::unordered_map<backend_server_id, endpoint> learned_tunnels_; // at most max_learned_tunnels
+    seen_revision                                   newest_revision_;
+    std::size_t                                     replication_position_ = 0;
+    std::vector<std::byte>                          scratch_;
+    forwarder_counters                              counters_;
 };
 
 //----------------------------------------------------------------------------------------------------------------------
--- a/tamarack/resilience.cpp
+++ b/tamarack/resilience.cpp
@@ -24,6 +24,13 @@
     return std::min(burst_, tokens_ + rate_ * seconds_between(refilled_, now));
 }
 
+void token_bucket::set_rate(double rate_per_second, double burst, steady_time now) {
+    tokens_ = std::min(burst, available(now));
+    refilled_ = std::max(refilled_, now);
+    rate_ = rate_per_second;
+    burst_ = burst;
+}
+
 bool token_bucket::take(double amount, steady_time now, double reserve) {
     tokens_ = available(now);
     refilled_ = std::max(refilled_, now);
--- a/tamarack/resilience.h
+++ b/tamarack/resilience.h
@@ -19,6 +19,8 @@
     // Takes the amount if that leaves at least the reserve; otherwise takes nothing.
     bool   take(double amount, steady_time now, double reserve = 0.0);
     double available(steady_time now) const;
+    // Applies from now on; tokens above the new burst are lost.
+    void   set_rate(double rate_per_second, double burst, steady_time now);
 
 private:
     double      rate_;
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -74,7 +74,7 @@
 BOOST_AUTO_TEST_CASE(registrations_that_lapse_during_an_outage_are_held) {
     replica known = steady_replica();
     known.apply(backend_record(3, registration_of(1)), start);
-    known.store_lost(start);
+    known.store_lost();
     known.store_returned(start + 5s);
     BOOST_TEST((known.apply(removal(7, 1), start + 5s) == replica_change::removal_held));
     BOOST_TEST(known.backends_of("desk").size() == 1U);
@@ -86,7 +86,7 @@
 BOOST_AUTO_TEST_CASE(a_lapsed_registration_that_does_not_come_back_is_gone) {
     replica known = steady_replica();
     known.apply(backend_record(3, registration_of(1)), start);
-    known.store_lost(start);
+    known.store_lost();
     known.store_returned(start + 5s);
     known.apply_snapshot({}, 7, start + 5s);
     known.expire(start + 5s + removal_hold);
@@ -97,10 +97,10 @@
 BOOST_AUTO_TEST_CASE(a_hold_starts_again_with_the_stores_second_return) {
     replica known = steady_replica();
     known.apply(backend_record(3, registration_of(1)), start);
-    known.store_lost(start);
+    known.store_lost();
     known.store_returned(start + 1s);
     known.apply(removal(7, 1), start + 1s);
-    known.store_lost(start + 2s);
+    known.store_lost();
     known.expire(start + 10s);
     BOOST_TEST(known.backends_of("desk").size() == 1U);
     known.store_returned(start + 10s);
@@ -116,7 +116,7 @@
     auto    leaving = registration_of(1);
     leaving.state = backend_state::draining;
     known.apply(backend_record(3, leaving), start);
-    known.store_lost(start);
+    known.store_lost();
     known.store_returned(start + 5s);
     BOOST_TEST((known.apply(removal(7, 1), start + 5s) == replica_change::removal_held));
     BOOST_TEST(known.backends_of("desk").empty());
@@ -150,7 +150,7 @@
     known.apply(removal(5, 2), start);
     BOOST_TEST(known.changes_after(known.generation())->empty());
     BOOST_TEST(known.changes_after(1)->size() == 2U); // all but the configuration, which came first
-    known.store_lost(start);
+    known.store_lost();
     known.apply(removal(6, 1), start);
     const auto all = known.changes_after(0).value();
     for (const record& item : all)
@@ -164,6 +164,25 @@
     BOOST_TEST(std::holds_alternative<removed_record>(news.front().content));
 }
 
+// A balancer that runs for months must not remember each backend server that ever left.
+BOOST_AUTO_TEST_CASE(old_removals_are_forgotten_and_followers_behind_them_list_again) {
+    replica known = steady_replica();
+    known.apply(backend_record(3, registration_of(1)), start);
+    const std::uint64_t before = known.generation();
+    known.apply(removal(4, 1), start);
+    const std::uint64_t after = known.generation();
+    known.expire(start + 61s);
+    BOOST_TEST(known.changes_after(before).has_value());
+    known.expire(start + 12min);
+    BOOST_TEST(!known.changes_after(before).has_value());
+    BOOST_TEST(known.records().empty());
+    // What is newer is still given as changes.
+    const std::uint64_t present = known.generation();
+    BOOST_TEST(present >= after);
+    known.apply(backend_record(9, registration_of(2)), start + 12min);
+    BOOST_TEST(known.changes_after(present).value().size() == 1U);
+}
+
 // The time of a listing must grow with its size, not with its square: 13,000 records took a minute.
 BOOST_AUTO_TEST_CASE(a_listing_of_thousands_of_backend_servers_is_taken_at_once) {
     replica             known = steady_replica();
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -211,7 +211,7 @@
     time.advance(10s);
     known.store_returned(time.steady_now());
     BOOST_TEST((decide(later(1, 77, 5'000, 10)).what == verdict::reset));
-    known.store_lost(time.steady_now());
+    known.store_lost();
     BOOST_TEST((decide(later(1, 77, 5'000, 10)).what == verdict::drop));
 }
 
@@ -249,7 +249,7 @@
     segment packet = syn(1);
     packet.destination.port = 9;
     BOOST_TEST((decide(packet).what == verdict::reset));
-    known.store_lost(time.steady_now());
+    known.store_lost();
     BOOST_TEST((decide(packet).what == verdict::drop));
 }
 
@@ -305,3 +305,21 @@
         flows.expire(now + 20s, 15s);
     BOOST_TEST(flows.size() == 0U);
 }
+
+// Load and failures of backend servers that are gone must not stay in memory for the life of the process.
+BOOST_AUTO_TEST_CASE(activity_without_flows_is_forgotten_after_minutes) {
+    flow_tracker      flows(4);
+    const steady_time now{1h};
+    tracked_flow*     held = flows.start(syn(1), 7, now);
+    flows.note_packet(*held, later(1, 7, 500, 100), now);
+    flows.note_syn(8, now);
+    flows.expire(now + 1min, 10min);
+    BOOST_TEST(flows.activity_size() == 2U);
+    flows.expire(now + 3min, 10min);
+    BOOST_TEST(flows.activity_size() == 1U);
+    BOOST_TEST(flows.find_activity(7) != nullptr);
+    for (int call = 0; call < 32; ++call)
+        flows.expire(now + 20min, 10min);
+    flows.expire(now + 21min, 10min);
+    BOOST_TEST(flows.activity_size() == 0U);
+}
--- a/tests/resilience_test.cpp
+++ b/tests/resilience_test.cpp
@@ -30,6 +30,18 @@
     BOOST_TEST(passed);
 }
 
+// A limit that grows must not refill the time before with the new rate, and one that shrinks must not keep the old
+// burst.
+BOOST_AUTO_TEST_CASE(a_new_rate_applies_from_the_change_on) {
+    token_bucket bucket(1, 1, start);
+    BOOST_TEST(bucket.take(1, start));
+    bucket.set_rate(100, 100, start + 500ms);
+    BOOST_TEST(bucket.available(start + 500ms) == 0.5);
+    BOOST_TEST(bucket.available(start + 1'500ms) == 100.0);
+    bucket.set_rate(10, 10, start + 2s);
+    BOOST_TEST(bucket.available(start + 2s) == 10.0);
+}
+
 BOOST_AUTO_TEST_CASE(retries_are_a_tenth_of_the_calls_and_at_least_one_a_second) {
     retry_budget busy({}, start);
     retry_budget quiet({}, start);
