Authenticate the calls between followers and feeders

A feeder publishes a key beside its address in the store; followers prove each call with it and feeders each answer, bound to a number drawn for the call. Before, any program that reached the internal ports could answer in place of a feeder. Calls without a proof are rejected, counted and logged; listings without one, for hosts that start while the store is away, are limited in rate.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -28,6 +28,7 @@
     values["entry_feeding"] = status.feeding ? 1 : 0;
     values["entry_followers"] = status.followers;
     values["entry_flows"] = status.flows;
+    values["entry_follower_calls_rejected"] = status.rejected_calls;
     values["entry_configuration_version"] = known.routing() == nullptr ? 0 : known.routing()->version;
     values["entry_store_revision"] = known.complete_to();
     values["entry_knowledge_age_ms"] = to_milliseconds(now - known.last_proof());
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -11,7 +11,8 @@
     bool                                 feeding = false;
     std::size_t                          followers = 0;
     std::size_t                          flows = 0;
-    std::map<std::string, std::uint64_t> calls; // reading and claiming calls, by result
+    std::uint64_t                        rejected_calls = 0; // of followers without a proof
+    std::map<std::string, std::uint64_t> calls;              // reading and claiming calls, by result
 };
 
 std::string metrics_text(const packet_counters& packets, const process_status& status, const replica& known,
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <cstring>
 #include <filesystem>
 #include <random>
 
@@ -68,9 +69,21 @@
     return sources;
 }
 
-claim_settings claim_of(const settings& values) {
+feed_key random_feed_key() {
+    feed_key key;
+    for (std::size_t i = 0; i < key.bytes.size(); i += sizeof(std::uint64_t)) {
+        const std::uint64_t part = random_number();
+        std::memcpy(key.bytes.data() + i, &part, sizeof part);
+    }
+    return key;
+}
+
+claim_settings claim_of(const settings& values, const feed_key& key) {
     const bool strong = values.processor_share >= strong_processor_share && values.link_mbps >= strong_link_mbps;
-    return {.self = {.name = values.name, .failure_domain = values.failure_domain, .address = values.peer_address},
+    return {.self = {.name = values.name,
+                     .failure_domain = values.failure_domain,
+                     .address = values.peer_address,
+                     .key = key},
             .delay = strong ? duration::zero() : weak_host_delay};
 }
 
@@ -86,6 +99,7 @@
     void wait_for_tick();
     void tick();
     void wait_for_signal();
+    void note_rejected(std::string_view caller);
     void answer_readiness(const http_responder::reply& respond) const;
     void answer_metrics(const http_responder::reply& respond) const;
     void reload();
@@ -99,6 +113,7 @@
     asio::io_context                     context{1};
     event_log                            log;
     replica                              known{first_generation()};
+    const feed_key                       key = random_feed_key();
     store_sync                           sync;
     feeder_claim                         claim;
     steering                             decisions;
@@ -114,17 +129,19 @@
     steady_time                          file_check_due{};
     bool                                 was_reachable = false;
     bool                                 was_feeding = false;
-    std::map<std::string, std::uint64_t> calls; // by result
+    std::map<std::string, std::uint64_t> calls;              // by result
+    std::uint64_t                        rejected_calls = 0; // of followers
 };
 
 entry_process::impl::impl(const settings& given, std::string file, const clock& source, udp_socket socket)
     : values(given), settings_file(std::move(file)), time(source), log(source, given.name),
-      sync(known, sources_of(given), random_number()), claim(claim_of(given), known, random_number()),
+      sync(known, sources_of(given), random_number()), claim(claim_of(given, key), known, random_number()),
       decisions({.failure_domain = given.failure_domain, .flow_capacity = flow_capacity(given)}, known,
                 random_number()),
-      life(given.stop_grace), packets(context, std::move(socket), decisions, known, log, source), followers(known),
-      store(context, given.store), ticks(context), signals(context, SIGTERM, SIGINT, SIGHUP),
-      started(source.steady_now()), file_changed(last_change(settings_file)) {}
+      life(given.stop_grace), packets(context, std::move(socket), decisions, known, log, source),
+      followers(feed(known, given.name, key, source.steady_now())), store(context, given.store), ticks(context),
+      signals(context, SIGTERM, SIGINT, SIGHUP), started(source.steady_now()),
+      file_changed(last_change(settings_file)) {}
 
 void entry_process::impl::start() {
     read_store();
@@ -255,6 +272,11 @@
 // HTTP
 //----------------------------------------------------------------------------------------------------------------------
 
+void entry_process::impl::note_rejected(std::string_view caller) {
+    ++rejected_calls;
+    log.note_rejected(caller);
+}
+
 void entry_process::impl::answer_readiness(const http_responder::reply& respond) const {
     if (life.ready()) return respond({.body = "ready\n"});
     respond({.status = status_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"});
@@ -265,6 +287,7 @@
                                 .feeding = claim.holds(),
                                 .followers = followers.followers(),
                                 .flows = decisions.flows().size(),
+                                .rejected_calls = rejected_calls,
                                 .calls = calls};
     respond(
         {.body = metrics_text(packets.counters(), status, known, now()), .content_type = "text/plain; version=0.0.4"});
@@ -293,7 +316,9 @@
         {values.peer_address,
          [running](const http_call& call, http_responder::reply respond) {
              const steady_time current = running->now();
-             running->followers.handle(call.target, running->sync.is_direct(current), current, std::move(respond));
+             const bool        admitted =
+                 running->followers.handle(call.target, running->sync.is_direct(current), current, std::move(respond));
+             if (!admitted) running->note_rejected(call.caller);
          }},
     };
     if (values.metrics) {
--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -10,36 +10,57 @@
 
 constexpr unsigned status_not_found = 404;
 
-http_answer changes(const feed_answer& answer) {
-    if (answer.status != feed_status::ok) return {.status = platform::status_of(answer.status), .body = {}};
-    return {.body = platform::encode_changes(answer), .content_type = "application/json"};
+std::string changes(const feed_answer& answer) {
+    return answer.status == feed_status::ok ? platform::encode_changes(answer) : std::string();
 }
 
-http_answer listing(const feed_answer& answer) {
-    if (answer.status != feed_status::ok) return {.status = platform::status_of(answer.status), .body = {}};
-    return {.body = platform::encode_listing(answer), .content_type = "application/json"};
+std::string listing(const feed_answer& answer) {
+    return answer.status == feed_status::ok ? platform::encode_listing(answer) : std::string();
 }
 
 } // namespace
 
-void feed_server::handle(std::string_view target, bool is_current, steady_time now, http_responder::reply respond) {
-    const auto request = platform::decode_feed_request(target);
-    if (!request) return respond({.status = status_not_found, .body = "no such call\n"});
-    if (std::holds_alternative<platform::feed_list_request>(*request)) return respond(listing(feed_.list(now)));
-    const auto& watch = std::get<platform::feed_watch_request>(*request);
-    const auto  call = ++last_call_;
-    const auto  answer = feed_.watch(call, watch.position, watch.wait, is_current, now);
-    if (answer) return respond(changes(*answer));
-    waiting_[call] = std::move(respond);
+void feed_server::follower::answer(unsigned status, std::string body) const {
+    if (key && !body.empty()) body = platform::prove_answer(body, *key, number);
+    respond({.status = status, .body = std::move(body), .content_type = "application/json"});
+}
+
+bool feed_server::handle(std::string_view target, bool is_current, steady_time now, http_responder::reply respond) {
+    const auto call = platform::decode_feed_call(target);
+    if (!call) {
+        respond({.status = status_not_found, .body = "no such call\n"});
+        return true;
+    }
+    const auto key = call->proof ? feed_.proved_key(*call->proof) : std::nullopt;
+    follower   caller{std::move(respond), key, call->proof ? call->proof->number : 0};
+    const bool lists = std::holds_alternative<platform::feed_list_request>(call->request);
+    if (!key && (call->proof || !lists)) {
+        caller.answer(platform::status_of(feed_status::rejected), {});
+        return false;
+    }
+    if (lists) {
+        const feed_answer answer = key ? feed_.list(now) : feed_.list_unproved(now);
+        caller.answer(platform::status_of(answer.status), listing(answer));
+        return true;
+    }
+    const auto& watch = std::get<platform::feed_watch_request>(call->request);
+    const auto  number = ++last_call_;
+    const auto  answer = feed_.watch(number, watch.position, watch.wait, is_current, now);
+    if (answer) {
+        caller.answer(platform::status_of(answer->status), changes(*answer));
+    } else {
+        waiting_[number] = std::move(caller);
+    }
+    return true;
 }
 
 void feed_server::poll(bool is_current, steady_time now) {
     for (const feed::due_answer& due : feed_.poll(is_current, now)) {
         const auto found = waiting_.find(due.call);
         if (found == waiting_.end()) continue;
-        const auto respond = std::move(found->second);
+        const follower caller = std::move(found->second);
         waiting_.erase(found);
-        respond(changes(due.answer));
+        caller.answer(platform::status_of(due.answer.status), changes(due.answer));
     }
 }
 
--- a/daemons/entry/http_responder.cpp
+++ b/daemons/entry/http_responder.cpp
@@ -34,6 +34,9 @@
 struct http_responder::impl::session : std::enable_shared_from_this<session> {
     session(std::shared_ptr<impl> owner, tcp::socket socket) : server(std::move(owner)), stream(std::move(socket)) {
         ++server->sessions;
+        beast::error_code error;
+        const auto        other_end = stream.socket().remote_endpoint(error);
+        caller = error ? "unknown" : other_end.address().to_string() + ":" + std::to_string(other_end.port());
     }
     ~session() { --server->sessions; }
     session(const session&) = delete;
@@ -45,6 +48,7 @@
 
     std::shared_ptr<impl>             server;
     beast::tcp_stream                 stream;
+    std::string                       caller;
     beast::flat_buffer                buffer;
     http::request<http::string_body>  request;
     http::response<http::string_body> response;
@@ -63,7 +67,7 @@
     stream.expires_never();
     const auto method = request.method_string();
     const auto target = request.target();
-    server->answer({{method.data(), method.size()}, {target.data(), target.size()}, request.body()},
+    server->answer({{method.data(), method.size()}, {target.data(), target.size()}, request.body(), caller},
                    [self = shared_from_this()](http_answer reply) { self->write(std::move(reply)); });
 }
 
--- a/daemons/entry/http_responder.h
+++ b/daemons/entry/http_responder.h
@@ -15,6 +15,7 @@
     std::string_view method; // GET, POST, DELETE
     std::string_view target;
     std::string_view body;
+    std::string_view caller; // address and port of the other end
 };
 
 struct http_answer {
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -138,6 +138,14 @@
     write(feeding ? event::feeding_began : event::feeding_ended, {});
 }
 
+void event_log::note_rejected(std::string_view caller) {
+    if (failures_.take(1.0, time_.steady_now())) {
+        write(event::follower_rejected, {{"caller", std::string(caller)}});
+    } else {
+        ++left_out_;
+    }
+}
+
 void event_log::note_records(std::span<const record> records, const replica& known) {
     for (const record& item : records) {
         if (const auto* unusable = std::get_if<unusable_record>(&item.content)) {
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -23,6 +23,7 @@
     void note_bad_settings(const findings& problems);
     void note_store(bool reachable, std::string_view error);
     void note_feeding(bool feeding);
+    void note_rejected(std::string_view caller); // a follower without a proof
     void note_records(std::span<const record> records, const replica& known);
     void note_decision(const segment& packet, const steering_decision& decision, const replica& known, steady_time now);
 
--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -9,9 +9,33 @@
 
 constexpr duration    longest_wait = std::chrono::seconds(30);
 constexpr std::size_t max_followers = 48; // a weak host can answer this many at each change
+// Hosts of a failure domain that start together while the store is away; a listing is the dearest answer.
+constexpr double      unproved_listings_per_second = 10.0;
+constexpr double      unproved_listings_at_once = 50.0;
 
 } // namespace
 
+feed::feed(const replica& known, std::string name, const feed_key& key, steady_time now)
+    : known_(known), name_(std::move(name)), key_(key),
+      unproved_(unproved_listings_per_second, unproved_listings_at_once, now) {}
+
+std::optional<feed_key> feed::proved_key(const request_proof& proof) const {
+    const auto proves = [&](const feed_key& key) {
+        return is_proof(proof.proof, key, feed_message::request, proof.number, proof.text);
+    };
+    if (proves(key_)) return key_;
+    for (const auto& [place, feeder] : known_.feeders()) {
+        const feed_key& key = feeder.registration.key;
+        if (feeder.registration.name == name_ && proves(key)) return key;
+    }
+    return std::nullopt;
+}
+
+feed_answer feed::list_unproved(steady_time now) {
+    if (!unproved_.take(1.0, now)) return {.status = feed_status::full, .records = {}};
+    return list(now);
+}
+
 feed_answer feed::list(steady_time now) const {
     if (!known_.complete()) return {.status = feed_status::not_current, .records = {}};
     return {.records = known_.records(),
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "entry/replica.h"
+#include "tamarack/resilience.h"
 
 namespace tamarack::entry {
 
@@ -13,6 +14,7 @@
     not_current, // read elsewhere
     full,        // too many followers
     dropped,     // the position is not known; list again
+    rejected,    // the caller has not proved that it reads the same store
 };
 
 struct feed_answer {
@@ -23,11 +25,24 @@
     duration            proof_age{};  // since the store last proved that nothing newer exists
 };
 
+// What a follower adds to its call.
+struct request_proof {
+    std::uint64_t    number = 0; // drawn for this call
+    std::string_view text;       // that the proof covers
+    feed_proof       proof{};
+};
+
 class feed {
 public:
-    explicit feed(const replica& known) : known_(known) {}
+    // The name and the key of this balancer as a feeder.
+    feed(const replica& known, std::string name, const feed_key& key, steady_time now);
+
+    // The key that the caller has proved to know: of this process, or of an earlier one that the store still shows.
+    std::optional<feed_key> proved_key(const request_proof& proof) const;
 
     feed_answer list(steady_time now) const;
+    // For a host that cannot have the key, since it has not read the store: limited in rate.
+    feed_answer list_unproved(steady_time now);
 
     // Nullopt: the call waits, and poll returns its number when it is due.
     std::optional<feed_answer> watch(std::uint64_t call, std::uint64_t position, duration wait, bool is_current,
@@ -51,7 +66,10 @@
     feed_answer answer_from(std::uint64_t position, steady_time now) const;
 
     const replica&                        known_;
-    std::map<std::uint64_t, waiting_call> waiting_; // by number of the call
+    std::string                           name_;
+    feed_key                              key_;
+    token_bucket                          unproved_; // listings
+    std::map<std::uint64_t, waiting_call> waiting_;  // by number of the call
 };
 
 } // namespace tamarack::entry
--- a/entry/model.h
+++ b/entry/model.h
@@ -9,7 +9,7 @@
 // The adapter in platform/ decodes wire forms into these types; nothing here knows a wire name.
 #pragma once
 
-#include "tamarack/tamarack.h"
+#include "entry/feed_key.h"
 
 #include <unordered_map>
 
@@ -78,6 +78,7 @@
     std::string failure_domain;
     unsigned    slot = 0; // 0: the first; others follow when those before are full
     endpoint    address;  // serves its replica as the store would
+    feed_key    key{};    // known to all that read the store
 };
 
 struct removed_record {};
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -11,6 +11,9 @@
 // A feeder that failed was killed, stopped or cut off; the store serves meanwhile.
 constexpr backoff_settings feeder_wait = {std::chrono::milliseconds(1'500), std::chrono::seconds(12)};
 
+// Hosts come and go; the failures of one that was not tried again are forgotten this long after its wait.
+constexpr duration keep_trial = std::chrono::minutes(2);
+
 // Half of the wait is random, so that balancers which failed together do not return together.
 duration wait_after(const backoff_settings& settings, unsigned failures, random_source& random) {
     return backoff_limit(settings, failures) / 2 + backoff_delay(settings, failures, random) / 2;
@@ -27,40 +30,46 @@
     for (const auto& [place, feeder] : known_.feeders()) {
         if (feeder.registration.name == settings_.name) continue;
         const bool near = place.first == settings_.failure_domain;
-        (near ? own : others).push_back({source_kind::feeder, feeder.registration.address});
+        (near ? own : others).push_back({source_kind::feeder, feeder.registration.address, feeder.registration.key});
     }
-    if (!known_.complete()) own.clear();
     std::vector<record_source> order;
-    if (!feeding_ && known_.complete()) order = own;
-    order.push_back({source_kind::store, {}});
+    if (!feeding_) order = own;
+    order.push_back({source_kind::store, {}, {}});
     if (feeding_) order.insert(order.end(), own.begin(), own.end());
     order.insert(order.end(), others.begin(), others.end());
-    if (!known_.complete()) {
-        for (const endpoint& contact : settings_.contacts)
-            order.push_back({source_kind::contact, contact});
-    }
+    if (known_.complete()) return order;
+    for (const endpoint& contact : settings_.contacts)
+        order.push_back({source_kind::contact, contact, {}});
     return order;
 }
 
 std::optional<record_source> source_choice::choose(steady_time now) {
     for (const record_source& source : candidates()) {
-        const trial& tried = source.kind == source_kind::store ? store_ : others_[source.address];
-        if (now >= tried.retry_at) return source;
+        if (now >= retry_at(source)) return source;
     }
     return std::nullopt;
 }
 
 steady_time source_choice::next_due() const {
     steady_time due = store_.retry_at;
-    for (const record_source& source : candidates()) {
-        const auto tried = others_.find(source.address);
-        if (tried != others_.end()) due = std::min(due, tried->second.retry_at);
-    }
+    for (const record_source& source : candidates())
+        due = std::min(due, retry_at(source));
     return due;
 }
 
+// The epoch: at once.
+steady_time source_choice::retry_at(const record_source& source) const {
+    if (source.kind == source_kind::store) return store_.retry_at;
+    const auto tried = others_.find(source.address);
+    return tried == others_.end() ? steady_time{} : tried->second.retry_at;
+}
+
 void source_choice::succeeded(const record_source& source) {
-    (source.kind == source_kind::store ? store_ : others_[source.address]) = {};
+    if (source.kind == source_kind::store) {
+        store_ = {};
+    } else {
+        others_.erase(source.address);
+    }
 }
 
 void source_choice::failed(const record_source& source, bool is_full, steady_time now) {
@@ -68,6 +77,7 @@
         store_.retry_at = now + wait_after(store_wait, store_.failures++, random_);
         return;
     }
+    std::erase_if(others_, [&](const auto& each) { return now > each.second.retry_at + keep_trial; });
     trial& tried = others_[source.address];
     tried.retry_at = now + wait_after(feeder_wait, tried.failures++, random_);
     tried.full = is_full;
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -15,6 +15,7 @@
 struct record_source {
     source_kind kind = source_kind::store;
     endpoint    address; // of a feeder or contact
+    feed_key    key{};   // of a feeder
 
     friend bool operator==(const record_source&, const record_source&) = default;
 };
@@ -48,13 +49,14 @@
     };
 
     std::vector<record_source> candidates() const; // best first
+    steady_time                retry_at(const record_source& source) const;
 
     source_settings           settings_;
     const replica&            known_;
     random_source             random_;
     bool                      feeding_ = false;
     trial                     store_;
-    std::map<endpoint, trial> others_; // feeders and contacts, by address
+    std::map<endpoint, trial> others_; // feeders and contacts that failed last, by address
 };
 
 } // namespace tamarack::entry
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -59,10 +59,10 @@
         if (fault == kv_fault::silent) return void(unanswered_.push_back(std::move(respond)));
         if (fault == kv_fault::busy) return respond({.status = 503, .body = {}});
         if (fault == kv_fault::over_rate) return respond({.status = 429, .body = {}});
-        const auto read = tamarack::platform::decode_feed_request(call.target);
+        const auto read = tamarack::platform::decode_feed_call(call.target);
         if (!read) return write(call, respond);
-        if (std::holds_alternative<tamarack::platform::feed_list_request>(*read)) return respond(listing());
-        const auto& watch = std::get<tamarack::platform::feed_watch_request>(*read);
+        if (std::holds_alternative<tamarack::platform::feed_list_request>(read->request)) return respond(listing());
+        const auto& watch = std::get<tamarack::platform::feed_watch_request>(read->request);
         if (store_.revision() > watch.position && !hold_events) return answer_watch(watch.position, respond);
         waiting_.push_back({watch.position, time_.steady_now() + watch.wait, std::move(respond)});
     }
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -75,6 +75,10 @@
     {event::feeding_ended, severity::info, "feeding ended",
      "Entry balancer: the balancer stops, lost the store, or lost its lease; others read the store until there is a "
      "new feeder."},
+    {event::follower_rejected, severity::warning, "follower rejected",
+     "Entry balancer: a host asked for records without proving that it knows the key of this feeder, as the store "
+     "shows "
+     "it. A follower may do so for a moment after a restart of the feeder; look for another program otherwise."},
 
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -50,6 +50,7 @@
     lines_left_out = 6005,
     feeding_began = 6006,
     feeding_ended = 6007,
+    follower_rejected = 6008,
 
     call_refused = 7001,
     calls_overloaded = 7002,
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -205,7 +205,7 @@
 
 BOOST_AUTO_TEST_CASE(a_feeder_answers_watches_only_while_it_is_current) {
     replica known(1'000);
-    feed    followers(known);
+    feed    followers(known, "self", {}, steady_time{});
     BOOST_TEST((followers.list(steady_time{}).status == feed_status::not_current)); // not synchronized yet
     const steady_time now{1h};
     known.apply_snapshot(std::vector{configuration_record(1, 1), backend_record(2, registration_of(1))}, 5, now);
@@ -222,7 +222,7 @@
 
 BOOST_AUTO_TEST_CASE(a_waiting_follower_gets_a_change_at_once_and_nothing_at_the_end_of_its_wait) {
     replica           known(1'000);
-    feed              followers(known);
+    feed              followers(known, "self", {}, steady_time{});
     const steady_time now{1h};
     known.store_returned(now - 1min);
     known.apply_snapshot(std::vector{backend_record(2, registration_of(1))}, 5, now);
@@ -242,7 +242,7 @@
 // A feeder that has restarted knows nothing of earlier positions.
 BOOST_AUTO_TEST_CASE(a_position_of_an_earlier_feeder_leads_to_a_listing) {
     replica           known(50'000);
-    feed              followers(known);
+    feed              followers(known, "self", {}, steady_time{});
     const steady_time now{1h};
     known.apply_snapshot({}, 5, now);
     BOOST_TEST((followers.watch(1, 1'234, 1s, true, now)->status == feed_status::dropped));
@@ -251,7 +251,7 @@
 
 BOOST_AUTO_TEST_CASE(a_feeder_limits_its_followers) {
     replica           known(1'000);
-    feed              followers(known);
+    feed              followers(known, "self", {}, steady_time{});
     const steady_time now{1h};
     known.apply_snapshot({}, 5, now);
     std::uint64_t call = 0;
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -158,18 +158,66 @@
 }
 
 BOOST_AUTO_TEST_CASE(calls_of_followers_are_read) {
-    const auto watch = decode_feed_request("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500");
-    BOOST_REQUIRE((watch && std::holds_alternative<feed_watch_request>(*watch)));
-    BOOST_TEST(std::get<feed_watch_request>(*watch).position == 77U);
-    BOOST_TEST((std::get<feed_watch_request>(*watch).wait == std::chrono::milliseconds(1'500)));
-    BOOST_TEST(decode_feed_request("/tamarackshore/kv-range?prefix=").has_value());
+    const auto watch = decode_feed_call("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500");
+    BOOST_REQUIRE((watch && std::holds_alternative<feed_watch_request>(watch->request)));
+    BOOST_TEST(std::get<feed_watch_request>(watch->request).position == 77U);
+    BOOST_TEST((std::get<feed_watch_request>(watch->request).wait == std::chrono::milliseconds(1'500)));
+    BOOST_TEST(!watch->proof.has_value());
+    BOOST_TEST(decode_feed_call("/tamarackshore/kv-range?prefix=").has_value());
     for (const char* target : {"", "/", "/tamarackshore/kv-watch", "/tamarackshore/kv-watch?after=x&wait_ms=5",
                                "/tamarackshore/kv-watch?after=5&wait_ms=99999999", "/tamarackshore/kv-txn?after=1"})
-        BOOST_TEST(!decode_feed_request(target).has_value(), target);
+        BOOST_TEST(!decode_feed_call(target).has_value(), target);
+}
+
+BOOST_AUTO_TEST_CASE(a_follower_proves_its_call_and_a_feeder_its_answer) {
+    const feed_key    key{{1, 2, 3}};
+    const feed_key    other{{1, 2, 4}};
+    const std::string target = prove_request("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500", key, 5);
+    const auto        call = decode_feed_call(target);
+    BOOST_REQUIRE((call && call->proof));
+    BOOST_TEST(call->proof->number == 5U);
+    BOOST_TEST(is_proof(call->proof->proof, key, feed_message::request, 5, call->proof->text));
+    BOOST_TEST(!is_proof(call->proof->proof, other, feed_message::request, 5, call->proof->text));
+    const std::string answer = prove_answer("{}", key, 5);
+    BOOST_TEST(open_answer(answer, key, 5).value() == "{}");
+    BOOST_TEST(!open_answer(answer, key, 6).has_value()); // an answer to another call, sent again
+    BOOST_TEST(!open_answer(answer, other, 5).has_value());
+    BOOST_TEST(!open_answer("{}", key, 5).has_value());
+}
+
+// Any host may connect to a feeder's port, and answer in place of one: what is altered or cut must not be taken.
+BOOST_AUTO_TEST_CASE(altered_calls_and_answers_are_never_proved) {
+    const feed_key    key{{1, 2, 3}};
+    const std::string target = prove_request("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500", key, 5);
+    const std::string answer = prove_answer(encode_changes({.records = {}, .position = 9, .revision = 9}), key, 5);
+    std::mt19937      random(20261204);
+    const auto        altered = [&](const std::string& text) {
+        std::string other = text.substr(0, random() % 4 == 0 ? random() % text.size() : text.size());
+        const int   changes = static_cast<int>(random() % 4) + (other.size() == text.size() ? 1 : 0);
+        for (int i = 0; i < changes && !other.empty(); ++i) {
+            char& each = other[random() % other.size()];
+            each = static_cast<char>(each ^ static_cast<char>(1U << random() % 8));
+        }
+        return other;
+    };
+    for (int i = 0; i < 50'000; ++i) {
+        const std::string other_target = altered(target);
+        const auto        call = decode_feed_call(other_target);
+        if (call && call->proof) {
+            const request_proof& proof = *call->proof;
+            // Hexadecimal digits may be written in either case.
+            const bool           same = proof.text == decode_feed_call(target)->proof->text;
+            BOOST_REQUIRE((same || !is_proof(proof.proof, key, feed_message::request, proof.number, proof.text)));
+        }
+        const std::string other_answer = altered(answer);
+        const auto        body = open_answer(other_answer, key, 5);
+        if (body) BOOST_REQUIRE(*body == *open_answer(answer, key, 5));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(a_claim_names_its_key_lease_and_condition) {
-    const std::string body = encode_feeder_claim({"one", "north", 1, {ip_address::v4(0x0a010001), 7720}}, 42);
+    const feeder_registration feeder{"one", "north", 1, {ip_address::v4(0x0a010001), 7720}, {{0xab, 1}}};
+    const std::string         body = encode_feeder_claim(feeder, 42);
     BOOST_TEST(body.find(R"("expected_rev":[{"key":"tamarack/feeders/north/1","revision":0}])") != std::string::npos);
     BOOST_TEST(body.find(R"("lease":42)") != std::string::npos);
     BOOST_TEST(decode_lease(R"({"lease":77120,"ttl_ms":3000})").value() == 77120U);
