An old listing of a feeder is no return of the store

A host that the store turned away took them for the store's return each time, so that it reset flows on routes it did not know and logged a store that was not there. The soak also loses and doubles callers' packets, and its store takes 4,096 connections.

--- a/daemons/entry/http_responder.cpp
+++ b/daemons/entry/http_responder.cpp
@@ -15,19 +15,20 @@
 using asio::ip::tcp;
 
 constexpr std::chrono::seconds idle_timeout(10); // of a connection
-constexpr std::size_t          max_sessions = 64;
 
 } // namespace
 
 struct http_responder::impl : std::enable_shared_from_this<http_responder::impl> {
     struct session;
 
-    impl(asio::io_context& context, handler handle) : acceptor(context), answer(std::move(handle)) {}
+    impl(asio::io_context& context, handler handle, std::size_t limit)
+        : acceptor(context), answer(std::move(handle)), max_sessions(limit) {}
 
     void accept();
 
     tcp::acceptor acceptor;
     handler       answer;
+    std::size_t   max_sessions;
     std::size_t   sessions = 0;
 };
 
@@ -89,8 +90,7 @@
 void http_responder::impl::accept() {
     acceptor.async_accept([self = shared_from_this()](const beast::error_code& error, tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
-        // Beyond the limit the connection is closed at once; the checker comes again.
-        if (!error && self->sessions < max_sessions) std::make_shared<session>(self, std::move(socket))->read();
+        if (!error && self->sessions < self->max_sessions) std::make_shared<session>(self, std::move(socket))->read();
         self->accept();
     });
 }
@@ -106,8 +106,8 @@
 }
 
 result<http_responder, std::string> http_responder::open(asio::io_context& context, const endpoint& listen,
-                                                         handler answer) {
-    auto                parts = std::make_shared<impl>(context, std::move(answer));
+                                                         handler answer, std::size_t max_sessions) {
+    auto                parts = std::make_shared<impl>(context, std::move(answer), max_sessions);
     const tcp::endpoint where(asio::ip::make_address(listen.address.to_string()), listen.port);
     try {
         parts->acceptor.open(where.protocol());
--- a/daemons/entry/http_responder.h
+++ b/daemons/entry/http_responder.h
@@ -29,8 +29,9 @@
     using reply = std::function<void(http_answer)>; // called once, at once or later
     using handler = std::function<void(const http_call& call, reply respond)>;
 
+    // Connections beyond the limit are closed at once; the caller comes again.
     static result<http_responder, std::string> open(boost::asio::io_context& context, const endpoint& listen,
-                                                    handler answer);
+                                                    handler answer, std::size_t max_sessions = 64);
     ~http_responder();
     http_responder(http_responder&&) noexcept;
     http_responder& operator=(http_responder&&) noexcept;
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -16,6 +16,8 @@
 constexpr duration burst_window = std::chrono::milliseconds(1'000);
 constexpr duration burst_pause = std::chrono::milliseconds(250);
 constexpr duration single_pause = std::chrono::milliseconds(50);
+// Between two answers of a store that is there.
+constexpr duration longest_silence = store_watch_wait + watch_grace + burst_pause;
 // Failures in a row until the store counts as away: a watch may be cut, and a feeder end, at any time.
 constexpr unsigned failures_until_lost = 2;
 
@@ -75,12 +77,14 @@
 
 void store_sync::succeeded(const record_page& page, steady_time now) {
     under_way_ = false;
-    failures_ = 0;
-    reachable_ = true;
     sources_.succeeded(call_.source);
     if (reads_store()) direct_success_ = now;
-    // A contact may be as cut off as this balancer; only the store and its feeders prove that the store is there.
-    if (call_.source.kind != source_kind::contact) known_.store_returned(now, page.proof_age);
+    // A contact or a feeder may be as cut off as this balancer; a recent proof shows that the store is there.
+    if (call_.source.kind != source_kind::contact && page.proof_age <= longest_silence) {
+        failures_ = 0;
+        reachable_ = true;
+        known_.store_returned(now, page.proof_age);
+    }
     if (call_.kind == read_kind::list) return take_listing(page, now);
     for (const record& item : page.records)
         known_.apply(item, now);
@@ -126,8 +130,7 @@
 }
 
 bool store_sync::is_direct(steady_time now) const {
-    return reachable_ && reads_store() && known_.complete() &&
-           now - direct_success_ <= store_watch_wait + watch_grace + burst_pause;
+    return reachable_ && reads_store() && known_.complete() && now - direct_success_ <= longest_silence;
 }
 
 } // namespace tamarack::entry
--- a/soak/balancer_process.h
+++ b/soak/balancer_process.h
@@ -100,10 +100,12 @@
 
 public:
     loopback_proxy             to_store;
-    steady_time                disturbed_at{}; // last fault on the process or its connections
-    std::optional<steady_time> start_at;       // set while it is down
-    std::optional<steady_time> resume_at;      // set while it is paused
-    std::optional<steady_time> mend_at;        // set while its connections are harmed
+    steady_time                disturbed_at{};      // last fault on the process or its connections
+    std::optional<steady_time> start_at;            // set while it is down
+    std::optional<steady_time> resume_at;           // set while it is paused
+    std::optional<steady_time> mend_at;             // set while its connections or packets are harmed
+    unsigned                   lost_percent = 0;    // of callers' packets to it
+    unsigned                   doubled_percent = 0; // of those that arrive
     bool                       in_rotation = false;
     unsigned                   missed_checks = 0;
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_uint32(balancers, 6, "processes of a run");
 DEFINE_uint32(backends, 8, "backend servers of a run");
 DEFINE_uint32(fault_seconds, 6, "how long faults are injected");
+DEFINE_bool(packet_faults, true, "lose and double callers' packets, too; changes what a seed does");
 
 namespace {
 
@@ -37,7 +38,8 @@
                                                .balancers = FLAGS_balancers,
                                                .backends = FLAGS_backends,
                                                .network = network_of(seed),
-                                               .faults_for = std::chrono::seconds(FLAGS_fault_seconds)});
+                                               .faults_for = std::chrono::seconds(FLAGS_fault_seconds),
+                                               .packet_faults = FLAGS_packet_faults});
     std::cout << "seed " << seed << ": " << report.flows << " flows, " << report.answered << " requests answered, "
               << report.failed << " flows failed, " << report.faults << " faults, " << report.store_calls
               << " calls on the store, " << report.violations.size() << " violations" << std::endl;
@@ -48,7 +50,8 @@
         return true;
     }
     std::cout << "  logs in " << folder << "; again: entry-soak --seed=" << seed << " --balancers=" << FLAGS_balancers
-              << " --backends=" << FLAGS_backends << " --fault_seconds=" << FLAGS_fault_seconds << std::endl;
+              << " --backends=" << FLAGS_backends << " --fault_seconds=" << FLAGS_fault_seconds
+              << (FLAGS_packet_faults ? "" : " --nopacket_faults") << std::endl;
     return false;
 }
 
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -69,6 +69,7 @@
     void          disturb(balancer_process& balancer) { balancer.disturbed_at = now(); }
     void          harm_process(balancer_process& balancer);
     void          harm_connections(balancer_process& balancer);
+    void          harm_packets(balancer_process& balancer);
     void          harm_store();
     void          harm_backend();
     void          end_faults();
@@ -242,6 +243,8 @@
         }
         if (balancer.mend_at && now() >= *balancer.mend_at) {
             balancer.to_store.faults() = {};
+            balancer.lost_percent = 0;
+            balancer.doubled_percent = 0;
             balancer.mend_at.reset();
             disturb(balancer);
         }
@@ -295,7 +298,7 @@
     next_fault_ = now() + 100ms + std::chrono::milliseconds(pick(400));
     ++report_.faults;
     balancer_process& balancer = *balancers_[pick(balancers_.size())];
-    switch (pick(8)) {
+    switch (pick(settings_.packet_faults ? 9 : 8)) {
     case 0:
     case 1:
         return harm_process(balancer);
@@ -307,6 +310,8 @@
     case 5:
     case 6:
         return harm_backend();
+    case 8:
+        return harm_packets(balancer);
     default:
         return write_configuration(services.at(pick(services.size())));
     }
@@ -359,6 +364,13 @@
     }
 }
 
+void world::harm_packets(balancer_process& balancer) {
+    constexpr unsigned most_percent = 60;
+    disturb(balancer);
+    balancer.mend_at = now() + 200ms + std::chrono::milliseconds(pick(3'000));
+    (pick(2) == 0 ? balancer.lost_percent : balancer.doubled_percent) = pick(most_percent);
+}
+
 void world::harm_store() {
     store_disturbed_ = now();
     store_mend_at_ = now() + 200ms + std::chrono::milliseconds(pick(3'000));
@@ -450,17 +462,20 @@
     // Nearly all flows move when the rotation changes, as with the fabric's hash.
     const unsigned index = rotation[std::hash<std::uint16_t>()(flow.port) * hash_multiplier % rotation.size()];
     flow.balancer = index;
-    packet                                           out{.sequence = flow.sequence,
-                                                         .acknowledged = (flags & syn) != 0 ? copy : flow.acknowledged,
-                                                         .echo = flow.echo,
-                                                         .source_port = flow.port,
-                                                         .source = v4(caller_socket_->address()),
-                                                         .destination_port = flow.route_port,
-                                                         .destination = flow.route_address,
-                                                         .flags = flags,
-                                                         .payload = payload};
-    const auto                                       bytes = out.encode();
-    const std::array<tamarack::outgoing_datagram, 1> datagrams = {{{balancers_[index]->settings().packets, bytes}}};
+    packet                  out{.sequence = flow.sequence,
+                                .acknowledged = (flags & syn) != 0 ? copy : flow.acknowledged,
+                                .echo = flow.echo,
+                                .source_port = flow.port,
+                                .source = v4(caller_socket_->address()),
+                                .destination_port = flow.route_port,
+                                .destination = flow.route_address,
+                                .flags = flags,
+                                .payload = payload};
+    const balancer_process& taker = *balancers_[index];
+    if (taker.lost_percent > 0 && pick(100) < taker.lost_percent) return;
+    const std::size_t times = taker.doubled_percent > 0 && pick(100) < taker.doubled_percent ? 2 : 1;
+    const auto        bytes = out.encode();
+    const std::vector<tamarack::outgoing_datagram> datagrams(times, {taker.settings().packets, bytes});
     caller_socket_->send(datagrams);
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -17,6 +17,7 @@
     unsigned           network = 0; // second byte of the loopback addresses, so that runs do not meet
     tamarack::duration faults_for = std::chrono::seconds(6);
     tamarack::duration calm_for = std::chrono::seconds(9);
+    bool               packet_faults = true; // false: as when the earlier seeds failed
 };
 
 struct run_report {
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -21,11 +21,12 @@
     kv_server(boost::asio::io_context& context, const tamarack::endpoint& listen, kv_store& store,
               const tamarack::clock& time)
         : store_(store), time_(time),
-          server_(tamarack::entry::http_responder::open(context, listen,
-                                                        [this](const tamarack::entry::http_call& call, reply respond) {
-                                                            handle(call, std::move(respond));
-                                                        })
-                      .value()) {}
+          server_(
+              tamarack::entry::http_responder::open(
+                  context, listen,
+                  [this](const tamarack::entry::http_call& call, reply respond) { handle(call, std::move(respond)); },
+                  max_connections)
+                  .value()) {}
 
     kv_fault      fault = kv_fault::none;
     bool          lose_write_answers = false; // the write is done, its answer never comes
@@ -48,6 +49,8 @@
     }
 
 private:
+    static constexpr std::size_t max_connections = 4'096;
+
     struct waiting {
         std::uint64_t after = 0;
         steady_time   until{};
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -187,6 +187,26 @@
     BOOST_TEST(!known.store_steady_since().has_value()); // a contact proves nothing about the store
 }
 
+// A feeder that has lost the store still gives listings. They must not count as the store's return: flows on routes
+// that were added meanwhile would be reset.
+BOOST_AUTO_TEST_CASE(an_old_listing_of_a_feeder_is_no_return_of_the_store) {
+    list({feeder_record(3, "near", "north", 0, own_feeder), feeder_record(4, "far", "south", 0, other_feeder)});
+    next();
+    fail(read_error::refused);
+    next();
+    fail(read_error::refused);
+    BOOST_TEST(!known.store_steady_since().has_value());
+    BOOST_TEST((next().kind == read_kind::list));
+    sync.succeeded({{configuration_record(1, 1)}, 77, 5, 10s, false}, now);
+    BOOST_TEST(!known.store_steady_since().has_value());
+    BOOST_TEST(!sync.reachable());
+    // One that has just heard from the store proves its return.
+    BOOST_TEST((next().kind == read_kind::watch));
+    sync.succeeded({{}, 77, 5, 2s, false}, now);
+    BOOST_TEST(known.store_steady_since().has_value());
+    BOOST_TEST(sync.reachable());
+}
+
 BOOST_AUTO_TEST_CASE(a_feeder_reads_the_store_although_there_are_other_feeders) {
     sync.set_feeding(true);
     list({feeder_record(3, "self", "north", 0, contact_address), feeder_record(4, "far", "south", 0, other_feeder)});
