Send a doubled SYN to the backend server of the first

A network may deliver a packet twice. The second SYN was placed like a new flow, mostly on another backend server; both then answer, and the caller's packets can follow the second. A SYN with the same sequence number on a flow that is not open now counts as a copy.

--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -63,8 +63,14 @@
     return place(packet, *to, earlier, now);
 }
 
+// Callers count the copies that they send; the network may double a packet, too.
+bool steering::is_copy_of(const segment& packet, const tracked_flow& flow) {
+    if (flow.closing) return false;
+    return packet.acknowledged > 0 || (!flow.open && packet.sequence == flow.sent_to);
+}
+
 steering_decision steering::place(const segment& packet, const route& to, tracked_flow* earlier, steady_time now) {
-    const bool        is_copy = earlier != nullptr && packet.acknowledged > 0 && !earlier->closing;
+    const bool        is_copy = earlier != nullptr && is_copy_of(packet, *earlier);
     backend_reference except = 0;
     if (is_copy) {
         earlier->copied = true;
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -60,6 +60,7 @@
 private:
     steering_decision    decide_syn(const segment& packet, steady_time now);
     steering_decision    decide_open(const segment& packet, steady_time now);
+    static bool          is_copy_of(const segment& packet, const tracked_flow& flow); // both of a SYN
     steering_decision    place(const segment& packet, const route& to, tracked_flow* earlier, steady_time now);
     const known_backend* choose(const route& to, backend_reference except, steady_time now);
     bool                 is_better_tie(const known_backend& left, const known_backend& right);
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -261,6 +261,24 @@
     BOOST_TEST((fresh.decide(later(1, 5, 5, 5)).what == verdict::drop));
 }
 
+// A network may deliver a packet twice; two backend servers would answer, and the caller's packets could follow the
+// second.
+BOOST_AUTO_TEST_CASE(a_doubled_syn_goes_to_the_same_backend_server) {
+    balancer_fixture balancer;
+    balancer.load(
+        {configuration_record(1, 1), backend_record(2, registration_of(1)), backend_record(3, registration_of(2))}, 3);
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        const auto first = balancer.decide(syn(port));
+        const auto second = balancer.decide(syn(port));
+        BOOST_TEST(second.target == first.target);
+        BOOST_TEST((second.why == reason::placed_again));
+    }
+    // Another sequence number is another flow: the caller uses the port again.
+    segment next = syn(1);
+    next.sequence += 70'000;
+    BOOST_TEST((balancer.decide(next).why == reason::placed));
+}
+
 BOOST_AUTO_TEST_CASE(a_split_route_follows_its_weights) {
     balancer_fixture balancer;
     auto             other = registration_of(2);
