An operator looks into tamarack-entry, and the log tells what changed

T5003 and T5004 lines come for what changed, not for each record of a listing, and for held removals when they take effect. A follower's watch waits 2.5 s instead of 1.5 s and a feeder takes 20 followers instead of 48, since at 48 its calls alone exceeded 5 KB/s.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -5,6 +5,7 @@
 #include "daemons/entry/entry_metrics.h"
 #include "daemons/entry/feed_server.h"
 #include "daemons/entry/packet_port.h"
+#include "daemons/entry/status_view.h"
 #include "entry/lifecycle.h"
 #include "platform/store_client.h"
 
@@ -27,6 +28,7 @@
 constexpr duration                  first_sync_wait = std::chrono::milliseconds(1'500);
 constexpr std::size_t               receive_buffer = 1'048'576; // bytes
 constexpr duration                  file_check_interval = std::chrono::seconds(2);
+constexpr unsigned                  status_not_found = 404;
 constexpr unsigned                  status_unavailable = 503;
 
 // Hosts with less than these leave reading the store for others to stronger ones, by the delay.
@@ -95,6 +97,7 @@
     void start();
     void read_store();
     void records_read(const result<record_page, read_error>& outcome);
+    void log_changes();
     void claim_feeder();
     void wait_for_tick();
     void tick();
@@ -102,6 +105,7 @@
     void note_rejected(std::string_view caller);
     void answer_readiness(const http_responder::reply& respond) const;
     void answer_metrics(const http_responder::reply& respond) const;
+    void answer_status(std::string_view target, const http_responder::reply& respond) const;
     void reload();
     void watch_settings_file();
 
@@ -113,10 +117,12 @@
     asio::io_context                     context{1};
     event_log                            log;
     replica                              known{first_generation()};
+    std::uint64_t                        logged_generation = known.generation(); // changes up to it are in the log
     const feed_key                       key = random_feed_key();
     store_sync                           sync;
     feeder_claim                         claim;
     steering                             decisions;
+    status_view                          view{known, decisions};
     lifecycle                            life;
     packet_port                          packets;
     feed_server                          followers;
@@ -165,7 +171,8 @@
         ++calls["ok"];
         const std::uint64_t before = known.generation();
         sync.succeeded(outcome.value(), answered);
-        if (known.generation() != before) log.note_records(outcome.value().records, known);
+        if (known.generation() != before) log.note_unusable(outcome.value().records);
+        log_changes();
     } else {
         ++calls[std::string(to_string(outcome.error()))];
         sync.failed(outcome.error(), answered);
@@ -184,6 +191,12 @@
     claim_feeder();
 }
 
+void entry_process::impl::log_changes() {
+    if (known.generation() == logged_generation) return;
+    if (const auto changes = known.changes_after(logged_generation)) log.note_changes(*changes);
+    logged_generation = known.generation();
+}
+
 void entry_process::impl::claim_feeder() {
     const steady_time current = now();
     const bool        eligible = sync.is_direct(current) && life.ready();
@@ -220,6 +233,7 @@
     packets.note_round();
     const steady_time current = now();
     known.expire(current);
+    log_changes();
     decisions.expire(current);
     read_store();
     claim_feeder();
@@ -293,6 +307,13 @@
         {.body = metrics_text(packets.counters(), status, known, now()), .content_type = "text/plain; version=0.0.4"});
 }
 
+void entry_process::impl::answer_status(std::string_view target, const http_responder::reply& respond) const {
+    if (target == "/counters") return answer_metrics(respond);
+    auto text = view.text(target, now());
+    if (!text) return respond({.status = status_not_found, .body = "not known, or an address is wrong\n"});
+    respond({.body = std::move(*text)});
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Public class
 //----------------------------------------------------------------------------------------------------------------------
@@ -326,6 +347,11 @@
                                  running->answer_metrics(respond);
                              }});
     }
+    if (values.status) {
+        listeners.push_back({*values.status, [running](const http_call& call, const http_responder::reply& respond) {
+                                 running->answer_status(call.target, respond);
+                             }});
+    }
     for (listener& each : listeners) {
         auto server = http_responder::open(running->context, each.where, std::move(each.handle));
         if (!server) return server.error();
--- a/daemons/tamarackctl.cpp
+++ b/daemons/tamarackctl.cpp
@@ -1,6 +1,7 @@
 // tamarackctl: carries out commands at the administration interface of a balancer.
 //
 // One command on the command line, a prompt on a terminal, or commands from standard input, one on each line.
+#include "platform/http_channel.h"
 #include "tamarack/admin_client.h"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
 #include <unistd.h>
 
 DEFINE_string(server, "127.0.0.1:6083", "balancers to ask, in turn until one answers: ADDRESS:PORT[,ADDRESS:PORT...]");
+DEFINE_string(entry, "", "look into a tamarack-entry on this host, at its status address ADDRESS:PORT, instead");
 DEFINE_string(operator, "", "name for the audit trail; with TLS that of the certificate; else $USER if not given");
 DEFINE_bool(json, false, "write answers as JSON");
 DEFINE_bool(exposition, false, "show counters: write the text exposition format that collectors read");
@@ -165,6 +167,45 @@
     return show(client.run(read.value(), options));
 }
 
+// The target at a tamarack-entry's status address that answers a command; empty: it has no such answer.
+std::string entry_target(const command& what) {
+    if (std::holds_alternative<show_services>(what)) return "/services";
+    if (std::holds_alternative<show_balancers>(what)) return "/balancers";
+    if (std::holds_alternative<show_counters>(what)) return "/counters";
+    if (const auto* shown = std::get_if<show_backend_servers>(&what))
+        return "/backend-servers" + (shown->service ? "?service=" + *shown->service : std::string());
+    if (const auto* asked = std::get_if<explain_flow>(&what))
+        return "/flow?caller=" + asked->flow.source.to_string() + "&route=" + asked->flow.destination.to_string();
+    return {};
+}
+
+exit_code ask_entry(const endpoint& server, const std::string& line) {
+    const auto read = parse_command(line);
+    if (!read) return show(wrong_command(line, read.error(), options_of_flags()));
+    const std::string target = entry_target(read.value());
+    if (target.empty()) {
+        return show(
+            {exit_code::wrong_command, "",
+             "--entry answers show services, show backend-servers, show balancers, show counters and explain\n"});
+    }
+    boost::asio::io_context context;
+    platform::http_channel  channel(context, server);
+    command_outcome         outcome{exit_code::unavailable, "", "no answer of " + server.to_string() + "\n"};
+    channel.call({platform::http_method::get, target, {}, std::chrono::seconds(FLAGS_timeout)},
+                 [&](const result<platform::http_response, platform::http_error>& answer) {
+                     constexpr unsigned ok = 200;
+                     if (!answer) return;
+                     if (answer.value().status == ok) {
+                         outcome = {exit_code::done, answer.value().body, ""};
+                     } else {
+                         outcome = {exit_code::refused, "", answer.value().body};
+                     }
+                     context.stop();
+                 });
+    context.run_for(std::chrono::seconds(FLAGS_timeout));
+    return show(outcome);
+}
+
 bool is_blank_or_comment(const std::string& line) {
     const auto start = line.find_first_not_of(" \t");
     return start == std::string::npos || line[start] == '#';
@@ -279,6 +320,11 @@
     for (int i = 1; i < argc; ++i)
         line += (i > 1 ? " " : "") + std::string(argv[i]);
     if (FLAGS_stop_balancer && !line.empty()) return fail("--stop_balancer takes no command");
+    if (!FLAGS_entry.empty()) {
+        const auto server = endpoint::parse(FLAGS_entry);
+        if (!server || server->port == 0) return fail("--entry is not ADDRESS:PORT");
+        return exit_status(ask_entry(*server, line));
+    }
     admin_client client(settings.value());
     return exit_status(run(client, line));
 }
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -146,13 +146,18 @@
     }
 }
 
-void event_log::note_records(std::span<const record> records, const replica& known) {
+void event_log::note_unusable(std::span<const record> records) {
     for (const record& item : records) {
-        if (const auto* unusable = std::get_if<unusable_record>(&item.content)) {
-            write(event::record_unusable,
-                  {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
-        } else if (std::holds_alternative<std::shared_ptr<const routing_table>>(item.content)) {
-            write(event::revision_in_force, {{"version", version_of(known)}, {"revision", item.revision}});
+        const auto* unusable = std::get_if<unusable_record>(&item.content);
+        if (unusable == nullptr) continue;
+        write(event::record_unusable, {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
+    }
+}
+
+void event_log::note_changes(std::span<const record> changes) {
+    for (const record& item : changes) {
+        if (const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&item.content)) {
+            write(event::revision_in_force, {{"version", (*table)->version}, {"revision", item.revision}});
         } else if (const auto* registration = std::get_if<backend_registration>(&item.content)) {
             write(event::backend_server_registered, {{"backend_server", registration->name},
                                                      {"service", registration->service},
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -24,7 +24,10 @@
     void note_store(bool reachable, std::string_view error);
     void note_feeding(bool feeding);
     void note_rejected(std::string_view caller); // a follower without a proof
-    void note_records(std::span<const record> records, const replica& known);
+    // Records that cannot be used.
+    void note_unusable(std::span<const record> records);
+    // What the balancer knows since then, in its new state.
+    void note_changes(std::span<const record> changes);
     void note_decision(const segment& packet, const steering_decision& decision, const replica& known, steady_time now);
 
     // Writes what the pipe takes, and the summary of what was left out.
--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr duration    longest_wait = std::chrono::seconds(30);
-constexpr std::size_t max_followers = 48; // a weak host can answer this many at each change
+// Each follower asks every 2.5 s, with about 560 bytes of call and answer: under 5 KB/s in all.
+constexpr std::size_t max_followers = 20;
 // Hosts of a failure domain that start together while the store is away; a listing is the dearest answer.
 constexpr double      unproved_listings_per_second = 10.0;
 constexpr double      unproved_listings_at_once = 50.0;
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -39,6 +39,11 @@
     return found == flows_.end() ? nullptr : &found->second;
 }
 
+const tracked_flow* flow_tracker::find(const segment& packet) const {
+    const auto found = flows_.find(key_of(packet));
+    return found == flows_.end() ? nullptr : &found->second;
+}
+
 const backend_activity* flow_tracker::find_activity(backend_reference target) const {
     const auto found = activity_.find(target);
     return found == activity_.end() ? nullptr : &found->second;
@@ -96,10 +101,10 @@
             flow.request_at = now;
             ++target.waiting;
         }
-        if (!packet.request_id.empty()) flow.request_id = packet.request_id;
     } else if (packet.payload > 0) {
         progress.repeated = true;
     }
+    if (!packet.request_id.empty()) flow.request_id = packet.request_id;
     if (packet.fin || packet.rst) close(flow);
     return progress;
 }
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -48,13 +48,14 @@
 public:
     explicit flow_tracker(std::size_t capacity) : capacity_(capacity) {}
 
-    tracked_flow* find(const segment& packet);
+    tracked_flow*       find(const segment& packet);
+    const tracked_flow* find(const segment& packet) const;
     // Starts or restarts a flow; null when the table is full.
-    tracked_flow* start(const segment& packet, backend_reference target, steady_time now);
+    tracked_flow*       start(const segment& packet, backend_reference target, steady_time now);
     // Takes a later packet of the flow into account.
-    flow_progress note_packet(tracked_flow& flow, const segment& packet, steady_time now);
+    flow_progress       note_packet(tracked_flow& flow, const segment& packet, steady_time now);
     // Moves a flow that is not open to another backend server.
-    void          move(tracked_flow& flow, backend_reference target);
+    void                move(tracked_flow& flow, backend_reference target);
 
     // A SYN goes to the backend server.
     void     note_syn(backend_reference target, steady_time now);
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -39,6 +39,14 @@
     return true;
 }
 
+// Only programs on the host reach it, so that nothing has to be proved.
+bool read_loopback(std::string_view text, endpoint& into) {
+    constexpr std::uint8_t loopback_network = 127;
+    constexpr std::size_t  first_v4_byte = 12;
+    if (!read_endpoint(text, into)) return false;
+    return into.address.is_v4() && into.address.bytes.at(first_v4_byte) == loopback_network;
+}
+
 bool read_endpoints(std::string_view text, std::vector<endpoint>& into) {
     into.clear();
     while (!text.empty()) {
@@ -81,6 +89,10 @@
         {"balancer", "metrics_address", false, "ADDRESS:PORT", "Where metrics are served (HTTP); without it nowhere.",
          when::at_restart,
          [](std::string_view text, settings& to) { return read_endpoint(text, to.metrics.emplace()); }},
+        {"balancer", "status_address", false, "ADDRESS:PORT with a loopback address",
+         "Where an operator on this host may look into the balancer (HTTP, tamarackctl --entry); without it nowhere.",
+         when::at_restart,
+         [](std::string_view text, settings& to) { return read_loopback(text, to.status.emplace()); }},
         {"peers", "address", true, "ADDRESS:PORT",
          "Where other balancers read what this one knows of the store (HTTP). The port is the same on all balancers.",
          when::at_restart, [](std::string_view text, settings& to) { return read_endpoint(text, to.peer_address); }},
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -14,6 +14,7 @@
     endpoint                packets;        // [balancer] receives callers' packets from the fabric
     endpoint                readiness;      // [balancer] answers the fabric's readiness checks
     std::optional<endpoint> metrics;        // [balancer] serves metrics; none: nowhere
+    std::optional<endpoint> status;         // [balancer] answers an operator on this host; none: nowhere
     endpoint                peer_address;   // [peers] serves what is known of the store to other balancers
     std::vector<endpoint>   contacts;       // [peers] hosts to ask at the start; their port is not used
     endpoint                store;          // [store]
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -124,7 +124,7 @@
             if (sooner) fallback = candidate;
             continue;
         }
-        const double cost = cost_of(*candidate, now);
+        const double cost = cost_of(*candidate, seen, now);
         if (cost > best_cost || (cost == best_cost && !is_better_tie(*candidate, *best))) continue;
         best = candidate;
         best_cost = cost;
@@ -141,15 +141,34 @@
     return reference_of(left.reference ^ order_) < reference_of(right.reference ^ order_);
 }
 
-double steering::cost_of(const known_backend& candidate, steady_time now) {
-    const backend_activity& seen = flows_.activity(candidate.reference);
-    const bool              warming = now < candidate.registered + candidate.registration.warmup_left;
-    const double            slots = std::max(1U, candidate.registration.slots);
-    const double            load = seen.waiting + seen.unanswered + open_flow_share * seen.open;
-    const double            cost = (load + 1.0) * (warming ? warmup_factor : 1.0) / slots;
+double steering::cost_of(const known_backend& candidate, const backend_activity& seen, steady_time now) const {
+    const bool   warming = now < candidate.registered + candidate.registration.warmup_left;
+    const double slots = std::max(1U, candidate.registration.slots);
+    const double load = seen.waiting + seen.unanswered + open_flow_share * seen.open;
+    const double cost = (load + 1.0) * (warming ? warmup_factor : 1.0) / slots;
     return candidate.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
 }
 
+flow_explanation steering::explain(const endpoint& caller, const endpoint& route_address, steady_time now) const {
+    static const backend_activity unseen;
+    segment                       packet;
+    packet.source = caller;
+    packet.destination = route_address;
+    flow_explanation found{.to = known_.find_route(route_address), .flow = flows_.find(packet), .candidates = {}};
+    if (found.to == nullptr) return found;
+    for (const service_share& share : found.to->services) {
+        for (const known_backend* each : known_.backends_of(share.service)) {
+            const backend_activity* activity = flows_.find_activity(each->reference);
+            const backend_activity& seen = activity == nullptr ? unseen : *activity;
+            found.candidates.push_back({each, cost_of(*each, seen, now), now < seen.avoid_until});
+        }
+    }
+    std::ranges::sort(found.candidates, [](const weighed_backend& left, const weighed_backend& right) {
+        return std::pair(left.avoided, left.cost) < std::pair(right.avoided, right.cost);
+    });
+    return found;
+}
+
 void steering::note_silence(backend_reference target, steady_time now) {
     backend_activity& seen = flows_.activity(target);
     seen.unanswered = 0;
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -42,6 +42,20 @@
     flow_progress        progress{};       // what the packet showed
 };
 
+// A backend server as a choice for a new flow.
+struct weighed_backend {
+    const known_backend* target = nullptr;
+    double               cost = 0;        // waiting requests per slot, with the extra of another failure domain
+    bool                 avoided = false; // gave no sign of life lately
+};
+
+// Why a flow goes where it goes. The pointers are valid until the next packet or change of the replica.
+struct flow_explanation {
+    const route*                 to = nullptr;   // null: no route has the address
+    const tracked_flow*          flow = nullptr; // null: this balancer has not seen it, or has forgotten it
+    std::vector<weighed_backend> candidates;     // for a new flow, cheapest first
+};
+
 struct steering_settings {
     std::string failure_domain; // of this balancer
     std::size_t flow_capacity = 65'536;
@@ -54,6 +68,7 @@
     steering(const steering_settings& settings, const replica& known, std::uint64_t random_seed);
 
     steering_decision   decide(const segment& packet, steady_time now);
+    flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
     void                expire(steady_time now);
     const flow_tracker& flows() const { return flows_; }
 
@@ -64,7 +79,7 @@
     steering_decision    place(const segment& packet, const route& to, tracked_flow* earlier, steady_time now);
     const known_backend* choose(const route& to, backend_reference except, steady_time now);
     bool                 is_better_tie(const known_backend& left, const known_backend& right);
-    double               cost_of(const known_backend& candidate, steady_time now);
+    double               cost_of(const known_backend& candidate, const backend_activity& seen, steady_time now) const;
     std::string_view     pick_service(const route& to);
     void                 note_silence(backend_reference target, steady_time now);
     duration             silence_limit() const;
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-// The longest useful wait is bounded by how soon a silent connection must be noticed. Waits on feeders have no price.
-constexpr duration store_watch_wait = std::chrono::milliseconds(2'500);
-constexpr duration feeder_watch_wait = std::chrono::milliseconds(1'500);
+// Bounded by how soon a silent connection must be noticed: hosts are held to their bounds four seconds after it.
+constexpr duration watch_wait = std::chrono::milliseconds(2'500);
 constexpr duration watch_grace = std::chrono::milliseconds(700); // for the answer to a watch that has ended
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
 // Changes in quick succession share one answer of the store; a single one is seen at once.
@@ -17,7 +16,7 @@
 constexpr duration burst_pause = std::chrono::milliseconds(250);
 constexpr duration single_pause = std::chrono::milliseconds(50);
 // Between two answers of a store that is there.
-constexpr duration longest_silence = store_watch_wait + watch_grace + burst_pause;
+constexpr duration longest_silence = watch_wait + watch_grace + burst_pause;
 // Failures in a row until the store counts as away: a watch may be cut, and a feeder end, at any time.
 constexpr unsigned failures_until_lost = 2;
 
@@ -70,7 +69,7 @@
     }
     repeat_ = false;
     under_way_ = true;
-    call_.wait = call_.source.kind == source_kind::store ? store_watch_wait : feeder_watch_wait;
+    call_.wait = watch_wait;
     call_.timeout = call_.kind == read_kind::list ? list_timeout : call_.wait + watch_grace;
     return call_;
 }
--- a/soak/balancer_process.h
+++ b/soak/balancer_process.h
@@ -22,6 +22,7 @@
     std::string failure_domain;
     endpoint    packets;
     endpoint    readiness;
+    endpoint    status; // for an operator who looks on
     endpoint    peers;
     endpoint    proxy; // to the store
     endpoint    store;
@@ -84,6 +85,7 @@
                                        << "\nfailure_domain = " << settings_.failure_domain
                                        << "\npackets_address = " << settings_.packets.to_string()
                                        << "\nreadiness_address = " << settings_.readiness.to_string()
+                                       << "\nstatus_address = " << settings_.status.to_string()
                                        << "\n[peers]\naddress = " << settings_.peers.to_string()
                                        << "\ncontacts = " << settings_.contacts
                                        << "\n[store]\naddress = " << settings_.proxy.to_string()
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -153,6 +153,7 @@
                                         .failure_domain = domains.at(i % domains.size()),
                                         .packets = at(packet_port),
                                         .readiness = at(8167),
+                                        .status = at(9109),
                                         .peers = at(7720),
                                         .proxy = at(8169),
                                         .store = loopback(settings.network, 0, 1, 8169),
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -51,9 +51,8 @@
     {event::backend_server_registered, severity::info, "backend server registered",
      "Entry balancer: a backend server registered or changed its registration in the store, as `revision`."},
     {event::record_removed, severity::info, "record removed",
-     "Entry balancer: a registration of a backend server or feeder ended. A backend server may be held in use for a "
-     "while "
-     "after an outage of the store."},
+     "Entry balancer: a registration of a backend server or feeder ended. After an outage of the store the line comes "
+     "when the removal takes effect, since the backend server is held in use for a while."},
     {event::feeder_registered, severity::info, "feeder registered",
      "Entry balancer: a balancer reads the store for the others of its failure domain."},
 
@@ -159,6 +158,11 @@
 std::string format_event(event number, std::initializer_list<event_field> fields) {
     std::string line("T");
     line.append(std::to_string(static_cast<unsigned>(number))).append(" ").append(describe(number).text);
+    return line + format_fields(fields);
+}
+
+std::string format_fields(std::initializer_list<event_field> fields) {
+    std::string line;
     for (const event_field& field : fields) {
         line += " " + field.key + "=";
         if (!field.value.empty() && std::ranges::all_of(field.value, is_plain)) {
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -94,6 +94,8 @@
 };
 
 // The line without glog's prefix. Values that are not plain words are quoted, so that a value cannot forge a field.
+// " key=value" for each field.
+std::string format_fields(std::initializer_list<event_field> fields);
 std::string format_event(event number, std::initializer_list<event_field> fields);
 
 // The place in the source is that of the caller (std::source_location is unknown to clang 14, which lints the code).
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -52,6 +52,13 @@
     BOOST_TEST(problems_of(good + "nonsense\n").find("INI") != std::string::npos);
 }
 
+// The status address asks for no proof, so that other hosts must not reach it.
+BOOST_AUTO_TEST_CASE(the_status_address_is_a_loopback_address) {
+    BOOST_TEST(problems_of(good + "[balancer]\nstatus_address = 127.0.0.1:9109\n").empty());
+    BOOST_TEST(problems_of(good + "[balancer]\nstatus_address = 10.0.0.1:9109\n").find("loopback") !=
+               std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_empty_optional_key_keeps_its_default) {
     BOOST_TEST(problems_of(good + "[balancer]\nmetrics_address =\n").empty());
 }
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -197,7 +197,8 @@
     fail(read_error::refused);
     BOOST_TEST(!known.store_steady_since().has_value());
     BOOST_TEST((next().kind == read_kind::list));
-    sync.succeeded({{configuration_record(1, 1)}, 77, 5, 10s, false}, now);
+    const record far = feeder_record(4, "far", "south", 0, other_feeder);
+    sync.succeeded({{configuration_record(1, 1), far}, 77, 5, 10s, false}, now);
     BOOST_TEST(!known.store_steady_since().has_value());
     BOOST_TEST(!sync.reachable());
     // One that has just heard from the store proves its return.
