Followers resume at a feeder from a revision; held removals are not counted as given

It now reads what is newer than the revision that it contains.

Two faults found by thinking this through: a feeder counted a removal that it held as given, so that a follower which turned to the store in that time never learned of it; an older registration, which came from another source after a held removal, undid the removal. Both have a test.

--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -43,6 +43,11 @@
         caller.answer(platform::status_of(answer.status), listing(answer));
         return true;
     }
+    if (const auto* resume = std::get_if<platform::feed_resume_request>(&call->request)) {
+        const feed_answer answer = feed_.resume(resume->revision, is_current, now);
+        caller.answer(platform::status_of(answer.status), changes(answer));
+        return true;
+    }
     const auto& watch = std::get<platform::feed_watch_request>(call->request);
     const auto  number = ++last_call_;
     const auto  answer = feed_.watch(number, watch.position, watch.wait, is_current, now);
--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -39,18 +39,19 @@
 
 feed_answer feed::list(steady_time now) const {
     if (!known_.complete()) return {.status = feed_status::not_current, .records = {}};
-    return {.records = known_.records(),
-            .position = known_.generation(),
-            .revision = known_.complete_to(),
-            .proof_age = now - known_.last_proof()};
+    return answer_with(known_.records(), now);
+}
+
+feed_answer feed::resume(std::uint64_t revision, bool is_current, steady_time now) const {
+    if (!is_current) return {.status = feed_status::not_current, .records = {}};
+    return answer_with(known_.changes_after_revision(revision), now);
 }
 
-feed_answer feed::answer_from(std::uint64_t position, steady_time now) const {
-    auto changes = known_.changes_after(position);
+feed_answer feed::answer_with(std::optional<std::vector<record>> changes, steady_time now) const {
     if (!changes) return {.status = feed_status::dropped, .records = {}};
     return {.records = std::move(*changes),
             .position = known_.generation(),
-            .revision = known_.complete_to(),
+            .revision = known_.given_to(),
             .proof_age = now - known_.last_proof()};
 }
 
@@ -58,7 +59,7 @@
                                        steady_time now) {
     if (!is_current) return feed_answer{.status = feed_status::not_current, .records = {}};
     if (waiting_.size() >= max_followers) return feed_answer{.status = feed_status::full, .records = {}};
-    feed_answer answer = answer_from(position, now);
+    feed_answer answer = answer_with(known_.changes_after(position), now);
     if (answer.status != feed_status::ok || !answer.records.empty()) return answer;
     waiting_[call] = {position, now + std::min(wait, longest_wait)};
     return std::nullopt;
@@ -70,7 +71,7 @@
         if (!is_current) {
             due.push_back({call, {.status = feed_status::not_current, .records = {}}});
         } else if (known_.generation() != each.position || now >= each.until) {
-            due.push_back({call, answer_from(each.position, now)});
+            due.push_back({call, answer_with(known_.changes_after(each.position), now)});
         }
     }
     for (const due_answer& each : due)
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -44,6 +44,9 @@
     // For a host that cannot have the key, since it has not read the store: limited in rate.
     feed_answer list_unproved(steady_time now);
 
+    // What is newer than a revision of the store, for a follower that has read elsewhere.
+    feed_answer resume(std::uint64_t revision, bool is_current, steady_time now) const;
+
     // Nullopt: the call waits, and poll returns its number when it is due.
     std::optional<feed_answer> watch(std::uint64_t call, std::uint64_t position, duration wait, bool is_current,
                                      steady_time now);
@@ -63,7 +66,7 @@
         steady_time   until{};
     };
 
-    feed_answer answer_from(std::uint64_t position, steady_time now) const;
+    feed_answer answer_with(std::optional<std::vector<record>> changes, steady_time now) const;
 
     const replica&                        known_;
     std::string                           name_;
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -79,7 +79,7 @@
     known.revision = item.revision;
     known.registered = now;
     known.removed_at.reset();
-    known.removal_due.reset();
+    if (item.revision > known.removal_revision) known.removal_due.reset();
     known.usable = true;
     known.changed_at = ++generation_;
     raw_[item.key] = item.raw;
@@ -121,6 +121,7 @@
     if (item.revision <= known.revision || known.removed_at) return replica_change::none;
     if (holds_removals(now)) {
         if (!known.removal_due) known.removal_due = returned_at_.value_or(now) + removal_hold;
+        known.removal_revision = std::max(known.removal_revision, item.revision);
         return replica_change::removal_held;
     }
     known.revision = item.revision;
@@ -196,7 +197,7 @@
         if (!known.removal_due || now < *known.removal_due || !steady_since_) continue;
         known.removal_due.reset();
         known.removed_at = now;
-        ++known.revision;
+        known.revision = known.removal_revision;
         known.changed_at = ++generation_;
         ++ended;
     }
@@ -217,7 +218,10 @@
 void replica::forget_removals(steady_time now) {
     std::erase_if(tombstones_, [&](const auto& each) {
         const bool old = now > each.second.since + keep_tombstone;
-        if (old) forgotten_to_ = std::max(forgotten_to_, each.second.changed_at);
+        if (old) {
+            forgotten_to_ = std::max(forgotten_to_, each.second.changed_at);
+            forgotten_revision_ = std::max(forgotten_revision_, each.second.revision);
+        }
         return old;
     });
 }
@@ -271,32 +275,47 @@
 
 std::optional<std::vector<record>> replica::changes_after(std::uint64_t generation) const {
     if (generation < std::max(first_generation_, forgotten_to_) || generation > generation_) return std::nullopt;
-    return collect_changes(generation);
+    return collect_changes([&](std::uint64_t /*revision*/, std::uint64_t each) { return each > generation; });
+}
+
+std::optional<std::vector<record>> replica::changes_after_revision(std::uint64_t revision) const {
+    if (revision < forgotten_revision_) return std::nullopt;
+    return collect_changes([&](std::uint64_t each, std::uint64_t /*generation*/) { return each > revision; });
 }
 
-std::vector<record> replica::collect_changes(std::uint64_t generation) const {
+template <class IsNewer>
+std::vector<record> replica::collect_changes(IsNewer is_newer) const {
     std::vector<record> changes;
-    if (routing_ && routing_changed_at_ > generation) {
+    if (routing_ && is_newer(routing_revision_, routing_changed_at_)) {
         changes.push_back(
             {.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw = routing_raw_});
     }
     for (const auto& [key, known] : backends_) {
-        if (known.changed_at > generation) changes.push_back(record_of(key, known));
+        if (is_newer(known.revision, known.changed_at)) changes.push_back(record_of(key, known));
     }
     for (const auto& [key, place] : feeder_keys_) {
         const known_feeder& known = feeders_.at(place);
-        if (known.changed_at <= generation) continue;
+        if (!is_newer(known.revision, known.changed_at)) continue;
         changes.push_back({.key = key, .revision = known.revision, .content = known.registration, .raw = raw_.at(key)});
     }
     for (const auto& [key, removed] : tombstones_) {
-        if (removed.changed_at > generation)
+        if (is_newer(removed.revision, removed.changed_at))
             changes.push_back({.key = key, .revision = removed.revision, .content = removed_record{}, .raw = {}});
     }
     return changes;
 }
 
+// A held removal is not given to others yet, so that they must be able to learn of it from the store later.
+std::uint64_t replica::given_to() const {
+    std::uint64_t revision = complete_to_;
+    for (const auto& [key, known] : backends_) {
+        if (known.removal_due) revision = std::min(revision, known.removal_revision - 1);
+    }
+    return revision;
+}
+
 std::vector<record> replica::records() const {
-    auto all = collect_changes(first_generation_);
+    auto all = collect_changes([](std::uint64_t, std::uint64_t) { return true; });
     std::erase_if(all, [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
     return all;
 }
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -27,11 +27,12 @@
     backend_registration       registration;
     backend_reference          reference = 0;
     std::uint64_t              revision = 0;
-    steady_time                registered{};   // when this state was learned
-    std::optional<steady_time> removed_at;     // set: gone, kept for the packets of its flows
-    std::optional<steady_time> removal_due;    // set: a held removal
-    std::uint64_t              changed_at = 0; // generation
-    bool                       usable = true;  // false: its registration cannot be read, or its reference is ambiguous
+    steady_time                registered{};         // when this state was learned
+    std::optional<steady_time> removed_at;           // set: gone, kept for the packets of its flows
+    std::optional<steady_time> removal_due;          // set: a held removal
+    std::uint64_t              removal_revision = 0; // of the held removal
+    std::uint64_t              changed_at = 0;       // generation
+    bool                       usable = true; // false: its registration cannot be read, or its reference is ambiguous
 
     bool takes_new_flows() const { return usable && !removed_at && registration.state == backend_state::active; }
 };
@@ -83,12 +84,17 @@
 
     // Grows with each change of what is known. Starts at a number that differs from process to process, so that a
     // position of another process is told apart.
-    std::uint64_t                                                   generation() const { return generation_; }
+    std::uint64_t                      generation() const { return generation_; }
     // What changed after a generation, in its last state; held removals are left out. Nullopt: the generation is not
     // one of this process, or removals since then have been forgotten.
-    std::optional<std::vector<record>>                              changes_after(std::uint64_t generation) const;
+    std::optional<std::vector<record>> changes_after(std::uint64_t generation) const;
+    // What has a higher revision than this one, in its last state; held removals are left out. Nullopt: removals since
+    // then have been forgotten.
+    std::optional<std::vector<record>> changes_after_revision(std::uint64_t revision) const;
+    // Whoever has all records that this balancer gives to others contains every change up to this revision.
+    std::uint64_t                      given_to() const;
     // All records in their last state.
-    std::vector<record>                                             records() const;
+    std::vector<record>                records() const;
     // By failure domain and slot.
     const std::map<std::pair<std::string, unsigned>, known_feeder>& feeders() const { return feeders_; }
 
@@ -97,18 +103,19 @@
         std::size_t operator()(const endpoint& value) const;
     };
 
-    replica_change      apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
-    replica_change      apply_backend(const record& item, const backend_registration& registration, steady_time now);
-    replica_change      apply_feeder(const record& item, const feeder_registration& registration);
-    replica_change      remove_feeder(const record& item, steady_time now);
-    replica_change      apply_removal(const record& item, steady_time now);
-    void                mark_unusable(const record& item);
+    replica_change apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
+    replica_change apply_backend(const record& item, const backend_registration& registration, steady_time now);
+    replica_change apply_feeder(const record& item, const feeder_registration& registration);
+    replica_change remove_feeder(const record& item, steady_time now);
+    replica_change apply_removal(const record& item, steady_time now);
+    void           mark_unusable(const record& item);
     // Whether the key was removed at this revision or later; ends the memory of an earlier removal.
-    bool                was_removed_after(const record& item);
-    void                forget_removals(steady_time now);
-    record              record_of(const std::string& key, const known_backend& known) const;
-    // Everything that changed after a generation of this process.
-    std::vector<record> collect_changes(std::uint64_t generation) const;
+    bool           was_removed_after(const record& item);
+    void           forget_removals(steady_time now);
+    record         record_of(const std::string& key, const known_backend& known) const;
+    // Records whose revision and generation are newer, as the function says.
+    template <class IsNewer>
+    std::vector<record> collect_changes(IsNewer is_newer) const;
     bool                holds_removals(steady_time now) const;
     void                refresh_index() const;
 
@@ -140,7 +147,8 @@
     std::uint64_t                                                     complete_to_ = 0;
     std::uint64_t                                                     generation_ = 0;
     std::uint64_t                                                     first_generation_ = 0;
-    std::uint64_t forgotten_to_ = 0; // generation of the newest removal that was forgotten
+    std::uint64_t forgotten_to_ = 0;       // generation of the newest removal that was forgotten
+    std::uint64_t forgotten_revision_ = 0; // the highest one of a removal that was forgotten
     bool          complete_ = false;
 };
 
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -45,15 +45,16 @@
 store_sync::store_sync(replica& known, const source_settings& settings, std::uint64_t random_seed)
     : known_(known), sources_(settings, known, random_seed) {}
 
-// Positions belong to their source. The store's is its revision, so that a watch can go on from what a feeder gave.
+// Positions belong to their source. The store's is its revision, so that a watch can go on from what a feeder gave, and
+// a feeder finds what is newer than a revision. A whole listing for each change of source would load a feeder the more,
+// the more followers turn to it at the same moment.
 void store_sync::turn_to(const record_source& source) {
     if (source == call_.source) return;
-    const bool goes_on = source.kind == source_kind::store && known_.complete();
-    call_ = {.kind = goes_on ? read_kind::watch : read_kind::list,
-             .source = source,
-             .after_key = {},
-             .after_position = goes_on ? known_.complete_to() : 0};
+    call_ = {.kind = read_kind::list, .source = source, .after_key = {}};
     listed_.clear();
+    if (!known_.complete()) return;
+    call_.kind = source.kind == source_kind::store ? read_kind::watch : read_kind::resume;
+    call_.after_position = known_.complete_to();
 }
 
 std::optional<read_call> store_sync::next_call(steady_time now) {
@@ -70,7 +71,7 @@
     repeat_ = false;
     under_way_ = true;
     call_.wait = watch_wait;
-    call_.timeout = call_.kind == read_kind::list ? list_timeout : call_.wait + watch_grace;
+    call_.timeout = call_.kind == read_kind::watch ? call_.wait + watch_grace : list_timeout;
     return call_;
 }
 
@@ -88,6 +89,7 @@
     for (const record& item : page.records)
         known_.apply(item, now);
     known_.set_complete_to(page.revision);
+    call_.kind = read_kind::watch;
     call_.after_position = page.position;
     if (page.records.empty()) return;
     not_before_ = now + (now - last_change_ < burst_window ? burst_pause : single_pause);
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -9,13 +9,17 @@
 
 namespace tamarack::entry {
 
-enum class read_kind : std::uint8_t { list, watch };
+enum class read_kind : std::uint8_t {
+    list,
+    watch,  // from a position of the source
+    resume, // on a feeder: what changed after a revision of the store, and a position for watches
+};
 
 struct read_call {
     read_kind     kind = read_kind::list;
     record_source source;
     std::string   after_key;          // list: of the page before; empty: the first page
-    std::uint64_t after_position = 0; // watch
+    std::uint64_t after_position = 0; // watch; resume: the revision
     duration      wait{};             // watch: how long the source may wait for an event
     duration      timeout{};          // for the whole call
 };
--- a/tests/entry_feed_test.cpp
+++ b/tests/entry_feed_test.cpp
@@ -86,6 +86,10 @@
     BOOST_REQUIRE(listing.has_value());
     BOOST_TEST(listing.value().records.size() == 1U);
     BOOST_TEST(listing.value().revision == 5U);
+    const auto resumed = read(read_kind::resume, feeder, 1);
+    BOOST_REQUIRE(resumed.has_value());
+    BOOST_TEST(resumed.value().records.size() == 1U);
+    BOOST_TEST(resumed.value().position == listing.value().position);
     const auto watch = read(read_kind::watch, feeder, listing.value().position);
     BOOST_REQUIRE(watch.has_value());
     BOOST_TEST(watch.value().records.empty());
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -164,6 +164,19 @@
     BOOST_TEST(std::holds_alternative<removed_record>(news.front().content));
 }
 
+// Records of several sources come in any order: an older registration must not undo a removal that is held.
+BOOST_AUTO_TEST_CASE(an_older_registration_does_not_end_a_held_removal) {
+    replica known = steady_replica();
+    known.apply(backend_record(3, registration_of(1)), start);
+    known.store_lost();
+    known.store_returned(start);
+    known.apply(removal(8, 1), start);
+    known.apply(backend_record(6, registration_of(1)), start);
+    known.expire(start + 5s);
+    BOOST_TEST(known.find(reference_of(1))->removed_at.has_value());
+    BOOST_TEST((known.apply(backend_record(7, registration_of(1)), start + 5s) == replica_change::none));
+}
+
 // A balancer that runs for months must not remember each backend server that ever left.
 BOOST_AUTO_TEST_CASE(old_removals_are_forgotten_and_followers_behind_them_list_again) {
     replica known = steady_replica();
