--- a/bench/entry_slopes.cpp
+++ b/bench/entry_slopes.cpp
@@ -1,6 +1,7 @@
 // Cost of the entry balancer's state and decisions by size, for docs/CAPACITY.md: memory and time of a listing, time of
-// one change, of a new flow and of a later packet.
+// one change, of a new flow and of a later packet; size and time of a configuration on its way to a follower.
 #include "entry/steering.h"
+#include "platform/compression.h"
 #include "tamarack/clock.h"
 
 #include <fstream>
@@ -95,6 +96,34 @@
               << packet_us << " |\n";
 }
 
+// As the operator writes it.
+std::string configuration_text(unsigned routes) {
+    std::string text = R"({"version":7,"routes":[)";
+    for (unsigned i = 0; i < routes; ++i) {
+        text += (i == 0 ? "" : ",") + std::string(R"({"name":"route-)") + std::to_string(i * 7'919 % 100'003) +
+                R"(","host":"198.18.)" + std::to_string(i / 250) + "." + std::to_string(i % 250) +
+                R"(","prefix":"/443/","type":"idempotent","timeout_ms":1000,"aim_ms":100,"priority":)" +
+                std::to_string(i % 3) + R"(,"service":"service-)" + std::to_string(i * 31 % 130) + R"("})";
+    }
+    return text + "]}";
+}
+
+void measure_configuration(unsigned routes) {
+    const system_clock time;
+    const std::string  text = configuration_text(routes);
+    const steady_time  packing = time.steady_now();
+    const std::string  packed = platform::compress(text);
+    const double       compress_ms = milliseconds_since(time, packing);
+    const steady_time  unpacking = time.steady_now();
+    const auto         unpacked = platform::decompress(packed, 2 * text.size());
+    const double       decompress_ms = milliseconds_since(time, unpacking);
+    constexpr double   kilobyte = 1'000;
+    constexpr double   base64 = 4.0 / 3.0;
+    std::cout << "| " << routes << " | " << static_cast<double>(text.size()) / kilobyte << " | "
+              << static_cast<double>(packed.size()) * base64 / kilobyte << " | " << compress_ms << " | "
+              << decompress_ms << (unpacked == text ? " |\n" : " | differs\n");
+}
+
 } // namespace
 
 int main() {
@@ -106,5 +135,8 @@
     measure(4'000, 2'000, 20'000);
     measure(8'000, 4'000, 40'000);
     measure(13'000, 6'300, 40'000);
+    std::cout << "\n| Routes | Text, KB | Sent, KB | Compress, ms | Decompress, ms |\n|---|---|---|---|---|\n";
+    for (const unsigned routes : {500U, 1'000U, 2'000U, 4'000U, 6'300U})
+        measure_configuration(routes);
     return 0;
 }
--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -61,11 +61,14 @@
 
 void feed_server::poll(bool is_current, steady_time now) {
     for (const feed::due_answer& due : feed_.poll(is_current, now)) {
-        const auto found = waiting_.find(due.call);
-        if (found == waiting_.end()) continue;
-        const follower caller = std::move(found->second);
-        waiting_.erase(found);
-        caller.answer(platform::status_of(due.answer.status), changes(due.answer));
+        const std::string body = changes(due.answer);
+        for (const std::uint64_t call : due.calls) {
+            const auto found = waiting_.find(call);
+            if (found == waiting_.end()) continue;
+            const follower caller = std::move(found->second);
+            waiting_.erase(found);
+            caller.answer(platform::status_of(due.answer.status), body);
+        }
     }
 }
 
--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -66,16 +66,19 @@
 }
 
 std::vector<feed::due_answer> feed::poll(bool is_current, steady_time now) {
-    std::vector<due_answer> due;
+    std::map<std::uint64_t, std::vector<std::uint64_t>> calls; // by position
     for (const auto& [call, each] : waiting_) {
-        if (!is_current) {
-            due.push_back({call, {.status = feed_status::not_current, .records = {}}});
-        } else if (known_.generation() != each.position || now >= each.until) {
-            due.push_back({call, answer_with(known_.changes_after(each.position), now)});
-        }
+        const bool is_due = !is_current || known_.generation() != each.position || now >= each.until;
+        if (is_due) calls[each.position].push_back(call);
+    }
+    std::vector<due_answer> due;
+    for (auto& [position, numbers] : calls) {
+        for (const std::uint64_t number : numbers)
+            waiting_.erase(number);
+        feed_answer answer{.status = feed_status::not_current, .records = {}};
+        if (is_current) answer = answer_with(known_.changes_after(position), now);
+        due.push_back({std::move(numbers), std::move(answer)});
     }
-    for (const due_answer& each : due)
-        waiting_.erase(each.call);
     return due;
 }
 
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -50,9 +50,10 @@
     // Nullopt: the call waits, and poll returns its number when it is due.
     std::optional<feed_answer> watch(std::uint64_t call, std::uint64_t position, duration wait, bool is_current,
                                      steady_time now);
+    // One answer for all calls from the same position, so that it is made and encoded once.
     struct due_answer {
-        std::uint64_t call = 0;
-        feed_answer   answer;
+        std::vector<std::uint64_t> calls;
+        feed_answer                answer;
     };
     // Answers to the waiting calls that have something to say, have waited long enough, or must go elsewhere.
     std::vector<due_answer> poll(bool is_current, steady_time now);
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -315,6 +315,27 @@
     BOOST_TEST(std::holds_alternative<removed_record>(answer.records.front().content));
 }
 
+// A change for all followers must be encoded once, not once for each of them.
+BOOST_AUTO_TEST_CASE(followers_at_the_same_position_share_an_answer) {
+    replica           known(1'000);
+    feed              followers(known, "self", {}, steady_time{});
+    const steady_time now{1h};
+    known.store_returned(now - 1min);
+    known.apply_snapshot(std::vector{backend_record(2, registration_of(1))}, 5, now);
+    const auto early = followers.list(now).position;
+    known.apply(backend_record(6, registration_of(2)), now);
+    const auto late = followers.list(now).position;
+    BOOST_REQUIRE(early != late);
+    for (std::uint64_t call = 1; call <= 5; ++call)
+        followers.watch(call, late, 1s, true, now);
+    known.apply(backend_record(7, registration_of(3)), now);
+    const auto due = followers.poll(true, now);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST(due.front().calls.size() == 5U);
+    BOOST_TEST(due.front().answer.records.size() == 1U);
+    BOOST_TEST(followers.followers() == 0U);
+}
+
 // A feeder that has restarted knows nothing of earlier positions.
 BOOST_AUTO_TEST_CASE(a_position_of_an_earlier_feeder_leads_to_a_listing) {
     replica           known(50'000);
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -1,5 +1,6 @@
 // Wire forms of the users' platform: packets, deliveries, resets, records and answers of the store.
 #define BOOST_TEST_MODULE platform_format
+#include "platform/compression.h"
 #include "platform/feed_format.h"
 #include "platform/packet_format.h"
 #include "platform/record_format.h"
@@ -157,6 +158,50 @@
     BOOST_TEST(decode_listing(encode_listing(answer)).has_value());
 }
 
+// A configuration of thousands of routes to each follower exceeded what control may send.
+BOOST_AUTO_TEST_CASE(a_large_value_travels_compressed) {
+    std::string raw = R"({"version":7,"routes":[)";
+    for (int route = 0; route < 6'300; ++route) {
+        raw += (route == 0 ? "" : ",") + std::string(R"({"name":"route-)") + std::to_string(route) +
+               R"(","host":"198.18.)" + std::to_string(route / 250) + "." + std::to_string(route % 250) +
+               R"(","prefix":"/443/","type":"idempotent","service":"service-)" + std::to_string(route % 97) + R"("})";
+    }
+    raw += "]}";
+    const feed_answer answer{.records = {decode_record("op/config", 3, raw)}, .position = 9, .revision = 3};
+    const std::string body = encode_changes(answer);
+    BOOST_TEST(body.size() * 5 < raw.size());
+    const auto changes = decode_changes(body);
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_TEST((changes.value().records[0].raw == raw));
+    const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&changes.value().records[0].content);
+    BOOST_REQUIRE(table != nullptr);
+    BOOST_TEST((*table)->routes.size() == 6'300U);
+}
+
+// A feeder's answer is proved, but its bytes may come from another version: they must not be read past their end, nor
+// grow without limit.
+BOOST_AUTO_TEST_CASE(cut_altered_and_endless_compressed_values_are_refused_or_read_without_harm) {
+    constexpr std::size_t longest = 300'000;
+    std::string           text;
+    for (int i = 0; i < 20'000; ++i)
+        text += std::to_string(i * 7);
+    const std::string packed = compress(text);
+    BOOST_TEST((decompress(packed, longest) == text));
+    BOOST_TEST(decompress(compress(""), longest).value().empty());
+    BOOST_TEST(!decompress(packed, text.size() / 2).has_value());
+    BOOST_TEST(!decompress("", longest).has_value());
+    for (std::size_t size = 0; size < packed.size(); size += 17)
+        BOOST_TEST(!decompress(packed.substr(0, size), longest).has_value());
+    std::mt19937 random(20261204);
+    for (int i = 0; i < 2'000; ++i) {
+        std::string altered = packed;
+        for (int change = 0; change < 3; ++change)
+            altered[random() % altered.size()] = static_cast<char>(random());
+        const auto read = decompress(altered, longest);
+        if (read) BOOST_REQUIRE(read->size() <= longest);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(calls_of_followers_are_read) {
     const auto watch = decode_feed_call("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500");
     BOOST_REQUIRE((watch && std::holds_alternative<feed_watch_request>(watch->request)));
