Ignore SIGHUP until the event loop handles it

The soak sends the signal 20 ms after a start at the earliest, since before main it ends any program.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -13,7 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstring>
-#include <filesystem>
 #include <random>
 
 namespace tamarack::entry {
@@ -48,13 +47,6 @@
     return random_number() >> unused_bits;
 }
 
-// Epoch where the file cannot be read; reading it then reports the reason.
-std::filesystem::file_time_type last_change(const std::string& file) {
-    std::error_code error;
-    const auto      changed = std::filesystem::last_write_time(file, error);
-    return error ? std::filesystem::file_time_type{} : changed;
-}
-
 std::size_t flow_capacity(const settings& values) {
     constexpr std::size_t bytes_per_mb = 1'048'576;
     constexpr std::size_t bytes_per_flow = 256; // of the table, with the memory manager's share
@@ -146,8 +138,7 @@
                 random_number()),
       life(given.stop_grace), packets(context, std::move(socket), decisions, known, log, source),
       followers(feed(known, given.name, key, source.steady_now())), store(context, given.store), ticks(context),
-      signals(context, SIGTERM, SIGINT, SIGHUP), started(source.steady_now()),
-      file_changed(last_change(settings_file)) {}
+      signals(context, SIGTERM, SIGINT, SIGHUP), started(source.steady_now()), file_changed(given.written) {}
 
 void entry_process::impl::start() {
     read_store();
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -51,6 +51,7 @@
 
 int main(int argc, char** argv) {
     (void)std::signal(SIGPIPE, SIG_IGN); // a reader of the log that is gone must not end the process
+    (void)std::signal(SIGHUP, SIG_IGN);  // until the event loop handles it; the settings are read after this
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -173,13 +173,22 @@
     return std::move(state.values);
 }
 
+std::filesystem::file_time_type last_change(const std::string& file_name) {
+    std::error_code error;
+    const auto      changed = std::filesystem::last_write_time(file_name, error);
+    return error ? std::filesystem::file_time_type{} : changed;
+}
+
 result<settings, findings> read_settings_file(const std::string& file_name) {
+    const auto    written = last_change(file_name);
     std::ifstream file(file_name, std::ios::binary);
     if (!file) return findings{{file_name, "the file cannot be opened", ""}};
     std::ostringstream text;
     text << file.rdbuf();
     if (text.view().size() > max_file_size) return findings{{file_name, "the file is too long", "at most 65536 bytes"}};
-    return read_settings(text.view(), file_name);
+    auto values = read_settings(text.view(), file_name);
+    if (values) values.value().written = written;
+    return values;
 }
 
 settings_difference compare(const settings& present, const settings& next) {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -4,6 +4,7 @@
 #include "entry/model.h"
 #include "tamarack/result.h"
 
+#include <filesystem>
 #include <map>
 
 namespace tamarack::entry {
@@ -23,10 +24,13 @@
     double                  link_mbps = 1'000.0;                  // [limits] of the host's link
     std::map<std::string, std::string> texts;                     // of each key that the file sets, by "[section] key"
     std::size_t                        memory_mb = 64;            // [limits] of the process
+    std::filesystem::file_time_type    written{};                 // last change of the file, taken before it was read
 };
 
-result<settings, findings> read_settings(std::string_view text, const std::string& file_name);
-result<settings, findings> read_settings_file(const std::string& file_name);
+result<settings, findings>      read_settings(std::string_view text, const std::string& file_name);
+result<settings, findings>      read_settings_file(const std::string& file_name);
+// Epoch where the file cannot be read; reading it then reports the reason.
+std::filesystem::file_time_type last_change(const std::string& file_name);
 
 // What a newly read file changes. Only some keys take effect without a restart.
 struct settings_difference {
--- a/soak/balancer_process.h
+++ b/soak/balancer_process.h
@@ -47,6 +47,7 @@
 
     void start(steady_time now) {
         disturbed_at = now;
+        started_at = now;
         stopping_ = false;
         pid_ = ::fork();
         if (pid_ != 0) return;
@@ -102,7 +103,8 @@
 
 public:
     loopback_proxy             to_store;
-    steady_time                disturbed_at{};      // last fault on the process or its connections
+    steady_time                disturbed_at{}; // last fault on the process or its connections
+    steady_time                started_at{};
     std::optional<steady_time> start_at;            // set while it is down
     std::optional<steady_time> resume_at;           // set while it is paused
     std::optional<steady_time> mend_at;             // set while its connections or packets are harmed
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -23,6 +23,7 @@
 constexpr duration      readiness_interval = 500ms;
 constexpr unsigned      checks_to_leave = 2;
 constexpr duration      flow_interval = 12ms; // about 80 new flows a second
+constexpr duration      load_time = 20ms;     // of the program and its libraries
 constexpr duration      contact_time = 4s;    // after the last fault the bounds hold
 constexpr duration      drain_bound = 3s;
 constexpr duration      configuration_bound = 3s;
@@ -336,6 +337,8 @@
         return;
     case 3:
         balancer.write_settings(2 + static_cast<int>(pick(3)));
+        // Before main it ends any program.
+        if (now() - balancer.started_at < load_time) return;
         return balancer.kill(SIGHUP);
     default:
         balancer.kill(SIGSTOP);
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -59,6 +59,19 @@
                std::string::npos);
 }
 
+// A change between the reading and the start of the watch must be seen: the time is that of what was read.
+BOOST_AUTO_TEST_CASE(the_time_of_the_file_is_kept_with_what_was_read) {
+    const std::string file = (std::filesystem::temp_directory_path() / "entry_settings_test.ini").string();
+    std::ofstream(file) << good;
+    const auto values = read_settings_file(file);
+    BOOST_REQUIRE(values.has_value());
+    BOOST_TEST((values.value().written == std::filesystem::last_write_time(file)));
+    std::filesystem::last_write_time(file, values.value().written + std::chrono::seconds(1));
+    BOOST_TEST((last_change(file) != values.value().written));
+    std::filesystem::remove(file);
+    BOOST_TEST((last_change(file) == std::filesystem::file_time_type{}));
+}
+
 BOOST_AUTO_TEST_CASE(an_empty_optional_key_keeps_its_default) {
     BOOST_TEST(problems_of(good + "[balancer]\nmetrics_address =\n").empty());
 }
