--- a/daemons/entry/status_view.cpp
+++ b/daemons/entry/status_view.cpp
@@ -3,6 +3,8 @@
 
 #include "platform/feed_format.h"
 
+#include <cmath>
+
 namespace tamarack::entry {
 
 namespace {
@@ -31,7 +33,7 @@
 
 std::string hundredths(double value) {
     constexpr int hundred = 100;
-    const auto    rounded = static_cast<std::uint64_t>(value * hundred + 0.5);
+    const auto    rounded = std::lround(value * hundred);
     const auto    rest = std::to_string(rounded % hundred);
     return std::to_string(rounded / hundred) + "." + (rest.size() < 2 ? "0" : "") + rest;
 }
