--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -1,7 +1,6 @@
 // Followers' calls.
 #include "daemons/entry/feed_server.h"
 
-#include "platform/feed_format.h"
 #include "platform/record_format.h"
 
 namespace tamarack::entry {
@@ -31,34 +30,37 @@
         respond({.status = status_not_found, .body = "no such call\n"});
         return true;
     }
-    const auto key = call->proof ? feed_.proved_key(*call->proof) : std::nullopt;
-    follower   caller{std::move(respond), key, call->proof ? call->proof->number : 0};
-    const bool lists = std::holds_alternative<platform::feed_list_request>(call->request);
+    const auto     key = call->proof ? feed_.proved_key(*call->proof) : std::nullopt;
+    const follower caller{std::move(respond), key, call->proof ? call->proof->number : 0};
+    const bool     lists = std::holds_alternative<platform::feed_list_request>(call->request);
     if (!key && (call->proof || !lists)) {
         caller.answer(platform::status_of(feed_status::rejected), {});
         return false;
     }
-    if (lists) {
-        const feed_answer answer = key ? feed_.list(now) : feed_.list_unproved(now);
-        caller.answer(platform::status_of(answer.status), listing(answer));
-        return true;
-    }
-    if (const auto* resume = std::get_if<platform::feed_resume_request>(&call->request)) {
-        const feed_answer answer = feed_.resume(resume->revision, is_current, now);
-        caller.answer(platform::status_of(answer.status), changes(answer));
-        return true;
-    }
-    const auto& watch = std::get<platform::feed_watch_request>(call->request);
-    const auto  number = ++last_call_;
-    const auto  answer = feed_.watch(number, watch.position, watch.wait, is_current, now);
-    if (answer) {
-        caller.answer(platform::status_of(answer->status), changes(*answer));
-    } else {
-        waiting_[number] = std::move(caller);
-    }
+    std::visit([&](const auto& request) { serve(request, caller, is_current, now); }, call->request);
     return true;
 }
 
+void feed_server::serve(const platform::feed_list_request& /*request*/, const follower& caller, bool /*is_current*/,
+                        steady_time now) {
+    const feed_answer answer = caller.key ? feed_.list(now) : feed_.list_unproved(now);
+    caller.answer(platform::status_of(answer.status), listing(answer));
+}
+
+void feed_server::serve(const platform::feed_resume_request& request, const follower& caller, bool is_current,
+                        steady_time now) {
+    const feed_answer answer = feed_.resume(request.revision, is_current, now);
+    caller.answer(platform::status_of(answer.status), changes(answer));
+}
+
+void feed_server::serve(const platform::feed_watch_request& request, const follower& caller, bool is_current,
+                        steady_time now) {
+    const auto number = ++last_call_;
+    const auto answer = feed_.watch(number, request.position, request.wait, is_current, now);
+    if (answer) return caller.answer(platform::status_of(answer->status), changes(*answer));
+    waiting_[number] = caller;
+}
+
 void feed_server::poll(bool is_current, steady_time now) {
     for (const feed::due_answer& due : feed_.poll(is_current, now)) {
         const std::string body = changes(due.answer);
--- a/daemons/entry/feed_server.h
+++ b/daemons/entry/feed_server.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemons/entry/http_responder.h"
-#include "entry/feed.h"
+#include "platform/feed_format.h"
 
 namespace tamarack::entry {
 
@@ -27,6 +27,10 @@
         void answer(unsigned status, std::string body) const;
     };
 
+    void serve(const platform::feed_list_request& request, const follower& caller, bool is_current, steady_time now);
+    void serve(const platform::feed_resume_request& request, const follower& caller, bool is_current, steady_time now);
+    void serve(const platform::feed_watch_request& request, const follower& caller, bool is_current, steady_time now);
+
     feed                              feed_;
     std::map<std::uint64_t, follower> waiting_; // by number of the call here
     std::uint64_t                     last_call_ = 0;
