Use one copy of HTTP statuses, of a backend server's unseen activity, and of test set-up

Found by reading the change again; behaviour is the same. The fallback for a backend server without flows stood in steering and in the status view and is now the tracker's. A feeder's key comes from libsodium instead of a loop over random numbers. Tests that open sockets share the choice of a loopback address, and five tests of the feed share a fixture; their assertions are unchanged.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -7,12 +7,12 @@
 #include "daemons/entry/packet_port.h"
 #include "daemons/entry/status_view.h"
 #include "entry/lifecycle.h"
+#include "platform/http_status.h"
 #include "platform/store_client.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <cstring>
 #include <random>
 
 namespace tamarack::entry {
@@ -27,8 +27,6 @@
 constexpr duration                  first_sync_wait = std::chrono::milliseconds(1'500);
 constexpr std::size_t               receive_buffer = 1'048'576; // bytes
 constexpr duration                  file_check_interval = std::chrono::seconds(2);
-constexpr unsigned                  status_not_found = 404;
-constexpr unsigned                  status_unavailable = 503;
 
 // Hosts with less than these leave reading the store for others to stronger ones, by the delay.
 constexpr double   strong_processor_share = 0.4;
@@ -63,15 +61,6 @@
     return sources;
 }
 
-feed_key random_feed_key() {
-    feed_key key;
-    for (std::size_t i = 0; i < key.bytes.size(); i += sizeof(std::uint64_t)) {
-        const std::uint64_t part = random_number();
-        std::memcpy(key.bytes.data() + i, &part, sizeof part);
-    }
-    return key;
-}
-
 claim_settings claim_of(const settings& values, const feed_key& key) {
     const bool strong = values.processor_share >= strong_processor_share && values.link_mbps >= strong_link_mbps;
     return {.self = {.name = values.name,
@@ -284,7 +273,7 @@
 
 void entry_process::impl::answer_readiness(const http_responder::reply& respond) const {
     if (life.ready()) return respond({.body = "ready\n"});
-    respond({.status = status_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"});
+    respond({.status = platform::status_unavailable, .body = life.stopping() ? "stopping\n" : "not synchronized\n"});
 }
 
 void entry_process::impl::answer_metrics(const http_responder::reply& respond) const {
@@ -301,7 +290,7 @@
 void entry_process::impl::answer_status(std::string_view target, const http_responder::reply& respond) const {
     if (target == "/counters") return answer_metrics(respond);
     auto text = view.text(target, now());
-    if (!text) return respond({.status = status_not_found, .body = "not known, or an address is wrong\n"});
+    if (!text) return respond({.status = platform::status_not_found, .body = "not known, or an address is wrong\n"});
     respond({.body = std::move(*text)});
 }
 
--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -1,14 +1,13 @@
 // Followers' calls.
 #include "daemons/entry/feed_server.h"
 
+#include "platform/http_status.h"
 #include "platform/record_format.h"
 
 namespace tamarack::entry {
 
 namespace {
 
-constexpr unsigned status_not_found = 404;
-
 std::string changes(const feed_answer& answer) {
     return answer.status == feed_status::ok ? platform::encode_changes(answer) : std::string();
 }
@@ -27,7 +26,7 @@
 bool feed_server::handle(std::string_view target, bool is_current, steady_time now, http_responder::reply respond) {
     const auto call = platform::decode_feed_call(target);
     if (!call) {
-        respond({.status = status_not_found, .body = "no such call\n"});
+        respond({.status = platform::status_not_found, .body = "no such call\n"});
         return true;
     }
     const auto     key = call->proof ? feed_.proved_key(*call->proof) : std::nullopt;
--- a/daemons/entry/status_view.cpp
+++ b/daemons/entry/status_view.cpp
@@ -63,13 +63,11 @@
 }
 
 std::string status_view::backend_servers(std::optional<std::string_view> service, steady_time now) const {
-    static const backend_activity unseen;
-    std::string                   all;
+    std::string all;
     for (const auto& [key, backend] : known_.backends()) {
         const backend_registration& given = backend.registration;
         if (service && given.service != *service) continue;
-        const backend_activity* found = decisions_.flows().find_activity(backend.reference);
-        const backend_activity& seen = found == nullptr ? unseen : *found;
+        const backend_activity& seen = decisions_.flows().activity(backend.reference);
         const duration          avoided = std::max(seen.avoid_until - now, duration::zero());
         all += line("backend_server", {{"name", given.name},
                                        {"service", given.service},
--- a/daemons/tamarackctl.cpp
+++ b/daemons/tamarackctl.cpp
@@ -2,6 +2,7 @@
 //
 // One command on the command line, a prompt on a terminal, or commands from standard input, one on each line.
 #include "platform/http_channel.h"
+#include "platform/http_status.h"
 #include "tamarack/admin_client.h"
 
 #include <algorithm>
@@ -193,9 +194,8 @@
     command_outcome         outcome{exit_code::unavailable, "", "no answer of " + server.to_string() + "\n"};
     channel.call({platform::http_method::get, target, {}, std::chrono::seconds(FLAGS_timeout)},
                  [&](const result<platform::http_response, platform::http_error>& answer) {
-                     constexpr unsigned ok = 200;
                      if (!answer) return;
-                     if (answer.value().status == ok) {
+                     if (answer.value().status == platform::status_ok) {
                          outcome = {exit_code::done, answer.value().body, ""};
                      } else {
                          outcome = {exit_code::refused, "", answer.value().body};
--- a/entry/feed_key.cpp
+++ b/entry/feed_key.cpp
@@ -8,6 +8,12 @@
 static_assert(std::tuple_size_v<feed_proof> >= crypto_generichash_BYTES_MIN);
 static_assert(sizeof(feed_key) >= crypto_generichash_KEYBYTES_MIN);
 
+feed_key random_feed_key() {
+    feed_key key;
+    randombytes_buf(key.bytes.data(), key.bytes.size());
+    return key;
+}
+
 feed_proof prove(const feed_key& key, feed_message kind, std::uint64_t number, std::string_view text) {
     std::array<std::uint8_t, 1 + sizeof number> head{static_cast<std::uint8_t>(kind)};
     for (std::size_t i = 1; i < head.size(); ++i, number >>= 8U)
--- a/entry/feed_key.h
+++ b/entry/feed_key.h
@@ -15,6 +15,8 @@
     friend bool operator==(const feed_key&, const feed_key&) = default;
 };
 
+feed_key random_feed_key();
+
 using feed_proof = std::array<std::uint8_t, 16>;
 
 enum class feed_message : std::uint8_t { request = 1, answer = 2 };
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -49,6 +49,12 @@
     return found == activity_.end() ? nullptr : &found->second;
 }
 
+const backend_activity& flow_tracker::activity(backend_reference target) const {
+    static const backend_activity unseen;
+    const backend_activity*       found = find_activity(target);
+    return found == nullptr ? unseen : *found;
+}
+
 tracked_flow* flow_tracker::start(const segment& packet, backend_reference target, steady_time now) {
     const std::uint64_t key = key_of(packet);
     const auto          known = flows_.find(key);
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -63,6 +63,8 @@
     duration handshake_time() const { return handshake_time_; }
 
     backend_activity&       activity(backend_reference target) { return activity_[target]; }
+    // Without any flow or sign for one that has not been seen.
+    const backend_activity& activity(backend_reference target) const;
     const backend_activity* find_activity(backend_reference target) const;
     std::size_t             size() const { return flows_.size(); }
     std::size_t             activity_size() const { return activity_.size(); } // backend servers
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -150,16 +150,14 @@
 }
 
 flow_explanation steering::explain(const endpoint& caller, const endpoint& route_address, steady_time now) const {
-    static const backend_activity unseen;
-    segment                       packet;
+    segment packet;
     packet.source = caller;
     packet.destination = route_address;
     flow_explanation found{.to = known_.find_route(route_address), .flow = flows_.find(packet), .candidates = {}};
     if (found.to == nullptr) return found;
     for (const service_share& share : found.to->services) {
         for (const known_backend* each : known_.backends_of(share.service)) {
-            const backend_activity* activity = flows_.find_activity(each->reference);
-            const backend_activity& seen = activity == nullptr ? unseen : *activity;
+            const backend_activity& seen = flows_.activity(each->reference);
             found.candidates.push_back({each, cost_of(*each, seen, now), now < seen.avoid_until});
         }
     }
--- a/tests/entry_feed_test.cpp
+++ b/tests/entry_feed_test.cpp
@@ -3,12 +3,12 @@
 #define BOOST_TEST_MODULE entry_feed
 #include "daemons/entry/feed_server.h"
 #include "entry_fixture.h"
+#include "loopback_endpoint.h"
 #include "platform/feed_format.h"
 #include "platform/store_client.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
-#include <unistd.h>
 
 using namespace tamarack;
 using namespace tamarack::entry;
@@ -16,11 +16,7 @@
 
 namespace {
 
-// A loopback address that no other process uses.
-endpoint own_endpoint() {
-    const auto process = static_cast<std::uint32_t>(::getpid());
-    return {ip_address::v4((127U << 24U) | (91U << 16U) | (process & 0xffffU)), 7720};
-}
+const endpoint own_endpoint = loopback_endpoint(91, 7'720);
 
 constexpr feed_key key{{7, 7, 7}};
 constexpr feed_key other_key{{8, 8, 8}};
@@ -35,7 +31,7 @@
     std::optional<feed_server>    server;
     std::optional<http_responder> responder;
     std::uint64_t                 rejected = 0;
-    platform::store_client        client{context, own_endpoint()};
+    platform::store_client        client{context, own_endpoint};
 
     feeder_fixture() {
         known.store_returned(time.steady_now());
@@ -45,7 +41,7 @@
         known.apply_snapshot(std::vector{item}, 5, time.steady_now());
         server.emplace(feed(known, "self", key, time.steady_now()));
         auto opened =
-            http_responder::open(context, own_endpoint(), [this](const http_call& call, http_responder::reply respond) {
+            http_responder::open(context, own_endpoint, [this](const http_call& call, http_responder::reply respond) {
                 const bool admitted = server->handle(call.target, true, time.steady_now(), std::move(respond));
                 if (!admitted) ++rejected;
             });
@@ -73,9 +69,9 @@
     }
 };
 
-const record_source feeder{source_kind::feeder, own_endpoint(), key};
-const record_source wrong_feeder{source_kind::feeder, own_endpoint(), other_key};
-const record_source contact{source_kind::contact, own_endpoint(), {}};
+const record_source feeder{source_kind::feeder, own_endpoint, key};
+const record_source wrong_feeder{source_kind::feeder, own_endpoint, other_key};
+const record_source contact{source_kind::contact, own_endpoint, {}};
 
 } // namespace
 
@@ -111,7 +107,7 @@
 
 // After a restart within its lease the store still shows the key of the earlier process.
 BOOST_AUTO_TEST_CASE(a_restarted_feeder_answers_those_that_know_its_earlier_key) {
-    known.apply({"feeder/north/0", 6, feeder_registration{"self", "north", 0, own_endpoint(), other_key}, "raw"},
+    known.apply({"feeder/north/0", 6, feeder_registration{"self", "north", 0, own_endpoint, other_key}, "raw"},
                 time.steady_now());
     BOOST_TEST(read(read_kind::list, wrong_feeder).has_value());
     BOOST_TEST(read(read_kind::list, feeder).has_value());
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -234,6 +234,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+struct feed_fixture {
+    replica     known{1'000};
+    feed        followers{known, "self", {}, steady_time{}};
+    steady_time now{1h};
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_CASE(a_feeder_answers_watches_only_while_it_is_current) {
     replica known(1'000);
     feed    followers(known, "self", {}, steady_time{});
@@ -251,10 +261,7 @@
     BOOST_TEST((lost.front().answer.status == feed_status::not_current));
 }
 
-BOOST_AUTO_TEST_CASE(a_waiting_follower_gets_a_change_at_once_and_nothing_at_the_end_of_its_wait) {
-    replica           known(1'000);
-    feed              followers(known, "self", {}, steady_time{});
-    const steady_time now{1h};
+BOOST_FIXTURE_TEST_CASE(a_waiting_follower_gets_a_change_at_once_and_nothing_at_the_end_of_its_wait, feed_fixture) {
     known.store_returned(now - 1min);
     known.apply_snapshot(std::vector{backend_record(2, registration_of(1))}, 5, now);
     const auto position = followers.list(now).position;
@@ -271,10 +278,7 @@
 }
 
 // A follower that read elsewhere must get all that is newer than what it has, and nothing that it has.
-BOOST_AUTO_TEST_CASE(a_feeder_gives_what_is_newer_than_a_revision) {
-    replica           known(1'000);
-    feed              followers(known, "self", {}, steady_time{});
-    const steady_time now{1h};
+BOOST_FIXTURE_TEST_CASE(a_feeder_gives_what_is_newer_than_a_revision, feed_fixture) {
     known.store_returned(now - 1min);
     known.apply_snapshot(std::vector{configuration_record(1, 1), backend_record(2, registration_of(1)),
                                      backend_record(3, registration_of(2)), feeder_record(4, "x", "north", 0, 7)},
@@ -296,10 +300,7 @@
 }
 
 // A follower whose feeder holds a removal and then ends must still learn of it, from the store or another feeder.
-BOOST_AUTO_TEST_CASE(a_held_removal_is_not_counted_as_given) {
-    replica           known(1'000);
-    feed              followers(known, "self", {}, steady_time{});
-    const steady_time now{1h};
+BOOST_FIXTURE_TEST_CASE(a_held_removal_is_not_counted_as_given, feed_fixture) {
     known.store_returned(now - 1min);
     known.apply_snapshot(std::vector{backend_record(2, registration_of(1))}, 5, now);
     known.store_lost();
@@ -316,10 +317,7 @@
 }
 
 // A change for all followers must be encoded once, not once for each of them.
-BOOST_AUTO_TEST_CASE(followers_at_the_same_position_share_an_answer) {
-    replica           known(1'000);
-    feed              followers(known, "self", {}, steady_time{});
-    const steady_time now{1h};
+BOOST_FIXTURE_TEST_CASE(followers_at_the_same_position_share_an_answer, feed_fixture) {
     known.store_returned(now - 1min);
     known.apply_snapshot(std::vector{backend_record(2, registration_of(1))}, 5, now);
     const auto early = followers.list(now).position;
@@ -346,10 +344,7 @@
     BOOST_TEST((followers.watch(1, 99'999, 1s, true, now)->status == feed_status::dropped));
 }
 
-BOOST_AUTO_TEST_CASE(a_feeder_limits_its_followers) {
-    replica           known(1'000);
-    feed              followers(known, "self", {}, steady_time{});
-    const steady_time now{1h};
+BOOST_FIXTURE_TEST_CASE(a_feeder_limits_its_followers, feed_fixture) {
     known.apply_snapshot({}, 5, now);
     std::uint64_t call = 0;
     while (!followers.watch(++call, known.generation(), 1s, true, now))
--- a/tests/platform_store_client_test.cpp
+++ b/tests/platform_store_client_test.cpp
@@ -1,13 +1,13 @@
 // The client of the store over real sockets with the stand-in: guards against calls that are written or read otherwise
 // than the store speaks, and against answers that never come.
 #define BOOST_TEST_MODULE platform_store_client
+#include "loopback_endpoint.h"
 #include "platform/store_client.h"
 #include "standins/kv_server.h"
 #include "tamarack/clock.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
-#include <unistd.h>
 
 using namespace tamarack;
 using namespace tamarack::entry;
@@ -15,11 +15,7 @@
 
 namespace {
 
-// A loopback address that no other process uses.
-endpoint own_endpoint() {
-    const auto process = static_cast<std::uint32_t>(::getpid());
-    return {ip_address::v4((127U << 24U) | (90U << 16U) | (process & 0xffffU)), 8169};
-}
+const endpoint own_endpoint = loopback_endpoint(90, 8'169);
 
 read_call a_list() {
     read_call call;
@@ -40,8 +36,8 @@
     boost::asio::io_context context;
     system_clock            time;
     standin::kv_store       keys;
-    standin::kv_server      server{context, own_endpoint(), keys, time};
-    platform::store_client  client{context, own_endpoint()};
+    standin::kv_server      server{context, own_endpoint, keys, time};
+    platform::store_client  client{context, own_endpoint};
 
     store_fixture() {
         keys.put("op/config", R"({"version":3,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"desk"}]})");
