--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -34,8 +34,11 @@
     metrics["entry_configuration_version"] = store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
     metrics["entry_store_revision"] = store_replica.complete_revision();
     metrics["entry_knowledge_age_ms"] = to_milliseconds(now - store_replica.last_confirmation());
+    metrics["entry_store_distance"] = store_replica.store_distance();
     for (const auto& [call_result, count] : status.calls_by_result)
         metrics["entry_calls_" + call_result] = count;
+    for (const auto& [kind, count] : status.calls_by_kind)
+        metrics["entry_calls_to_" + kind] = count;
     add_backend_server_counts(store_replica, metrics);
     return exposition_text(metrics, {{"entry_handshake_seconds", packets.handshake_seconds.snapshot()},
                                      {"entry_answer_seconds", packets.response_seconds.snapshot()}});
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -13,6 +13,7 @@
     std::size_t                          flow_count = 0;
     std::uint64_t                        rejected_requests = 0; // of followers without the feeder's key
     std::map<std::string, std::uint64_t> calls_by_result;       // by outcome of a read, or "claim_" + that of a claim
+    std::map<std::string, std::uint64_t> calls_by_kind;         // by source and kind of call
 };
 
 std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -28,10 +28,16 @@
 constexpr std::size_t               receive_buffer_size = 1'048'576; // bytes
 constexpr duration                  settings_check_interval = std::chrono::seconds(2);
 
-// Hosts below one of these limits delay their claim to be a feeder, so that stronger hosts win it.
-constexpr double   strong_host_processor_share = 0.4;
-constexpr double   strong_host_link_mbps = 100.0;
-constexpr duration weak_host_claim_delay = std::chrono::milliseconds(700);
+// Hosts below one of these limits delay their claim to be a feeder, so that stronger hosts win it, and serve fewer
+// followers.
+constexpr double      strong_host_processor_share = 0.4;
+constexpr double      strong_host_link_mbps = 100.0;
+constexpr duration    strong_host_claim_spread = std::chrono::milliseconds(400);
+constexpr duration    weak_host_claim_delay = std::chrono::milliseconds(1'200);
+constexpr duration    weak_host_claim_spread = std::chrono::milliseconds(1'600);
+// A tree of three levels reaches a failure domain of several hundred hosts.
+constexpr std::size_t strong_host_followers = 16;
+constexpr std::size_t weak_host_followers = 8;
 
 std::uint64_t random_number() {
     std::random_device entropy;
@@ -55,8 +61,11 @@
 }
 
 source_settings make_source_settings(const settings& initial_settings) {
-    source_settings sources{
-        .name = initial_settings.name, .failure_domain = initial_settings.failure_domain, .contacts = {}};
+    source_settings sources{.name = initial_settings.name,
+                            .failure_domain = initial_settings.failure_domain,
+                            .address = initial_settings.peer_address,
+                            .contacts = {},
+                            .change_deadline = initial_settings.change_deadline};
     // The port of a contact is not used: all balancers serve their followers on the same port.
     for (const endpoint& contact : initial_settings.contacts) {
         if (contact.address != initial_settings.peer_address.address)
@@ -65,14 +74,25 @@
     return sources;
 }
 
+bool is_strong_host(const settings& initial_settings) {
+    return initial_settings.processor_share >= strong_host_processor_share &&
+           initial_settings.link_mbps >= strong_host_link_mbps;
+}
+
+feed_settings make_feed_settings(const settings& initial_settings, const feed_key& key) {
+    return {.key = key,
+            .max_followers = is_strong_host(initial_settings) ? strong_host_followers : weak_host_followers,
+            .peer_port = initial_settings.peer_address.port};
+}
+
 claim_settings make_claim_settings(const settings& initial_settings, const feed_key& key) {
-    const bool is_strong_host = initial_settings.processor_share >= strong_host_processor_share &&
-                                initial_settings.link_mbps >= strong_host_link_mbps;
+    const bool is_strong = is_strong_host(initial_settings);
     return {.self = {.name = initial_settings.name,
                      .failure_domain = initial_settings.failure_domain,
                      .address = initial_settings.peer_address,
                      .key = key},
-            .delay = is_strong_host ? duration::zero() : weak_host_claim_delay};
+            .delay = is_strong ? duration::zero() : weak_host_claim_delay,
+            .spread = is_strong ? strong_host_claim_spread : weak_host_claim_spread};
 }
 
 } // namespace
@@ -82,7 +102,8 @@
 
     void start();
     void read_store();
-    void handle_read_outcome(const result<record_page, read_error>& outcome);
+    void count_read(const read_call& call);
+    void handle_read_outcome(const result<record_page, read_failure>& outcome);
     void log_new_changes();
     void update_feeder_slot();
     void schedule_tick();
@@ -104,6 +125,7 @@
     event_log                            log;
     replica                              store_replica{first_generation()};
     std::uint64_t                        logged_generation = store_replica.generation(); // of the last logged change
+    bool                                 has_logged_listing = false;
     const feed_key                       own_feed_key = random_feed_key();
     store_sync                           sync;
     feeder_claim                         slot_claim;
@@ -122,6 +144,7 @@
     bool                                 was_store_available = false;
     bool                                 was_feeder = false;
     std::map<std::string, std::uint64_t> calls_by_result;
+    std::map<std::string, std::uint64_t> calls_by_kind;
     std::uint64_t                        rejected_requests = 0; // of followers without the feeder's key
 };
 
@@ -136,7 +159,7 @@
           store_replica, random_number()),
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
-      follower_feed(feed(store_replica, initial_settings.name, own_feed_key, time_source.steady_now())),
+      follower_feed(feed(store_replica, make_feed_settings(initial_settings, own_feed_key), time_source.steady_now())),
       store(context, initial_settings.store_address), tick_timer(context), signals(context, SIGTERM, SIGINT, SIGHUP),
       started_at(time_source.steady_now()), settings_modified_at(initial_settings.modified_at) {}
 
@@ -153,10 +176,15 @@
 void entry_process::impl::read_store() {
     const auto next_read = sync.next_call(now());
     if (!next_read) return;
-    store.read(*next_read, [this](const result<record_page, read_error>& outcome) { handle_read_outcome(outcome); });
+    count_read(*next_read);
+    store.read(*next_read, [this](const result<record_page, read_failure>& outcome) { handle_read_outcome(outcome); });
 }
 
-void entry_process::impl::handle_read_outcome(const result<record_page, read_error>& outcome) {
+void entry_process::impl::count_read(const read_call& call) {
+    ++calls_by_kind[std::string(to_string(call.source.kind)) + "_" + std::string(to_string(call.kind))];
+}
+
+void entry_process::impl::handle_read_outcome(const result<record_page, read_failure>& outcome) {
     const steady_time received_at = now();
     if (outcome) {
         ++calls_by_result["ok"];
@@ -165,40 +193,47 @@
         if (store_replica.generation() != generation_before) log.note_unusable(outcome.value().records);
         log_new_changes();
     } else {
-        ++calls_by_result[std::string(to_string(outcome.error()))];
+        ++calls_by_result[std::string(to_string(outcome.error().error))];
         sync.failed(outcome.error(), received_at);
     }
     if (sync.is_store_available() != was_store_available) {
         was_store_available = sync.is_store_available();
-        log.note_store_state(was_store_available, outcome ? "" : to_string(outcome.error()));
+        log.note_store_state(was_store_available, outcome ? "" : to_string(outcome.error().error));
     }
     if (store_replica.routing() != nullptr && store_replica.is_complete()) process_lifecycle.note_synchronized();
     if (process_lifecycle.is_ready() && !packets.is_started()) {
         log.note_synchronized(received_at - started_at, store_replica);
         packets.start();
     }
-    follower_feed.poll(sync.is_current_from_store(received_at), received_at);
+    follower_feed.poll(received_at);
     read_store();
     update_feeder_slot();
 }
 
 void entry_process::impl::log_new_changes() {
     if (store_replica.generation() == logged_generation) return;
-    if (const auto changes = store_replica.changes_after(logged_generation)) log.note_changes(*changes);
+    if (const auto changes = store_replica.changes_after(logged_generation)) {
+        if (has_logged_listing)
+            log.note_changes(*changes);
+        else
+            log.note_first_listing(*changes);
+    }
+    has_logged_listing = store_replica.is_complete();
     logged_generation = store_replica.generation();
 }
 
 // Claims, renews or releases the slot, as feeder_claim decides.
 void entry_process::impl::update_feeder_slot() {
     const steady_time current_time = now();
-    const bool        is_eligible = sync.is_current_from_store(current_time) && process_lifecycle.is_ready();
-    const auto        next_claim = slot_claim.next_call(current_time, is_eligible, sync.open_slot());
-    sync.set_is_feeder(slot_claim.holds_slot());
+    const bool        may_claim = store_replica.is_current(current_time) && process_lifecycle.is_ready();
+    const auto        next_claim = slot_claim.next_call(current_time, may_claim, process_lifecycle.is_stopping());
+    sync.set_holds_slot(slot_claim.holds_slot());
     if (slot_claim.holds_slot() != was_feeder) {
         was_feeder = slot_claim.holds_slot();
         log.note_feeder_state(was_feeder);
     }
     if (!next_claim) return;
+    ++calls_by_kind["store_" + std::string(to_string(*next_claim))];
     store.claim(*next_claim, [this](const result<std::uint64_t, claim_error>& outcome) {
         ++calls_by_result[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
         if (outcome) {
@@ -227,9 +262,10 @@
     store_replica.expire(current_time);
     log_new_changes();
     flow_steering.expire(current_time);
+    sync.set_own_followers(follower_feed.followers(current_time));
     read_store();
     update_feeder_slot();
-    follower_feed.poll(sync.is_current_from_store(current_time), current_time);
+    follower_feed.poll(current_time);
     check_settings_file_for_changes();
     log.flush();
     if (current_time - started_at >= max_first_sync_wait) packets.start();
@@ -293,10 +329,11 @@
 void entry_process::impl::respond_with_metrics(const http_server::response_callback& respond) const {
     const process_status process{.is_ready = process_lifecycle.is_ready(),
                                  .is_feeder = slot_claim.holds_slot(),
-                                 .follower_count = follower_feed.follower_count(),
+                                 .follower_count = follower_feed.followers(now()).size(),
                                  .flow_count = flow_steering.flows().flow_count(),
                                  .rejected_requests = rejected_requests,
-                                 .calls_by_result = calls_by_result};
+                                 .calls_by_result = calls_by_result,
+                                 .calls_by_kind = calls_by_kind};
     respond({.body = format_metrics(packets.counters(), process, store_replica, now()),
              .content_type = "text/plain; version=0.0.4"});
 }
@@ -334,9 +371,8 @@
          }},
         {initial_settings.peer_address,
          [process](const server_request& request, http_server::response_callback respond) {
-             const steady_time current_time = process->now();
-             const bool        is_admitted = process->follower_feed.handle(
-                        request.target, process->sync.is_current_from_store(current_time), current_time, std::move(respond));
+             const bool is_admitted =
+                 process->follower_feed.handle(request.target, request.caller, process->now(), std::move(respond));
              if (!is_admitted) process->count_rejected_request(request.caller);
          }},
     };
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -38,8 +38,8 @@
         std::cerr << "libsodium cannot be initialised\n";
         return exit_start;
     }
-    const system_clock time;
-    const auto         process = entry::entry_process::open(loaded_settings, file, time);
+    const suspend_aware_clock time;
+    const auto                process = entry::entry_process::open(loaded_settings, file, time);
     if (!process) {
         std::cerr << process.error() << "\n";
         return exit_start;
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -155,6 +155,12 @@
     }
 }
 
+void event_log::note_first_listing(std::span<const record> records) {
+    for (const record& item : records) {
+        if (!std::holds_alternative<backend_registration>(item.content)) note_changes({&item, 1});
+    }
+}
+
 void event_log::note_changes(std::span<const record> changes) {
     for (const record& item : changes) {
         if (const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&item.content)) {
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -27,6 +27,9 @@
     void note_rejected_follower(std::string_view caller); // its call was not authenticated
     // Logs the records that cannot be used.
     void note_unusable(std::span<const record> records);
+    // Logs what the first listing brought, without a line for each backend server: hundreds of lines would push out
+    // others.
+    void note_first_listing(std::span<const record> records);
     // Logs changes of the replica, each in its latest state.
     void note_changes(std::span<const record> changes);
     void note_decision(const segment& packet, const steering_decision& decision, const replica& store_replica,
--- a/entry/feeder_claim.cpp
+++ b/entry/feeder_claim.cpp
@@ -8,11 +8,15 @@
 constexpr duration lease_time = std::chrono::seconds(6);
 constexpr duration renewal_interval = std::chrono::seconds(2);
 constexpr duration retry_interval = std::chrono::milliseconds(700);
-// Claims of hosts with the same delay are spread over this time.
-constexpr duration claim_spread = std::chrono::milliseconds(250);
 
 } // namespace
 
+std::string_view to_string(const claim_call& call) {
+    if (std::holds_alternative<grant_lease>(call)) return "grant_lease";
+    if (std::holds_alternative<put_feeder>(call)) return "put_feeder";
+    return std::holds_alternative<renew_lease>(call) ? "renew_lease" : "end_lease";
+}
+
 std::string_view to_string(claim_error error) {
     switch (error) {
     case claim_error::unavailable:
@@ -34,41 +38,55 @@
     return call;
 }
 
-std::optional<claim_call> feeder_claim::next_call(steady_time now, bool is_eligible, unsigned slot) {
+std::optional<claim_call> feeder_claim::next_call(steady_time now, bool may_claim, bool is_stopping) {
     if (is_call_pending_) return std::nullopt;
     latest_call_time_ = now;
-    if (state_ == state::ending) return begin_call(end_lease{lease_});
     if (state_ == state::holding && is_slot_taken_by_other()) reset(now);
     if (state_ == state::holding && now >= lease_expires_at_) reset(now);
-    if (!is_eligible) {
-        claim_due_.reset();
+    if (is_stopping) {
         if (state_ == state::idle) return std::nullopt;
-        return begin_call(end_lease{lease_}); // immediately: a stopping process may end before the next renewal
+        return begin_call(end_lease{lease_}); // immediately: the process may end before the next renewal
     }
+    if (!may_claim) claim_due_.reset();
     if (now < next_call_due_) return std::nullopt;
-    if (state_ == state::idle) return claim_if_vacant(now, slot);
-    if (state_ == state::granted) return begin_call(put_feeder{settings_.self, lease_});
-    return begin_call(renew_lease{lease_});
+    if (state_ == state::holding) return begin_call(renew_lease{lease_});
+    if (!may_claim) return std::nullopt;
+    if (state_ == state::idle) return claim_if_vacant(now);
+    return begin_call(put_registration());
+}
+
+// A registration of an earlier process keeps its key: followers that have just read the registration would be rejected
+// otherwise.
+put_feeder feeder_claim::put_registration() const {
+    const known_feeder* replaced = registered_feeder();
+    if (replaced == nullptr) return {settings_.self, lease_, 0};
+    feeder_registration registration = settings_.self;
+    registration.key = replaced->registration.key;
+    return {registration, lease_, replaced->revision};
 }
 
-std::optional<claim_call> feeder_claim::claim_if_vacant(steady_time now, unsigned slot) {
-    const bool is_vacant = !store_replica_.feeders().contains({settings_.self.failure_domain, slot});
-    if (!is_vacant) {
+// A registration of an earlier process of this balancer is replaced without a delay: its lease is not renewed any more.
+std::optional<claim_call> feeder_claim::claim_if_vacant(steady_time now) {
+    if (is_slot_taken_by_other()) {
         claim_due_.reset();
         return std::nullopt;
     }
     if (!claim_due_) {
-        const auto spread = std::uniform_int_distribution<duration::rep>(0, claim_spread.count())(random_);
-        claim_due_ = now + settings_.delay + duration(spread);
+        const auto spread = std::uniform_int_distribution<duration::rep>(0, settings_.spread.count())(random_);
+        claim_due_ = registered_feeder() != nullptr ? now : now + settings_.delay + duration(spread);
     }
     if (now < *claim_due_) return std::nullopt;
-    settings_.self.slot = slot;
     return begin_call(grant_lease{lease_time});
 }
 
-bool feeder_claim::is_slot_taken_by_other() const {
+const known_feeder* feeder_claim::registered_feeder() const {
     const auto feeder = store_replica_.feeders().find({settings_.self.failure_domain, settings_.self.slot});
-    return feeder != store_replica_.feeders().end() && feeder->second.registration.name != settings_.self.name;
+    return feeder == store_replica_.feeders().end() ? nullptr : &feeder->second;
+}
+
+bool feeder_claim::is_slot_taken_by_other() const {
+    const known_feeder* feeder = registered_feeder();
+    return feeder != nullptr && feeder->registration.name != settings_.self.name;
 }
 
 void feeder_claim::reset(steady_time now) {
--- a/entry/feeder_claim.h
+++ b/entry/feeder_claim.h
@@ -1,4 +1,5 @@
-// Makes this balancer the feeder of a vacant slot of its failure domain, by writing a key under a lease to the store.
+// Makes this balancer the feeder of its failure domain while there is none, by writing a key under a lease to the
+// store.
 //
 // The key only tells other balancers where to read; it is no lock. Several feeders in one slot do no harm, and a
 // missing feeder only costs calls to the store. A lost answer, a deleted key or a lease that ended unnoticed is
@@ -13,9 +14,10 @@
 struct grant_lease {
     duration time_to_live{};
 };
-struct put_feeder { // only if the slot is vacant
+struct put_feeder {
     feeder_registration registration;
     std::uint64_t       lease = 0;
+    std::uint64_t       replaced_revision = 0; // of the registration of an earlier process; 0: only if there is none
 };
 struct renew_lease {
     std::uint64_t lease = 0;
@@ -25,6 +27,8 @@
 };
 using claim_call = std::variant<grant_lease, put_feeder, renew_lease, end_lease>;
 
+std::string_view to_string(const claim_call& call);
+
 enum class claim_error : std::uint8_t {
     unavailable, // no answer, or refused; the call may have been executed
     conflict,    // the slot is taken
@@ -34,17 +38,18 @@
 std::string_view to_string(claim_error error);
 
 struct claim_settings {
-    feeder_registration self;    // registration of this balancer; its slot is set when a slot is claimed
-    duration            delay{}; // before a claim; longer on hosts with little capacity, so that a stronger host wins
+    feeder_registration self;     // registration of this balancer
+    duration            delay{};  // before a claim; longer on hosts with little capacity, so that a stronger host wins
+    duration            spread{}; // random addition to the delay, so that few hosts claim at the same time
 };
 
 class feeder_claim {
 public:
     feeder_claim(const claim_settings& settings, const replica& store_replica, std::uint64_t random_seed);
 
-    // The call to make now; nullopt: none. A balancer is eligible if it is current from the store itself and is not
-    // stopping. The slot is the one that needs a feeder.
-    std::optional<claim_call> next_call(steady_time now, bool is_eligible, unsigned slot);
+    // The call to make now; nullopt: none. may_claim: the replica is current and the balancer is ready. A feeder keeps
+    // its slot without that as long as its lease lasts, and gives it up when the balancer stops.
+    std::optional<claim_call> next_call(steady_time now, bool may_claim, bool is_stopping);
     // The lease is the granted one if the call was grant_lease, and ignored otherwise.
     void                      succeeded(std::uint64_t lease, steady_time now);
     void                      failed(claim_error error, steady_time now);
@@ -57,11 +62,12 @@
         idle,
         granted, // has a lease, but has not written the key of the slot yet
         holding, // has written the key, and renews the lease
-        ending,  // never entered: next_call ends a lease from the states above
     };
 
     std::optional<claim_call> begin_call(const claim_call& call);
-    std::optional<claim_call> claim_if_vacant(steady_time now, unsigned slot);
+    std::optional<claim_call> claim_if_vacant(steady_time now);
+    put_feeder                put_registration() const;
+    const known_feeder*       registered_feeder() const; // of the own slot; null: there is none
     bool                      is_slot_taken_by_other() const;
     void                      reset(steady_time now);
 
--- a/entry/model.h
+++ b/entry/model.h
@@ -75,14 +75,15 @@
 // [3] Records
 //----------------------------------------------------------------------------------------------------------------------
 
-// Registration of a feeder: a balancer that reads the store and serves the records to the other balancers of its
-// failure domain, its followers.
+// Registration of a feeder: the balancer that reads the store for its failure domain. It serves the records to a
+// limited number of balancers, its followers, each of which serves further ones, so that the failure domain forms a
+// tree.
 struct feeder_registration {
     std::string name; // of the balancer
     std::string failure_domain;
-    unsigned    slot = 0; // 0: the first feeder; a higher slot is used when the feeders in all lower slots are full
+    unsigned    slot = 0; // always 0; part of the key in the store
     endpoint    address;  // serves the feeder's replica in the format of the store
-    feed_key    key{};    // readable by everyone who can read the store
+    feed_key    key{};    // readable by everyone who can read the store; valid at every balancer of the tree
 };
 
 struct removed_record {};
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -176,8 +176,9 @@
     store_recovered_at_.reset();
 }
 
-void replica::note_store_available(steady_time now, duration confirmation_age) {
+void replica::note_store_available(steady_time now, duration confirmation_age, unsigned distance) {
     last_confirmation_ = std::max(last_confirmation_, now - confirmation_age);
+    store_distance_ = distance;
     if (store_available_since_) return;
     store_available_since_ = now;
     store_recovered_at_ = now;
@@ -186,6 +187,11 @@
     }
 }
 
+bool replica::is_current(steady_time now) const {
+    return is_complete_ && last_confirmation_ != steady_time{} && now - last_confirmation_ <= max_confirmation_age &&
+           store_distance_ < max_store_distance;
+}
+
 bool replica::holds_removals(steady_time now) const {
     if (!store_available_since_) return true;
     return store_recovered_at_ && now < *store_recovered_at_ + removal_hold_time;
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -17,6 +17,13 @@
 // Backend servers register again within about two seconds after the store has recovered.
 inline constexpr duration removal_hold_time = std::chrono::milliseconds(2'300);
 
+// The replica is current while the store has confirmed it within this time. Covers the longest time between two answers
+// of an available store.
+inline constexpr duration max_confirmation_age = std::chrono::milliseconds(3'100);
+// Balancers that a record may pass between the store and a replica. A circle of balancers that read from each other
+// exceeds it within a few answers.
+inline constexpr unsigned max_store_distance = 8;
+
 struct known_feeder {
     feeder_registration registration;
     std::uint64_t       revision = 0;
@@ -64,8 +71,9 @@
     // The store does not answer, or refuses calls. Removals are held from now on, until the hold time after the store
     // has become available again.
     void        note_store_unavailable();
-    // The store has answered, or a feeder that received its last answer from the store this long ago.
-    void        note_store_available(steady_time now, duration confirmation_age = {});
+    // The store has answered, or a balancer whose replica the store has confirmed this long ago. The distance is the
+    // number of balancers between the store and this one.
+    void        note_store_available(steady_time now, duration confirmation_age = {}, unsigned distance = 0);
     // Applies held removals that are due, and forgets old removals. Returns the number of removals that took effect.
     std::size_t expire(steady_time now);
 
@@ -82,6 +90,10 @@
     void                                                  set_complete_revision(std::uint64_t revision);
     // When the store last confirmed, directly or through a feeder, that nothing newer exists.
     steady_time                                           last_confirmation() const { return last_confirmation_; }
+    // Complete, and confirmed by the store within max_confirmation_age. Other balancers may rely on the replica.
+    bool                                                  is_current(steady_time now) const;
+    // Balancers between the store and this replica at the last confirmation; 0: the store itself confirmed it.
+    unsigned                                              store_distance() const { return store_distance_; }
     // Start of the store's current uninterrupted availability; nullopt while it is unavailable.
     std::optional<steady_time> store_available_since() const { return store_available_since_; }
 
@@ -147,6 +159,7 @@
     std::optional<steady_time>                                                 store_available_since_;
     std::optional<steady_time> store_recovered_at_; // start of the hold time; always equal to store_available_since_
     steady_time                last_confirmation_{};
+    unsigned                   store_distance_ = 0; // of the last confirmation
     std::uint64_t              complete_revision_ = 0;
     std::uint64_t              generation_ = 0;
     std::uint64_t              first_generation_ = 0;
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -76,6 +76,15 @@
     return true;
 }
 
+bool parse_milliseconds(std::string_view text, double low, double high, duration& output) {
+    constexpr double milliseconds_per_second = 1'000.0;
+    double           milliseconds = 0;
+    if (!parse_number(text, low, high, milliseconds)) return false;
+    output =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(milliseconds / milliseconds_per_second));
+    return true;
+}
+
 const std::vector<setting_row>& setting_table() {
     static const std::vector<setting_row> table = {
         {"balancer", "name", true, "non-empty text", "Name of this balancer, unique among the balancers.",
@@ -132,6 +141,12 @@
          [](std::string_view text, settings& values) {
              return parse_number(text, 0.1, 1'000'000.0, values.link_mbps);
          }},
+        {"limits", "change_deadline_ms", false, "100 to 600000",
+         "Time within which a change in the store must be in force on every host. Default 3000.",
+         change_effect::after_restart,
+         [](std::string_view text, settings& values) {
+             return parse_milliseconds(text, 100, 600'000, values.change_deadline);
+         }},
         {"limits", "memory_mb", false, "16 to 1048576", "Memory that the process may use, in MB. Default 64.",
          change_effect::after_restart,
          [](std::string_view text, settings& values) {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -22,6 +22,7 @@
     duration                stop_grace = std::chrono::seconds(6); // [stop] the host kills the process after it
     double                  processor_share = 1.0;                // [limits] in cores
     double                  link_mbps = 1'000.0;                  // [limits] of the host's link
+    duration change_deadline = std::chrono::seconds(3);           // [limits] for a change to be in force everywhere
     std::map<std::string, std::string> raw_values;                // text of each key in the file, by "[section] key"
     std::size_t                        memory_mb = 64;            // [limits] of the process
     std::filesystem::file_time_type    modified_at{}; // modification time of the file, taken before it was read
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -8,8 +8,28 @@
 namespace {
 
 constexpr backoff_settings store_backoff = {std::chrono::milliseconds(100), std::chrono::milliseconds(1'600)};
-// A feeder that failed has crashed, stopped or lost its network; the store is read in the meantime.
+// Of a balancer whose feeders answer, but without a recent confirmation: they retry the store themselves.
+constexpr backoff_settings patient_store_backoff = {std::chrono::seconds(4), std::chrono::seconds(16)};
+// A feeder that failed has crashed, stopped or lost its network; another one is read in the meantime.
 constexpr backoff_settings feeder_backoff = {std::chrono::milliseconds(1'500), std::chrono::seconds(12)};
+// A balancer of the own tree that has lost the store: it may be current again as soon as one of its followers is.
+constexpr backoff_settings stale_backoff = {std::chrono::milliseconds(300), std::chrono::milliseconds(1'200)};
+// Before the first listing: the feeder may have started at the same moment.
+constexpr backoff_settings first_listing_backoff = {std::chrono::milliseconds(20), std::chrono::milliseconds(80)};
+constexpr duration         full_source_pause = std::chrono::seconds(2);
+
+// Delay before the first listing is read from the store although there are feeders. All hosts may start at the same
+// time; the spread divides the listings that still reach the store.
+constexpr duration least_first_listing_delay = std::chrono::milliseconds(200);
+constexpr duration most_first_listing_delay = std::chrono::milliseconds(800);
+// The store may turn away all feeders and serve others. The followers of a feeder then try the store themselves, spread
+// over what the deadline of a change leaves after the loss has been noticed; balancers further down wait for them.
+constexpr duration loss_detection_time = std::chrono::milliseconds(2'900);
+constexpr duration least_lower_store_delay = std::chrono::seconds(3);
+constexpr duration most_lower_store_delay = std::chrono::seconds(9);
+
+// A host whose feeders do not answer may be cut off from their failure domains, but not from the store.
+constexpr unsigned max_unanswered_feeders = 2;
 
 // Hosts are replaced over time: the failures of a source that is not tried again are forgotten this long after its
 // retry time.
@@ -22,29 +42,108 @@
 
 } // namespace
 
+std::string_view to_string(source_kind kind) {
+    switch (kind) {
+    case source_kind::store:
+        return "store";
+    case source_kind::feeder:
+        return "balancer";
+    case source_kind::contact:
+        return "contact";
+    }
+    return "unknown";
+}
+
 source_choice::source_choice(const source_settings& settings, const replica& store_replica, std::uint64_t random_seed)
-    : settings_(settings), store_replica_(store_replica), random_(random_seed) {}
+    : settings_(settings), store_replica_(store_replica), random_(random_seed), rotation_(random_()) {}
 
-std::vector<record_source> source_choice::candidates() const {
-    std::vector<record_source> same_domain_feeders;
-    std::vector<record_source> other_domain_feeders;
+bool source_choice::is_feeder() const {
+    if (holds_slot_) return true;
+    const auto own_domain_feeder = store_replica_.feeders().find({settings_.failure_domain, 0});
+    return own_domain_feeder != store_replica_.feeders().end() &&
+           own_domain_feeder->second.registration.name == settings_.name;
+}
+
+duration source_choice::random_between(duration least, duration most) {
+    return duration(std::uniform_int_distribution<duration::rep>(least.count(), most.count())(random_));
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Candidates
+//----------------------------------------------------------------------------------------------------------------------
+
+// The branch below a feeder comes first, since the feeder was full when it named the branch. All balancers of a tree
+// accept the key of its root; while the root's slot is vacant, that of any other feeder.
+void source_choice::add_tree(const std::string& failure_domain, const known_feeder* feeder,
+                             std::vector<record_source>& sources) const {
+    const known_feeder* key_owner = feeder;
+    if (key_owner == nullptr && !store_replica_.feeders().empty())
+        key_owner = &store_replica_.feeders().begin()->second;
+    if (key_owner == nullptr) return;
+    if (branch_domain_ == failure_domain) {
+        for (const endpoint& address : branch_)
+            sources.push_back({source_kind::feeder, address, key_owner->registration.key});
+    }
+    if (feeder != nullptr)
+        sources.push_back({source_kind::feeder, feeder->registration.address, feeder->registration.key});
+}
+
+std::vector<record_source> source_choice::feeders_of_own_domain() const {
+    std::vector<record_source> sources;
+    const auto                 first = store_replica_.feeders().lower_bound({settings_.failure_domain, 0});
+    for (auto feeder = first;
+         feeder != store_replica_.feeders().end() && feeder->first.first == settings_.failure_domain; ++feeder) {
+        if (feeder->second.registration.name != settings_.name)
+            add_tree(settings_.failure_domain, &feeder->second, sources);
+    }
+    if (sources.empty()) add_tree(settings_.failure_domain, nullptr, sources);
+    return sources;
+}
+
+std::vector<record_source> source_choice::feeders_of_other_domains() const {
+    std::vector<record_source> sources;
     for (const auto& [domain_and_slot, feeder] : store_replica_.feeders()) {
-        if (feeder.registration.name == settings_.name) continue;
-        const bool is_same_domain = domain_and_slot.first == settings_.failure_domain;
-        (is_same_domain ? same_domain_feeders : other_domain_feeders)
-            .push_back({source_kind::feeder, feeder.registration.address, feeder.registration.key});
+        if (domain_and_slot.first != settings_.failure_domain) add_tree(domain_and_slot.first, &feeder, sources);
     }
+    if (sources.empty()) return sources;
+    const auto start = static_cast<std::ptrdiff_t>(rotation_ % sources.size());
+    std::rotate(sources.begin(), sources.begin() + start, sources.end());
+    // The balancer in use stays first, whatever the rotation.
+    std::stable_partition(sources.begin(), sources.end(), [&](const record_source& source) {
+        return std::find(branch_.begin(), branch_.end(), source.address) != branch_.end();
+    });
+    return sources;
+}
+
+bool source_choice::prefers_store() const {
+    return is_feeder() || (store_replica_.is_complete() && unanswered_feeders_ >= max_unanswered_feeders);
+}
+
+std::vector<record_source> source_choice::candidates() const {
+    const record_source        store{};
     std::vector<record_source> sources;
-    if (!is_feeder_) sources = same_domain_feeders;
-    sources.push_back({source_kind::store, {}, {}});
-    if (is_feeder_) sources.insert(sources.end(), same_domain_feeders.begin(), same_domain_feeders.end());
-    sources.insert(sources.end(), other_domain_feeders.begin(), other_domain_feeders.end());
+    if (is_feeder()) sources.push_back(store);
+    const auto own_domain = feeders_of_own_domain();
+    sources.insert(sources.end(), own_domain.begin(), own_domain.end());
+    if (!is_feeder() && prefers_store()) sources.push_back(store);
+    const auto other_domains = feeders_of_other_domains();
+    sources.insert(sources.end(), other_domains.begin(), other_domains.end());
+    if (!prefers_store()) sources.push_back(store);
+    if (is_feeder()) add_own_followers(sources);
     if (store_replica_.is_complete()) return sources;
     for (const endpoint& contact : settings_.contacts)
         sources.push_back({source_kind::contact, contact, {}});
     return sources;
 }
 
+// Only a feeder does so: its place in the tree has no other source above it.
+void source_choice::add_own_followers(std::vector<record_source>& sources) const {
+    const auto own_slot = store_replica_.feeders().find({settings_.failure_domain, 0});
+    if (own_slot == store_replica_.feeders().end()) return;
+    for (const endpoint& follower : own_followers_)
+        sources.push_back({source_kind::feeder, follower, own_slot->second.registration.key});
+}
+
 std::optional<record_source> source_choice::choose(steady_time now) {
     for (const record_source& source : candidates()) {
         if (now >= retry_at(source)) return source;
@@ -52,49 +151,103 @@
     return std::nullopt;
 }
 
-steady_time source_choice::next_available_at() const {
-    steady_time earliest = store_health_.retry_at;
+steady_time source_choice::next_available_at(steady_time now) const {
+    steady_time earliest = steady_time::max();
     for (const record_source& source : candidates())
         earliest = std::min(earliest, retry_at(source));
-    return earliest;
+    return std::max(earliest, now);
 }
 
 // The epoch for a source that may be tried immediately.
 steady_time source_choice::retry_at(const record_source& source) const {
-    if (source.kind == source_kind::store) return store_health_.retry_at;
+    if (source.kind == source_kind::store) {
+        if (prefers_store() || !store_due_) return store_health_.retry_at;
+        return std::max(store_health_.retry_at, *store_due_);
+    }
     const auto health = balancer_health_.find(source.address);
     return health == balancer_health_.end() ? steady_time{} : health->second.retry_at;
 }
 
+//----------------------------------------------------------------------------------------------------------------------
+// Outcomes
+//----------------------------------------------------------------------------------------------------------------------
+
+void source_choice::note_feeders_looked_up(steady_time now) {
+    if (store_replica_.feeders().empty()) return;
+    store_due_ = now + random_between(least_first_listing_delay, most_first_listing_delay);
+}
+
 void source_choice::succeeded(const record_source& source) {
     if (source.kind == source_kind::store) {
         store_health_ = {};
+        return;
+    }
+    balancer_health_.erase(source.address);
+    if (source.kind != source_kind::feeder) return;
+    unanswered_feeders_ = 0;
+    store_due_.reset();
+    if (std::find(branch_.begin(), branch_.end(), source.address) != branch_.end()) {
+        branch_ = {source.address};
     } else {
-        balancer_health_.erase(source.address);
+        branch_.clear();
     }
 }
 
-void source_choice::failed(const record_source& source, bool is_full, steady_time now) {
+void source_choice::failed(const record_source& source, source_failure failure, std::span<const endpoint> followers,
+                           steady_time now) {
     if (source.kind == source_kind::store) {
-        store_health_.retry_at = now + retry_delay(store_backoff, store_health_.consecutive_failures++, random_);
+        const bool is_patient = store_due_.has_value() && !prefers_store();
+        store_health_.retry_at = now + retry_delay(is_patient ? patient_store_backoff : store_backoff,
+                                                   store_health_.consecutive_failures++, random_);
         return;
     }
     std::erase_if(balancer_health_, [&](const auto& address_and_health) {
         return now > address_and_health.second.retry_at + health_retention;
     });
     source_health& health = balancer_health_[source.address];
-    health.retry_at = now + retry_delay(feeder_backoff, health.consecutive_failures++, random_);
-    health.is_full = is_full;
+    if (failure == source_failure::full) {
+        health.retry_at = now + full_source_pause;
+        follow_branch(source, followers);
+        return;
+    }
+    health.retry_at = now + retry_delay(backoff_of(source, failure), health.consecutive_failures++, random_);
+    if (source.kind != source_kind::feeder) return;
+    if (failure == source_failure::no_answer) {
+        ++unanswered_feeders_;
+        return;
+    }
+    unanswered_feeders_ = 0;
+    if (!store_due_) delay_store(source, now);
+}
+
+backoff_settings source_choice::backoff_of(const record_source& source, source_failure failure) const {
+    if (!store_replica_.is_complete()) return first_listing_backoff;
+    if (failure != source_failure::not_current) return feeder_backoff;
+    const known_feeder* feeder = registered_feeder(source);
+    const bool is_other_domain = feeder != nullptr && feeder->registration.failure_domain != settings_.failure_domain;
+    return is_other_domain ? feeder_backoff : stale_backoff;
 }
 
-unsigned source_choice::open_slot() const {
-    unsigned slot = 0;
-    for (;; ++slot) {
-        const auto feeder = store_replica_.feeders().find({settings_.failure_domain, slot});
-        if (feeder == store_replica_.feeders().end()) return slot;
-        const auto health = balancer_health_.find(feeder->second.registration.address);
-        if (health == balancer_health_.end() || !health->second.is_full) return slot;
+void source_choice::delay_store(const record_source& stale_source, steady_time now) {
+    const duration spread = std::max(duration::zero(), settings_.change_deadline - loss_detection_time) / 2;
+    const bool     is_below_feeder = registered_feeder(stale_source) != nullptr;
+    store_due_ = now + (is_below_feeder ? random_between(duration::zero(), spread)
+                                        : random_between(least_lower_store_delay, most_lower_store_delay));
+}
+
+const known_feeder* source_choice::registered_feeder(const record_source& source) const {
+    for (const auto& [domain_and_slot, feeder] : store_replica_.feeders()) {
+        if (feeder.registration.address == source.address) return &feeder;
     }
+    return nullptr;
+}
+
+// In random order, so that the balancers that the source turns away spread over its followers.
+void source_choice::follow_branch(const record_source& source, std::span<const endpoint> followers) {
+    if (const known_feeder* feeder = registered_feeder(source)) branch_domain_ = feeder->registration.failure_domain;
+    branch_.assign(followers.begin(), followers.end());
+    std::erase(branch_, settings_.address);
+    std::shuffle(branch_.begin(), branch_.end(), random_);
 }
 
 } // namespace tamarack::entry
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -1,9 +1,10 @@
 // Chooses the source of the next read call: the store itself, or a balancer that serves the records it has read.
 //
 // Load pattern: each call to the store has a price and counts toward a rate limit that grows more slowly than the
-// fleet. Therefore one balancer of each failure domain, the feeder, reads the store, and the others read from it. A
-// balancer that gets no answer from its feeder reads the store itself. If the store refuses it, too, it reads from
-// feeders of other failure domains.
+// fleet, and a listing for each of hundreds of hosts that start at the same time fills the store's link for seconds.
+// Therefore one balancer of each failure domain, the feeder, reads the store. It has a limited number of followers and
+// names them to further balancers, which read from one of the followers instead: the balancers of a failure domain form
+// a tree. A balancer that loses its source moves to another tree before it turns to the store.
 #pragma once
 
 #include "entry/replica.h"
@@ -14,10 +15,12 @@
 // A contact is a balancer from the settings, which is asked for a first listing without authentication.
 enum class source_kind : std::uint8_t { store, feeder, contact };
 
+std::string_view to_string(source_kind kind);
+
 struct record_source {
     source_kind kind = source_kind::store;
-    endpoint    address; // of a feeder or contact
-    feed_key    key{};   // of a feeder
+    endpoint    address; // of a balancer
+    feed_key    key{};   // of a feeder, or of the feeder at the root of the balancer's tree
 
     friend bool operator==(const record_source&, const record_source&) = default;
 };
@@ -25,7 +28,16 @@
 struct source_settings {
     std::string           name; // of this balancer
     std::string           failure_domain;
+    endpoint              address;  // where this balancer serves its own followers
     std::vector<endpoint> contacts; // balancers that may serve a first listing while the store is unavailable
+    // Time within which a change of the store must reach every balancer that the store serves.
+    duration              change_deadline = std::chrono::seconds(3);
+};
+
+enum class source_failure : std::uint8_t {
+    no_answer,   // unreachable, timed out, or without a valid answer
+    not_current, // answers, but has no recent confirmation by the store
+    full,        // accepts no further followers
 };
 
 class source_choice {
@@ -35,31 +47,52 @@
     // The best source that is not waiting for its retry time; nullopt: there is none.
     std::optional<record_source> choose(steady_time now);
     // Earliest time at which choose returns a source again.
-    steady_time                  next_available_at() const;
+    steady_time                  next_available_at(steady_time now) const;
     void                         succeeded(const record_source& source);
-    void                         failed(const record_source& source, bool is_full, steady_time now);
-    // A feeder prefers the store to other feeders.
-    void                         set_is_feeder(bool is_feeder) { is_feeder_ = is_feeder; }
-    // The lowest feeder slot of this failure domain that is vacant or whose feeder is not full. If it is vacant, the
-    // failure domain needs a feeder in it.
-    unsigned                     open_slot() const;
+    // Followers: of a source that is full; one of them is the next source.
+    void failed(const record_source& source, source_failure failure, std::span<const endpoint> followers,
+                steady_time now);
+    // The feeders have been looked up in the store before the first listing. If there are any, one of them serves the
+    // listing, and the store is read only after a delay that differs between balancers.
+    void note_feeders_looked_up(steady_time now);
+    void set_holds_slot(bool holds_slot) { holds_slot_ = holds_slot; }
+    // A feeder that the store turns away reads from one of its own followers that the store serves.
+    void set_own_followers(std::vector<endpoint> followers) { own_followers_ = std::move(followers); }
+    // This balancer is the feeder of its failure domain, or was it until its restart. It prefers the store.
+    bool is_feeder() const;
 
 private:
     struct source_health {
         unsigned    consecutive_failures = 0;
         steady_time retry_at{};
-        bool        is_full = false; // accepts no further followers
     };
 
+    void                       add_tree(const std::string& failure_domain, const known_feeder* feeder,
+                                        std::vector<record_source>& sources) const;
+    std::vector<record_source> feeders_of_own_domain() const;
+    std::vector<record_source> feeders_of_other_domains() const;
+    void                       add_own_followers(std::vector<record_source>& sources) const;
     std::vector<record_source> candidates() const; // best first
     steady_time                retry_at(const record_source& source) const;
+    bool                       prefers_store() const;
+    backoff_settings           backoff_of(const record_source& source, source_failure failure) const;
+    void                       delay_store(const record_source& stale_source, steady_time now);
+    void                       follow_branch(const record_source& source, std::span<const endpoint> followers);
+    const known_feeder*        registered_feeder(const record_source& source) const; // null: it is no feeder
+    duration                   random_between(duration least, duration most);
 
     source_settings                   settings_;
     const replica&                    store_replica_;
     random_source                     random_;
-    bool                              is_feeder_ = false;
+    std::size_t                       rotation_; // start of the order of other failure domains; differs by balancer
+    bool                              holds_slot_ = false;
     source_health                     store_health_;
     std::map<endpoint, source_health> balancer_health_; // of feeders and contacts whose last call failed, by address
+    std::vector<endpoint>             own_followers_;
+    std::string                       branch_domain_; // root of the tree that branch_ belongs to
+    std::vector<endpoint>             branch_;        // balancers of that tree to read from, best first
+    std::optional<steady_time>        store_due_;     // a balancer that is no feeder does not read the store before it
+    unsigned                          unanswered_feeders_ = 0; // in a row
 };
 
 } // namespace tamarack::entry
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -7,23 +7,54 @@
 
 namespace {
 
-// A dead connection must be noticed, after watch_wait and watch_grace, within four seconds after it has stopped
-// delivering data: from then on, the host is held to its service limits.
-constexpr duration watch_wait = std::chrono::milliseconds(2'500);
-constexpr duration watch_grace = std::chrono::milliseconds(700); // for the answer to arrive after the watch has ended
+// A feeder reads the store in a fixed rhythm, and its followers get each answer of the store when it arrives, so that
+// confirmations are equally old at all distances from the store. A follower waits a little longer than the rhythm.
+constexpr duration store_watch_wait = std::chrono::milliseconds(2'000);
+constexpr duration feeder_watch_wait = std::chrono::milliseconds(2'300);
+// A connection that has stopped delivering data must be noticed within three seconds, when a host is first held to
+// its service limits: waits plus the time for the answer to arrive.
+constexpr duration store_watch_grace = std::chrono::milliseconds(700);
+constexpr duration feeder_watch_grace = std::chrono::milliseconds(500);
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
-// Changes in quick succession are collected into one answer of the store; a single change is read immediately.
+// Shorter, since another balancer or the store can be read instead.
+constexpr duration first_feeder_timeout = std::chrono::milliseconds(400);
+constexpr duration connect_timeout = std::chrono::milliseconds(700);
+constexpr duration first_feeder_connect_timeout = std::chrono::milliseconds(100);
+// A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
+constexpr unsigned max_timeout_doublings = 2;
+// Changes in quick succession are collected into one answer of the store; a single change is read immediately. A
+// feeder has collected them already.
 constexpr duration burst_window = std::chrono::milliseconds(1'000);
-constexpr duration burst_pause = std::chrono::milliseconds(250);
+constexpr duration burst_pause = std::chrono::milliseconds(400);
 constexpr duration single_change_pause = std::chrono::milliseconds(50);
-// Longest time between two answers of an available store.
-constexpr duration max_answer_interval = watch_wait + watch_grace + burst_pause;
+// A balancer that reads the store although it is no feeder waits for a feeder to be registered.
+constexpr duration least_reader_pause = std::chrono::milliseconds(400);
+constexpr duration most_reader_pause = std::chrono::milliseconds(900);
 // Consecutive failures after which the store counts as unavailable. One is not enough: the connection
 // of a watch may break and a feeder may stop at any time.
 constexpr unsigned failures_until_unavailable = 2;
 
+source_failure to_source_failure(read_error error) {
+    if (error == read_error::full) return source_failure::full;
+    return error == read_error::refused ? source_failure::not_current : source_failure::no_answer;
+}
+
 } // namespace
 
+std::string_view to_string(read_kind kind) {
+    switch (kind) {
+    case read_kind::find_feeders:
+        return "find_feeders";
+    case read_kind::list:
+        return "list";
+    case read_kind::watch:
+        return "watch";
+    case read_kind::resume:
+        return "resume";
+    }
+    return "unknown";
+}
+
 std::string_view to_string(read_error error) {
     switch (error) {
     case read_error::unreachable:
@@ -45,13 +76,17 @@
 }
 
 store_sync::store_sync(replica& store_replica, const source_settings& settings, std::uint64_t random_seed)
-    : store_replica_(store_replica), sources_(settings, store_replica, random_seed) {}
+    : store_replica_(store_replica), sources_(settings, store_replica, random_seed), random_(random_seed + 1) {}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Calls
+//----------------------------------------------------------------------------------------------------------------------
 
 // A position is only valid at the source that issued it. The store's position is its revision, so that a watch on the
 // store can continue from the revision that a feeder reported, and a feeder can find the changes after a revision. A
 // complete listing for each change of source would load a feeder most when many followers switch to it at once.
 void store_sync::switch_to(const record_source& source) {
-    if (source == latest_call_.source) return;
+    if (source == latest_call_.source && latest_call_.kind != read_kind::find_feeders) return;
     latest_call_ = {.kind = read_kind::list, .source = source, .after_key = {}};
     listed_records_.clear();
     if (!store_replica_.is_complete()) return;
@@ -59,50 +94,119 @@
     latest_call_.after_position = store_replica_.complete_revision();
 }
 
-std::optional<read_call> store_sync::next_call(steady_time now) {
-    if (is_call_pending_ || now < next_call_due_) return std::nullopt;
-    if (!repeats_call_) {
-        const bool is_mid_listing = latest_call_.kind == read_kind::list && !latest_call_.after_key.empty();
-        const auto source = is_mid_listing ? latest_call_.source : sources_.choose(now);
-        if (!source) {
-            next_call_due_ = sources_.next_available_at();
-            return std::nullopt;
-        }
+// Leaves next_call_due_ in the future if no source is available.
+void store_sync::choose_call(steady_time now) {
+    if (!has_looked_up_feeders_) {
+        latest_call_ = {.kind = read_kind::find_feeders, .source = {}, .after_key = {}};
+        return;
+    }
+    const bool is_mid_listing = latest_call_.kind == read_kind::list && !latest_call_.after_key.empty();
+    const auto source = is_mid_listing ? latest_call_.source : sources_.choose(now);
+    if (source) {
         switch_to(*source);
+    } else {
+        next_call_due_ = sources_.next_available_at(now);
+    }
+}
+
+void store_sync::set_timeouts() {
+    const bool is_feeder_call = latest_call_.source.kind == source_kind::feeder;
+    const bool is_first_listing = is_feeder_call && !store_replica_.is_complete();
+    latest_call_.connect_timeout = is_first_listing ? first_feeder_connect_timeout : connect_timeout;
+    if (latest_call_.kind == read_kind::watch) {
+        latest_call_.max_wait = is_feeder_call ? feeder_watch_wait : store_watch_wait - pause_before_call_;
+        latest_call_.timeout = latest_call_.max_wait + (is_feeder_call ? feeder_watch_grace : store_watch_grace);
+        return;
     }
+    const duration timeout = is_first_listing ? first_feeder_timeout : list_timeout;
+    latest_call_.max_wait = {};
+    latest_call_.timeout = timeout * (1U << std::min(consecutive_timeouts_, max_timeout_doublings));
+}
+
+std::optional<read_call> store_sync::next_call(steady_time now) {
+    if (is_call_pending_ || now < next_call_due_) return std::nullopt;
+    if (!repeats_call_) choose_call(now);
+    if (now < next_call_due_) return std::nullopt;
     repeats_call_ = false;
     is_call_pending_ = true;
-    latest_call_.max_wait = watch_wait;
-    latest_call_.timeout = latest_call_.kind == read_kind::watch ? latest_call_.max_wait + watch_grace : list_timeout;
+    latest_call_time_ = now;
+    set_timeouts();
+    pause_before_call_ = {};
     return latest_call_;
 }
 
+//----------------------------------------------------------------------------------------------------------------------
+// Outcomes
+//----------------------------------------------------------------------------------------------------------------------
+
+// A process that was paused may find an answer that had arrived long before: its age is then unknown.
 void store_sync::succeeded(const record_page& page, steady_time now) {
+    if (now - latest_call_time_ > latest_call_.connect_timeout + latest_call_.timeout)
+        return failed({read_error::timed_out, {}}, now);
+    if (!answers_call(page)) return failed({read_error::unreadable, {}}, now);
     is_call_pending_ = false;
-    sources_.succeeded(latest_call_.source);
-    if (reads_store()) last_store_answer_ = now;
-    // A contact or a feeder may be cut off from the store like this balancer. Only a recent confirmation by the store
-    // shows that it is available.
-    if (latest_call_.source.kind != source_kind::contact && page.confirmation_age <= max_answer_interval) {
-        consecutive_failures_ = 0;
-        is_store_available_ = true;
-        store_replica_.note_store_available(now, page.confirmation_age);
+    consecutive_timeouts_ = 0;
+    if (latest_call_.kind == read_kind::find_feeders) {
+        has_looked_up_feeders_ = true;
+        for (const record& item : page.records)
+            store_replica_.apply(item, now);
+        sources_.note_feeders_looked_up(now);
+        return;
     }
+    const bool is_stale_feeder =
+        latest_call_.source.kind == source_kind::feeder && page.confirmation_age > max_confirmation_age;
+    if (is_stale_feeder) {
+        sources_.failed(latest_call_.source, source_failure::not_current, {}, now);
+    } else {
+        sources_.succeeded(latest_call_.source);
+    }
+    note_confirmation(page, now);
     if (latest_call_.kind == read_kind::list) return apply_listing_page(page, now);
+    apply_changes(page, now);
+}
+
+// A source that sends an answer twice may have its copy taken for the answer to the next call: a page that repeats keys
+// or a watch that goes back in the source's history is such a copy.
+bool store_sync::answers_call(const record_page& page) const {
+    if (latest_call_.kind == read_kind::watch) return page.position >= latest_call_.after_position;
+    if (latest_call_.kind != read_kind::list || page.records.empty()) return true;
+    return latest_call_.after_key.empty() || page.records.front().key > latest_call_.after_key;
+}
+
+// A contact or a feeder may be cut off from the store like this balancer. Only a recent confirmation by the store shows
+// that it is available.
+void store_sync::note_confirmation(const record_page& page, steady_time now) {
+    if (latest_call_.source.kind == source_kind::contact || page.confirmation_age > max_confirmation_age) return;
+    consecutive_failures_ = 0;
+    is_store_available_ = true;
+    store_replica_.note_store_available(now, page.confirmation_age, page.distance);
+}
+
+void store_sync::apply_changes(const record_page& page, steady_time now) {
     for (const record& item : page.records)
         store_replica_.apply(item, now);
     store_replica_.set_complete_revision(page.revision);
     latest_call_.kind = read_kind::watch;
     latest_call_.after_position = page.position;
-    if (page.records.empty()) return;
-    next_call_due_ = now + (now - last_change_ < burst_window ? burst_pause : single_change_pause);
-    last_change_ = now;
+    pause_before_call_ = pause_after(!page.records.empty(), now);
+    next_call_due_ = now + pause_before_call_;
+    if (!page.records.empty()) last_change_ = now;
+}
+
+duration store_sync::pause_after(bool has_changes, steady_time now) {
+    if (!reads_store()) return {};
+    if (!sources_.is_feeder()) {
+        return duration(std::uniform_int_distribution<duration::rep>(least_reader_pause.count(),
+                                                                     most_reader_pause.count())(random_));
+    }
+    if (!has_changes) return {};
+    return now - last_change_ < burst_window ? burst_pause : single_change_pause;
 }
 
 void store_sync::apply_listing_page(const record_page& page, steady_time now) {
     if (latest_call_.after_key.empty()) {
         listed_records_.clear();
-        first_page_ = {.records = {}, .position = page.position, .revision = page.revision, .confirmation_age = {}};
+        first_page_ = {.records = {}, .position = page.position, .revision = page.revision};
     }
     listed_records_.insert(listed_records_.end(), page.records.begin(), page.records.end());
     if (page.has_more && !page.records.empty()) {
@@ -114,29 +218,28 @@
     latest_call_.kind = read_kind::watch;
     latest_call_.after_key.clear();
     latest_call_.after_position = first_page_.position;
+    pause_before_call_ = pause_after(false, now);
+    next_call_due_ = now + pause_before_call_;
 }
 
-void store_sync::failed(read_error error, steady_time now) {
+void store_sync::failed(const read_failure& failure, steady_time now) {
     is_call_pending_ = false;
-    if (error == read_error::history_dropped) {
+    has_looked_up_feeders_ = true; // without the feeders, the listing is read from the store
+    if (failure.error == read_error::history_dropped) {
         latest_call_.kind = read_kind::list;
         latest_call_.after_key.clear();
         repeats_call_ = true;
         return;
     }
+    if (failure.error == read_error::timed_out && latest_call_.kind != read_kind::watch) ++consecutive_timeouts_;
     if (latest_call_.kind == read_kind::list) latest_call_.after_key.clear();
-    ++consecutive_failures_;
-    repeats_call_ = consecutive_failures_ == 1 && error == read_error::unreachable &&
+    if (failure.error != read_error::full) ++consecutive_failures_; // a full balancer names others to read from
+    repeats_call_ = consecutive_failures_ == 1 && failure.error == read_error::unreachable &&
                     latest_call_.kind == read_kind::watch && reads_store();
-    if (!repeats_call_) sources_.failed(latest_call_.source, error == read_error::full, now);
+    if (!repeats_call_) sources_.failed(latest_call_.source, to_source_failure(failure.error), failure.followers, now);
     if (consecutive_failures_ < failures_until_unavailable) return;
     is_store_available_ = false;
     store_replica_.note_store_unavailable();
 }
 
-bool store_sync::is_current_from_store(steady_time now) const {
-    return is_store_available_ && reads_store() && store_replica_.is_complete() &&
-           now - last_store_answer_ <= max_answer_interval;
-}
-
 } // namespace tamarack::entry
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -1,8 +1,8 @@
 // Decides which read call to make next, so that the replica stays current with few calls to the store.
 //
-// One call is pending at a time: first a paged listing, then watches from the position of the listing. A watch that
-// ends without an event confirms that nothing newer exists. A watch without an answer ends by its timeout, since an
-// open connection may have stopped delivering data without being closed.
+// One call is pending at a time: first the feeders that the store knows, then a paged listing, then watches from the
+// position of the listing. A watch that ends without an event confirms that nothing newer exists. A watch without an
+// answer ends by its timeout, since an open connection may have stopped delivering data without being closed.
 #pragma once
 
 #include "entry/source_choice.h"
@@ -10,25 +10,29 @@
 namespace tamarack::entry {
 
 enum class read_kind : std::uint8_t {
+    find_feeders, // store only: the registered feeders. The answer may be out of date and proves nothing
     list,
     watch,  // from a position of the source
     resume, // feeders only: changes after a revision of the store, and a position for the following watches
 };
 
+std::string_view to_string(read_kind kind);
+
 struct read_call {
     read_kind     kind = read_kind::list;
     record_source source;
     std::string   after_key;          // list: last key of the previous page; empty: the first page
     std::uint64_t after_position = 0; // watch: position of the source; resume: revision of the store
     duration      max_wait{};         // watch: how long the source may wait for an event
-    duration      timeout{};          // for the whole call
+    duration      connect_timeout{};
+    duration      timeout{}; // from the request to the end of the answer
 };
 
 enum class read_error : std::uint8_t {
-    unreachable, // the connection failed or broke
-    timed_out,
+    unreachable,     // the connection failed or broke
+    timed_out,       // no answer within the call's timeout, or one that was read later than that
     refused,         // overloaded, rate-limited or not current
-    full,            // the feeder has its maximum number of followers
+    full,            // the balancer has its maximum number of followers
     history_dropped, // the watch starts before the history that the source has kept
     unreadable,      // the answer does not follow the protocol
     unproved,        // the answer is not authenticated with the key of the feeder that was asked
@@ -36,12 +40,18 @@
 
 std::string_view to_string(read_error error);
 
+struct read_failure {
+    read_error            error = read_error::unreachable;
+    std::vector<endpoint> followers; // full: of the balancer that was asked
+};
+
 // Answer to a read call.
 struct record_page {
     std::vector<record> records;
     std::uint64_t       position = 0;       // where the next watch on the same source starts
     std::uint64_t       revision = 0;       // of the store; the source contains every change up to it
     duration            confirmation_age{}; // since the store confirmed that nothing newer exists; zero from the store
+    unsigned            distance = 0;       // balancers between the store and the reader; 0: read from the store
     bool                has_more = false;   // list: further pages follow the last key
 };
 
@@ -52,34 +62,43 @@
     // The call to make now. Nullopt: a call is pending, or the wait after a failure or a change is not over.
     std::optional<read_call> next_call(steady_time now);
     void                     succeeded(const record_page& page, steady_time now);
-    void                     failed(read_error error, steady_time now);
+    void                     failed(const read_failure& failure, steady_time now);
 
     // True after an answer of the store itself, or of a feeder with a recent confirmation by the store. False at the
     // start, and after two failures of any sources without such an answer in between (history_dropped is no failure).
     // A contact's answer changes nothing.
-    bool     is_store_available() const { return is_store_available_; }
-    // The store itself gave the last answer, and recently enough for other balancers to rely on this one.
-    bool     is_current_from_store(steady_time now) const;
-    bool     reads_store() const { return latest_call_.source.kind == source_kind::store; }
-    void     set_is_feeder(bool is_feeder) { sources_.set_is_feeder(is_feeder); }
-    unsigned open_slot() const { return sources_.open_slot(); }
+    bool                 is_store_available() const { return is_store_available_; }
+    const record_source& source() const { return latest_call_.source; } // of the pending call, or the last one
+    void                 set_holds_slot(bool holds_slot) { sources_.set_holds_slot(holds_slot); }
+    void set_own_followers(std::vector<endpoint> followers) { sources_.set_own_followers(std::move(followers)); }
 
 private:
-    void switch_to(const record_source& source);
-    void apply_listing_page(const record_page& page, steady_time now);
+    bool     reads_store() const { return latest_call_.source.kind == source_kind::store; }
+    void     switch_to(const record_source& source);
+    void     choose_call(steady_time now);
+    void     set_timeouts();
+    bool     answers_call(const record_page& page) const;
+    void     note_confirmation(const record_page& page, steady_time now);
+    void     apply_listing_page(const record_page& page, steady_time now);
+    void     apply_changes(const record_page& page, steady_time now);
+    duration pause_after(bool has_changes, steady_time now);
 
     replica&            store_replica_;
     source_choice       sources_;
+    random_source       random_;
     read_call           latest_call_; // the pending call, or the last one
     bool                is_call_pending_ = false;
     bool                is_store_available_ = false;
+    bool                has_looked_up_feeders_ = false;
     bool                repeats_call_ = false;     // the last call is made again before another source is tried
     unsigned            consecutive_failures_ = 0; // of any source, since an answer showed that the store is available
+    unsigned            consecutive_timeouts_ = 0; // of calls that do not wait for a change
     steady_time         next_call_due_{};
-    steady_time         last_store_answer_{}; // from the store itself
+    steady_time         latest_call_time_{};
     steady_time         last_change_{};
-    std::vector<record> listed_records_; // of the pages read so far
-    record_page         first_page_;     // position and revision of the first page
+    duration            pause_before_call_{}; // shortens the next watch on the store
+    std::vector<record> listed_records_;      // of the pages read so far
+    record_page         first_page_;          // position and revision of the first page
 };
 
 } // namespace tamarack::entry
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -72,18 +72,34 @@
         const auto feed_call = tamarack::platform::decode_feed_request(call.target);
         if (!feed_call) return handle_write(call, respond);
         if (std::holds_alternative<tamarack::platform::feed_list_request>(feed_call->parameters))
-            return respond(listing());
+            return respond(listing(decode_percent(
+                tamarack::platform::query_parameter(call.target, "prefix").value_or(std::string_view{}))));
         const auto* watch = std::get_if<tamarack::platform::feed_watch_request>(&feed_call->parameters);
         if (watch == nullptr) return respond({.status = 404, .body = {}}); // a call that only feeders answer
         if (store_.revision() > watch->position && !withholds_events) return answer_watch(watch->position, respond);
         waiting_watches_.push_back({watch->position, time_.steady_now() + watch->wait, std::move(respond)});
     }
 
-    tamarack::entry::server_response listing() const {
+    static std::string decode_percent(std::string_view text) {
+        std::string decoded;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            unsigned byte = static_cast<unsigned char>(text[i]);
+            if (text[i] == '%' && i + 2 < text.size()) {
+                std::from_chars(text.data() + i + 1, text.data() + i + 3, byte, 16);
+                i += 2;
+            }
+            decoded += static_cast<char>(byte);
+        }
+        return decoded;
+    }
+
+    tamarack::entry::server_response listing(std::string_view prefix) const {
         tamarack::entry::feed_answer answer{
             .records = {}, .position = store_.revision(), .revision = store_.revision()};
-        for (const auto& [key, item] : store_.items())
+        for (const auto& [key, item] : store_.items()) {
+            if (!key.starts_with(prefix)) continue;
             answer.records.push_back(tamarack::platform::decode_record(key, item.revision, item.value));
+        }
         return {.body = tamarack::platform::encode_listing(answer), .content_type = "application/json"};
     }
 
--- a/tamarack/clock.h
+++ b/tamarack/clock.h
@@ -12,6 +12,18 @@
     steady_time boot_now() const override;
 };
 
+// Its steady time counts the time during which the host was suspended, so that a lease or a confirmation that ran out
+// meanwhile is not used after the host has resumed.
+class suspend_aware_clock final : public clock {
+public:
+    steady_time steady_now() const override { return system_.boot_now(); }
+    wall_time   wall_now() const override { return system_.wall_now(); }
+    steady_time boot_now() const override { return system_.boot_now(); }
+
+private:
+    system_clock system_;
+};
+
 // Starts at a fixed wall time, so that tests give the same records on every run.
 class manual_clock final : public clock {
 public:
--- a/tests/entry_feed_test.cpp
+++ b/tests/entry_feed_test.cpp
@@ -39,30 +39,33 @@
         backend.key = "servers/i-1";
         backend.raw_value = backend_json;
         store_replica.apply_listing(std::vector{backend}, 5, time.steady_now());
-        server.emplace(feed(store_replica, "self", feeder_key, time.steady_now()));
+        server.emplace(feed(store_replica, {.key = feeder_key}, time.steady_now()));
         auto opened_server = http_server::open(
             context, feeder_endpoint, [this](const server_request& request, http_server::response_callback respond) {
-                const bool is_admitted = server->handle(request.target, true, time.steady_now(), std::move(respond));
+                const bool is_admitted =
+                    server->handle(request.target, request.caller, time.steady_now(), std::move(respond));
                 if (!is_admitted) ++rejected_requests;
             });
         BOOST_REQUIRE(opened_server.has_value());
         listener = std::move(opened_server).value();
     }
 
-    result<record_page, read_error> read(read_kind kind, const record_source& source, std::uint64_t position = 0) {
+    result<record_page, read_failure> read(read_kind kind, const record_source& source, std::uint64_t position = 0) {
         read_call call;
         call.kind = kind;
         call.source = source;
         call.after_position = position;
         call.max_wait = 50ms;
+        call.connect_timeout = 2s;
         call.timeout = 2s;
-        std::optional<result<record_page, read_error>> outcome;
-        client.read(call, [&](result<record_page, read_error> received) { outcome = std::move(received); });
+        std::optional<result<record_page, read_failure>> outcome;
+        client.read(call, [&](result<record_page, read_failure> received) { outcome = std::move(received); });
         const steady_time deadline = time.steady_now() + 5s;
         while (!outcome && time.steady_now() < deadline) {
             context.run_for(10ms);
             context.restart();
-            server->poll(true, time.steady_now());
+            store_replica.note_store_available(time.steady_now());
+            server->poll(time.steady_now());
         }
         BOOST_REQUIRE(outcome.has_value());
         return *outcome;
@@ -122,13 +125,13 @@
     replica           store_replica(1'000);
     const steady_time now{1h};
     store_replica.apply_listing({}, 5, now);
-    feed record_feed(store_replica, "self", feeder_key, now);
+    feed record_feed(store_replica, {.key = feeder_key}, now);
     int  served = 0;
     for (int request = 0; request < 1'000; ++request)
         served += record_feed.list_unauthenticated(now).status == feed_status::ok ? 1 : 0;
     BOOST_TEST(served > 0);
     BOOST_TEST(served <= 64); // the number of hosts in a failure domain
-    BOOST_TEST((record_feed.list(now).status == feed_status::ok));
+    BOOST_TEST((record_feed.list({1, ip_address::v4(1)}, now)->status == feed_status::ok));
     BOOST_TEST((record_feed.list_unauthenticated(now + 1s).status == feed_status::ok));
 }
 
@@ -137,7 +140,7 @@
     replica           store_replica(1'000);
     const steady_time now{1h};
     store_replica.apply_listing({}, 5, now);
-    feed_server       server(feed(store_replica, "self", feeder_key, now));
+    feed_server       server(feed(store_replica, {.key = feeder_key}, now));
     const std::string watch =
         platform::add_request_mac("/tamarackshore/kv-watch?prefix=&after=1&wait_ms=1500", other_key, 5);
     std::mt19937 random(20261204);
@@ -146,11 +149,11 @@
         for (std::size_t changes = random() % 6; changes > 0 && !target.empty(); --changes)
             target[random() % target.size()] = static_cast<char>(random());
         int response_count = 0;
-        server.handle(target, true, now, [&](const server_response& response) {
+        server.handle(target, "10.0.0.9:40000", now, [&](const server_response& response) {
             ++response_count;
             BOOST_REQUIRE(response.status >= 400U);
         });
         BOOST_REQUIRE(response_count == 1);
     }
-    BOOST_TEST(server.follower_count() == 0U);
+    BOOST_TEST(server.followers(now).empty());
 }
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -1,5 +1,5 @@
-// The sequence of read calls and their failures, answers to followers, the claim of a feeder slot, and the end of a
-// graceful stop.
+// The sequence of read calls and their failures, the choice among the balancers of a tree, answers to followers, the
+// claim of a feeder slot, and the end of a graceful stop.
 #define BOOST_TEST_MODULE entry_store_sync
 #include "entry/feed.h"
 #include "entry/feeder_claim.h"
@@ -24,11 +24,15 @@
 constexpr std::uint32_t own_domain_feeder = 0x0a010001;   // in the failure domain of the tested balancer
 constexpr std::uint32_t other_domain_feeder = 0x0a020001; // in another failure domain
 constexpr std::uint32_t contact_address = 0x0a030001;
+constexpr std::uint32_t own_address = 0x0a010099;
 
 struct sync_fixture {
     replica     store_replica{1'000};
     store_sync  sync{store_replica,
-                    {.name = "self", .failure_domain = "north", .contacts = {{ip_address::v4(contact_address), 7720}}},
+                    {.name = "self",
+                      .failure_domain = "north",
+                      .address = {ip_address::v4(own_address), 7720},
+                      .contacts = {{ip_address::v4(contact_address), 7720}}},
                     1};
     steady_time now{1h};
 
@@ -37,6 +41,11 @@
         BOOST_REQUIRE(call.has_value());
         return *call;
     }
+    // The store has no feeders yet, or those given.
+    void look_up_feeders(std::vector<record> feeders = {}) {
+        BOOST_TEST((next().kind == read_kind::find_feeders));
+        answer(std::move(feeders), 5, 5);
+    }
     // Advances the time until a call is due.
     read_call wait_for_next() {
         for (int step = 0; step < 1'000; ++step, now += 10ms) {
@@ -46,15 +55,18 @@
         return {};
     }
     void answer(std::vector<record> records, std::uint64_t position, std::uint64_t revision, bool has_more = false) {
-        sync.succeeded({std::move(records), position, revision, {}, has_more}, now);
+        sync.succeeded({std::move(records), position, revision, {}, 0, has_more}, now);
     }
     void complete_listing(std::vector<record> records = {}) {
+        look_up_feeders();
         next();
         records.push_back(configuration_record(1, 1));
         records.push_back(backend_record(2, registration_of(1)));
         answer(std::move(records), 5, 5);
     }
-    void fail(read_error error) { sync.failed(error, now); }
+    void fail(read_error error, std::vector<endpoint> followers = {}) {
+        sync.failed({error, std::move(followers)}, now);
+    }
 };
 
 bool is_store(const read_call& call) {
@@ -70,10 +82,11 @@
 BOOST_FIXTURE_TEST_SUITE(reading_the_store, sync_fixture)
 
 BOOST_AUTO_TEST_CASE(a_listing_is_followed_by_a_watch_from_its_revision) {
+    look_up_feeders();
     BOOST_TEST((next().kind == read_kind::list));
     BOOST_TEST(!sync.next_call(now).has_value()); // one call at a time
     answer({configuration_record(1, 1)}, 5, 5);
-    const read_call watch = next();
+    const read_call watch = wait_for_next();
     BOOST_TEST((watch.kind == read_kind::watch));
     BOOST_TEST(watch.after_position == 5U);
     BOOST_TEST((watch.timeout > watch.max_wait));
@@ -82,6 +95,7 @@
 // The pages of a listing are no snapshot: only a watch from the first page's revision sees a removal that happened
 // between two pages.
 BOOST_AUTO_TEST_CASE(the_watch_starts_at_the_revision_of_the_first_page) {
+    look_up_feeders();
     next();
     answer({backend_record(2, registration_of(1))}, 5, 5, true);
     const read_call second = next();
@@ -90,12 +104,12 @@
     BOOST_TEST(!store_replica.is_complete());
     answer({backend_record(6, registration_of(2))}, 7, 7);
     BOOST_TEST(store_replica.is_complete());
-    BOOST_TEST(next().after_position == 5U);
+    BOOST_TEST(wait_for_next().after_position == 5U);
 }
 
 BOOST_AUTO_TEST_CASE(a_dropped_history_leads_to_an_immediate_listing) {
     complete_listing();
-    next();
+    wait_for_next();
     fail(read_error::history_dropped);
     BOOST_TEST((next().kind == read_kind::list));
 }
@@ -103,7 +117,7 @@
 // The connection of a watch may break at any time. A single break must not count as an outage of the store.
 BOOST_AUTO_TEST_CASE(a_broken_watch_is_repeated_immediately_and_a_second_failure_is_an_outage) {
     complete_listing();
-    next();
+    wait_for_next();
     fail(read_error::unreachable);
     BOOST_TEST(store_replica.store_available_since().has_value());
     BOOST_TEST((next().kind == read_kind::watch));
@@ -126,40 +140,109 @@
 }
 
 BOOST_AUTO_TEST_CASE(changes_in_quick_succession_are_read_together) {
+    sync.set_holds_slot(true);
     complete_listing();
     unsigned calls = 0;
     for (unsigned step = 0; step < 100; ++step, now += 10ms) { // an event every 10 ms for 1 s
         if (!sync.next_call(now)) continue;
         ++calls;
-        answer({backend_record(10U + step, registration_of(1))}, 200, 200);
+        answer({backend_record(10U + step, registration_of(1))}, 200 + step, 200 + step);
     }
     BOOST_TEST(calls <= 6U);
 }
 
+// Hundreds of hosts that start together read the store until there are feeders. Each change must not wake all of them.
+BOOST_AUTO_TEST_CASE(a_balancer_that_is_no_feeder_reads_the_store_rarely) {
+    complete_listing();
+    unsigned calls = 0;
+    for (unsigned step = 0; step < 200; ++step, now += 10ms) { // an event every 10 ms for 2 s
+        if (!sync.next_call(now)) continue;
+        ++calls;
+        answer({backend_record(10U + step, registration_of(1))}, 200 + step, 200 + step);
+    }
+    BOOST_TEST(calls <= 5U);
+}
+
+// A server may repeat a response on a connection that is in use again: its copy must not be taken for the answer to the
+// next call. A listing that lacks a page would remove backend servers.
+BOOST_AUTO_TEST_CASE(a_repeated_page_is_not_taken_for_the_next_page) {
+    look_up_feeders();
+    next();
+    answer({backend_record(2, registration_of(5))}, 5, 5, true);
+    next();
+    answer({backend_record(2, registration_of(5))}, 5, 5);
+    BOOST_TEST(!store_replica.is_complete());
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_answer_to_an_earlier_watch_is_rejected) {
+    complete_listing();
+    wait_for_next();
+    answer({backend_record(9, registration_of(2))}, 9, 9);
+    BOOST_TEST(wait_for_next().after_position == 9U);
+    const auto confirmed_at = store_replica.last_confirmation();
+    answer({backend_record(6, registration_of(3))}, 6, 6);
+    BOOST_TEST((store_replica.last_confirmation() == confirmed_at));
+    BOOST_TEST(wait_for_next().after_position == 9U);
+}
+
+// A process that was paused reads an answer that had arrived long before. The store may have changed since.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_read_after_a_pause_is_no_confirmation) {
+    complete_listing();
+    wait_for_next();
+    const auto confirmed_at = store_replica.last_confirmation();
+    now += 8s;
+    answer({}, 5, 5);
+    BOOST_TEST((store_replica.last_confirmation() == confirmed_at));
+    BOOST_TEST(!store_replica.is_current(now));
+}
+
+// Hundreds of hosts that list at the same time fill the store's link. If each gave up and began again, none would ever
+// complete its listing.
+BOOST_AUTO_TEST_CASE(the_timeout_of_a_listing_grows_after_timeouts) {
+    look_up_feeders();
+    const duration first_timeout = next().timeout;
+    fail(read_error::timed_out);
+    BOOST_TEST((wait_for_next().timeout >= 1s)); // a contact
+    fail(read_error::timed_out);
+    BOOST_TEST((wait_for_next().timeout >= 4 * first_timeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+const record near_feeder = feeder_record(3, "near", "north", 0, own_domain_feeder);
+const record far_feeder = feeder_record(4, "far", "south", 0, other_domain_feeder);
+
+constexpr std::uint32_t first_follower = 0x0a010011;
+constexpr std::uint32_t second_follower = 0x0a010012;
+const endpoint          follower_one{ip_address::v4(first_follower), 7720};
+const endpoint          follower_two{ip_address::v4(second_follower), 7720};
+const endpoint          self{ip_address::v4(own_address), 7720};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(reading_from_feeders, sync_fixture)
 
 BOOST_AUTO_TEST_CASE(a_balancer_follows_the_feeder_of_its_failure_domain) {
-    complete_listing({feeder_record(3, "near", "north", 0, own_domain_feeder),
-                      feeder_record(4, "far", "south", 0, other_domain_feeder)});
-    const read_call first = next();
+    complete_listing({near_feeder, far_feeder});
+    const read_call first = wait_for_next();
     BOOST_TEST(is_sent_to(first, own_domain_feeder));
     // A position is only valid at its source, but a revision of the store is valid at every source.
     BOOST_TEST((first.kind == read_kind::resume));
     BOOST_TEST(first.after_position == 5U);
-    answer({backend_record(6, registration_of(1))}, 77, 6);
-    now += 50ms;
+    sync.succeeded({{backend_record(6, registration_of(1))}, 77, 6, 100ms, 1}, now);
     const read_call watch = next();
     BOOST_TEST(is_sent_to(watch, own_domain_feeder));
     BOOST_TEST(watch.after_position == 77U);
-    BOOST_TEST(!sync.is_current_from_store(now)); // other balancers must not rely on a follower
+    BOOST_TEST(store_replica.store_distance() == 1U);
+    BOOST_TEST((store_replica.last_confirmation() == now - 100ms));
 }
 
 // Many followers switch to a new feeder at the same time. Complete listings for all of them kept it busy for a second.
 BOOST_AUTO_TEST_CASE(a_balancer_lists_from_a_feeder_only_if_the_feeder_has_forgotten_removals) {
-    complete_listing({feeder_record(3, "near", "north", 0, own_domain_feeder)});
-    BOOST_TEST((next().kind == read_kind::resume));
+    complete_listing({near_feeder});
+    BOOST_TEST((wait_for_next().kind == read_kind::resume));
     fail(read_error::history_dropped);
     const read_call call = next();
     BOOST_TEST(is_sent_to(call, own_domain_feeder));
@@ -167,9 +250,9 @@
 }
 
 // A crashed feeder must not delay changes: the store is read immediately, from the last revision of the replica.
-BOOST_AUTO_TEST_CASE(a_follower_reads_the_store_when_its_feeder_fails) {
-    complete_listing({feeder_record(3, "near", "north", 0, own_domain_feeder)});
-    next();
+BOOST_AUTO_TEST_CASE(a_follower_reads_the_store_when_the_only_feeder_fails) {
+    complete_listing({near_feeder});
+    wait_for_next();
     fail(read_error::unreachable);
     const read_call call = next();
     BOOST_TEST(is_store(call));
@@ -177,20 +260,103 @@
     BOOST_TEST(call.after_position == 5U);
     BOOST_TEST(store_replica.store_available_since().has_value());
     answer({}, 5, 5);
-    BOOST_TEST(sync.is_current_from_store(now));
+    BOOST_TEST(store_replica.is_current(now));
     now += 10s;
     BOOST_TEST(is_sent_to(next(), own_domain_feeder)); // the feeder is tried again, since it may have recovered
 }
 
-// The store may refuse single hosts, including the feeder of the failure domain.
-BOOST_AUTO_TEST_CASE(a_balancer_that_the_store_refuses_reads_from_another_failure_domain) {
-    complete_listing({feeder_record(3, "near", "north", 0, own_domain_feeder),
-                      feeder_record(4, "far", "south", 0, other_domain_feeder)});
+// All followers of a feeder lose it at the same moment: they move to other trees, and the store sees none of them.
+BOOST_AUTO_TEST_CASE(a_follower_that_loses_its_feeder_reads_from_another_failure_domain) {
+    complete_listing({near_feeder, far_feeder});
+    wait_for_next();
+    fail(read_error::unreachable);
+    const read_call call = next();
+    BOOST_TEST(is_sent_to(call, other_domain_feeder));
+    BOOST_TEST((call.kind == read_kind::resume));
+}
+
+// A host may be cut off from all failure domains, but not from the store.
+BOOST_AUTO_TEST_CASE(a_follower_whose_feeders_do_not_answer_reads_the_store) {
+    complete_listing({near_feeder, far_feeder});
+    wait_for_next();
+    fail(read_error::timed_out);
+    BOOST_TEST(is_sent_to(next(), other_domain_feeder));
+    fail(read_error::timed_out);
+    BOOST_TEST(is_store(next()));
+}
+
+BOOST_AUTO_TEST_CASE(a_balancer_that_a_feeder_turns_away_reads_from_a_follower_of_it) {
+    complete_listing({near_feeder, far_feeder});
+    const read_call refused = wait_for_next();
+    fail(read_error::full, {follower_one, self, follower_two});
+    BOOST_TEST(store_replica.store_available_since().has_value()); // to be turned away is no outage
+    const read_call call = next();
+    BOOST_TEST((call.source.address == follower_one || call.source.address == follower_two));
+    BOOST_TEST((call.kind == read_kind::resume));
+    BOOST_TEST((call.source.key == refused.source.key)); // the key of the tree
+    sync.succeeded({{}, 77, 6, {}, 2}, now);
+    BOOST_TEST((next().source == call.source));
+    sync.succeeded({{}, 77, 6, {}, 2}, now);
+    now += 5s;
+    BOOST_TEST((next().source == call.source)); // it stays there
+    fail(read_error::unreachable);
+    BOOST_TEST(is_sent_to(next(), own_domain_feeder));
+}
+
+BOOST_AUTO_TEST_CASE(a_balancer_descends_until_a_follower_accepts_it) {
+    complete_listing({near_feeder, far_feeder});
+    wait_for_next();
+    fail(read_error::full, {follower_one});
+    BOOST_TEST(is_sent_to(next(), first_follower));
+    fail(read_error::full, {follower_two});
+    BOOST_TEST(is_sent_to(next(), second_follower));
+    fail(read_error::full, {}); // no follower to descend to
+    BOOST_TEST(is_sent_to(next(), other_domain_feeder));
+}
+
+// The store may turn away all feeders and serve other hosts, which must learn of a change within the deadline. The
+// pattern is that of an outage that meets just the readers of the store.
+BOOST_AUTO_TEST_CASE(a_follower_of_feeders_that_lost_the_store_tries_the_store_itself) {
+    complete_listing({near_feeder, far_feeder});
+    wait_for_next();
+    fail(read_error::refused);
+    const steady_time refused_at = now;
+    for (read_call call = wait_for_next(); !is_store(call); call = wait_for_next())
+        fail(read_error::refused);
+    BOOST_TEST(
+        (now - refused_at <= 100ms)); // the deadline of a change is three seconds, as long as the detection takes
+}
+
+// The followers of a feeder try the store; balancers further down wait for them.
+BOOST_AUTO_TEST_CASE(a_balancer_below_a_follower_leaves_the_store_alone_for_seconds) {
+    complete_listing({near_feeder});
+    wait_for_next();
+    fail(read_error::full, {follower_one});
+    next();
+    sync.succeeded({{}, 77, 6, {}, 2}, now);
     next();
     fail(read_error::refused);
-    BOOST_TEST(is_store(next()));
+    const steady_time refused_at = now;
+    for (read_call call = wait_for_next(); !is_store(call); call = wait_for_next())
+        fail(read_error::refused);
+    BOOST_TEST((now - refused_at >= 3s));
+    BOOST_TEST((now - refused_at <= 10s));
+}
+
+// The store may turn away a feeder, whose followers it serves.
+BOOST_AUTO_TEST_CASE(a_feeder_that_the_store_turns_away_reads_from_other_feeders_then_from_its_followers) {
+    sync.set_holds_slot(true);
+    sync.set_own_followers({follower_one});
+    complete_listing({feeder_record(3, "self", "north", 0, own_address), far_feeder});
+    BOOST_TEST(is_store(wait_for_next()));
     fail(read_error::refused);
     BOOST_TEST(is_sent_to(next(), other_domain_feeder));
+    fail(read_error::refused);
+    BOOST_TEST(is_sent_to(next(), first_follower));
+    sync.succeeded({{}, 77, 6, 1s, 2}, now);
+    BOOST_TEST(store_replica.is_current(now));
+    now += 1s;
+    BOOST_TEST(is_store(next())); // the store is tried again
 }
 
 BOOST_AUTO_TEST_CASE(a_balancer_that_starts_during_an_outage_of_the_store_asks_its_contacts) {
@@ -204,176 +370,280 @@
     BOOST_TEST(!store_replica.store_available_since().has_value());
 }
 
+// Hundreds of hosts that start together would fill the store's link with their listings.
+BOOST_AUTO_TEST_CASE(a_balancer_that_starts_lists_from_the_feeder_that_the_store_names) {
+    look_up_feeders({near_feeder, far_feeder});
+    const read_call call = next();
+    BOOST_TEST(is_sent_to(call, own_domain_feeder));
+    BOOST_TEST((call.kind == read_kind::list));
+    answer({near_feeder, configuration_record(1, 1)}, 9, 5);
+    BOOST_TEST(store_replica.is_complete());
+}
+
+BOOST_AUTO_TEST_CASE(a_balancer_that_starts_lists_from_the_store_if_no_feeder_answers_in_time) {
+    look_up_feeders({near_feeder, far_feeder});
+    const steady_time started_at = now;
+    for (read_call call = wait_for_next(); !is_store(call); call = wait_for_next())
+        fail(read_error::unreachable);
+    BOOST_TEST((now - started_at >= 200ms));
+    BOOST_TEST((now - started_at <= 900ms));
+}
+
+// After the loss of all hosts a feeder must not wait for the others, which wait for it.
+BOOST_AUTO_TEST_CASE(a_feeder_that_starts_again_reads_the_store_first) {
+    look_up_feeders({feeder_record(3, "self", "north", 0, own_address), far_feeder});
+    BOOST_TEST(is_store(next()));
+}
+
 // A feeder that has lost the store may still answer. Its answers must not count as the recovery of the store: flows on
 // routes that were added during the outage would be reset.
 BOOST_AUTO_TEST_CASE(an_outdated_answer_of_a_feeder_is_no_recovery_of_the_store) {
-    complete_listing({feeder_record(3, "near", "north", 0, own_domain_feeder),
-                      feeder_record(4, "far", "south", 0, other_domain_feeder)});
-    next();
+    complete_listing({near_feeder, far_feeder});
+    wait_for_next();
     fail(read_error::refused);
     next();
     fail(read_error::refused);
     BOOST_TEST(!store_replica.store_available_since().has_value());
-    BOOST_TEST(is_sent_to(next(), other_domain_feeder));
-    sync.succeeded({{}, 77, 5, 10s, false}, now);
+    wait_for_next();
+    sync.succeeded({{}, 77, 5, 10s}, now);
     BOOST_TEST(!store_replica.store_available_since().has_value());
     BOOST_TEST(!sync.is_store_available());
     // A feeder with a recent confirmation by the store shows that the store has recovered.
-    BOOST_TEST((next().kind == read_kind::watch));
-    sync.succeeded({{}, 77, 5, 2s, false}, now);
+    BOOST_TEST((wait_for_next().source.kind == source_kind::feeder));
+    sync.succeeded({{}, 77, 5, 2s}, now);
     BOOST_TEST(store_replica.store_available_since().has_value());
     BOOST_TEST(sync.is_store_available());
 }
 
 BOOST_AUTO_TEST_CASE(a_feeder_reads_the_store_even_if_there_are_other_feeders) {
-    sync.set_is_feeder(true);
-    complete_listing({feeder_record(3, "self", "north", 0, contact_address),
-                      feeder_record(4, "far", "south", 0, other_domain_feeder)});
+    sync.set_holds_slot(true);
+    complete_listing({feeder_record(3, "self", "north", 0, own_address), far_feeder});
     BOOST_TEST(is_store(next()));
 }
 
-BOOST_AUTO_TEST_CASE(a_full_feeder_opens_the_next_slot) {
-    complete_listing({feeder_record(3, "near", "north", 0, own_domain_feeder)});
-    BOOST_TEST(sync.open_slot() == 0U);
-    next();
-    fail(read_error::full);
-    BOOST_TEST(sync.open_slot() == 1U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace {
 
+constexpr std::size_t follower_limit = 3;
+
 struct feed_fixture {
     replica     store_replica{1'000};
-    feed        served_feed{store_replica, "self", {}, steady_time{}};
+    feed        served_feed{store_replica, {.max_followers = follower_limit, .peer_port = 7720}, steady_time{}};
     steady_time now{1h};
+
+    static feed_call call(std::uint64_t number, std::uint32_t follower = 1) {
+        return {number, ip_address::v4(follower)};
+    }
+    // The store confirms the replica now.
+    void load(std::vector<record> records) {
+        store_replica.note_store_available(now);
+        store_replica.apply_listing(records, 5, now);
+    }
+    feed_answer list(std::uint32_t follower = 1) {
+        const auto answer = served_feed.list(call(1'000, follower), now);
+        BOOST_REQUIRE(answer.has_value());
+        return *answer;
+    }
 };
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(a_feeder_answers_watches_only_while_it_is_current) {
-    replica store_replica(1'000);
-    feed    served_feed(store_replica, "self", {}, steady_time{});
-    BOOST_TEST((served_feed.list(steady_time{}).status == feed_status::not_current)); // not synchronized yet
-    const steady_time now{1h};
-    store_replica.apply_listing(std::vector{configuration_record(1, 1), backend_record(2, registration_of(1))}, 5, now);
-    const feed_answer listing = served_feed.list(now);
+BOOST_FIXTURE_TEST_SUITE(feeding, feed_fixture)
+
+BOOST_AUTO_TEST_CASE(a_balancer_serves_followers_only_while_the_store_confirms_its_replica) {
+    BOOST_TEST((served_feed.resume(call(1), 0, now).status == feed_status::not_current)); // not synchronized yet
+    load({configuration_record(1, 1), backend_record(2, registration_of(1))});
+    const feed_answer listing = list();
     BOOST_TEST(listing.records.size() == 2U);
     BOOST_TEST(listing.revision == 5U);
-    BOOST_TEST((served_feed.watch(1, listing.position, 1s, false, now)->status == feed_status::not_current));
-    BOOST_TEST(!served_feed.watch(2, listing.position, 1s, true, now).has_value());
-    BOOST_TEST(served_feed.poll(true, now + 900ms).empty());
-    const auto answers = served_feed.poll(false, now + 950ms);
+    BOOST_TEST((served_feed.resume(call(2), 5, now + 3s).status == feed_status::ok));
+    BOOST_TEST((served_feed.resume(call(3), 5, now + 3'200ms).status == feed_status::not_current));
+}
+
+// A watch that ends without a change says that there is none. A balancer that has lost the store must not say so.
+BOOST_AUTO_TEST_CASE(a_watch_that_the_store_has_not_confirmed_is_refused) {
+    load({backend_record(2, registration_of(1))});
+    BOOST_TEST(!served_feed.watch(call(1), list().position, 1s, now).has_value());
+    BOOST_TEST(served_feed.poll(now + 900ms).empty());
+    const auto answers = served_feed.poll(now + 1s);
     BOOST_REQUIRE(answers.size() == 1U);
     BOOST_TEST((answers.front().answer.status == feed_status::not_current));
 }
 
-BOOST_FIXTURE_TEST_CASE(a_waiting_follower_gets_a_change_immediately_and_an_empty_answer_after_its_wait, feed_fixture) {
-    store_replica.note_store_available(now - 1min);
-    store_replica.apply_listing(std::vector{backend_record(2, registration_of(1))}, 5, now);
-    const auto position = served_feed.list(now).position;
-    served_feed.watch(1, position, 1s, true, now);
-    const auto unchanged = served_feed.poll(true, now + 1s);
-    BOOST_REQUIRE(unchanged.size() == 1U);
-    BOOST_TEST(unchanged.front().answer.records.empty());
-    served_feed.watch(2, position, 1s, true, now + 1s);
-    store_replica.apply(removal_record(7, 1), now + 1s);
-    const auto changed = served_feed.poll(true, now + 1s);
+// Confirmations reach all levels of the tree at once; with a wait at each level they would be too old at the third.
+BOOST_AUTO_TEST_CASE(a_waiting_follower_gets_each_confirmation_of_the_store) {
+    load({backend_record(2, registration_of(1))});
+    served_feed.watch(call(1), list().position, 2'300ms, now);
+    store_replica.note_store_available(now + 500ms, 40ms, 3);
+    const auto answers = served_feed.poll(now + 500ms);
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((answers.front().answer.status == feed_status::ok));
+    BOOST_TEST(answers.front().answer.records.empty());
+    BOOST_TEST((answers.front().answer.confirmation_age == 40ms));
+    BOOST_TEST(answers.front().answer.distance == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_follower_gets_a_change_immediately) {
+    load({backend_record(2, registration_of(1))});
+    now += 5s; // no removals are held
+    store_replica.note_store_available(now);
+    served_feed.watch(call(1), list().position, 1s, now);
+    store_replica.apply(removal_record(7, 1), now);
+    const auto changed = served_feed.poll(now);
     BOOST_REQUIRE(changed.size() == 1U);
     BOOST_REQUIRE(changed.front().answer.records.size() == 1U);
     BOOST_TEST(std::holds_alternative<removed_record>(changed.front().answer.records.front().content));
 }
 
+// All hosts start together: a feeder is asked for a listing before it has read its own.
+BOOST_AUTO_TEST_CASE(a_listing_waits_for_the_first_listing_of_the_feeder) {
+    BOOST_TEST(!served_feed.list(call(1), now).has_value());
+    BOOST_TEST(served_feed.poll(now).empty());
+    load({backend_record(2, registration_of(1))});
+    const auto listed = served_feed.poll(now);
+    BOOST_REQUIRE(listed.size() == 1U);
+    BOOST_TEST(listed.front().answer.records.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_is_refused_if_the_feeder_does_not_synchronize) {
+    BOOST_TEST(!served_feed.list(call(1), now).has_value());
+    const auto refused = served_feed.poll(now + 300ms);
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST((refused.front().answer.status == feed_status::not_current));
+}
+
 // A follower that has read from another source must get all records that are newer than its own, and no others.
-BOOST_FIXTURE_TEST_CASE(a_feeder_returns_the_changes_after_a_revision, feed_fixture) {
+BOOST_AUTO_TEST_CASE(a_feeder_returns_the_changes_after_a_revision) {
     store_replica.note_store_available(now - 1min);
-    store_replica.apply_listing(std::vector{configuration_record(1, 1), backend_record(2, registration_of(1)),
-                                            backend_record(3, registration_of(2)),
-                                            feeder_record(4, "x", "north", 0, 7)},
-                                5, now);
+    load({configuration_record(1, 1), backend_record(2, registration_of(1)), backend_record(3, registration_of(2)),
+          feeder_record(4, "x", "north", 0, 7)});
     store_replica.apply(removal_record(6, 1), now);
     store_replica.apply(backend_record(7, registration_of(3)), now);
     store_replica.set_complete_revision(7);
-    const feed_answer answer = served_feed.resume(4, true, now);
+    const feed_answer answer = served_feed.resume(call(1), 4, now);
     BOOST_TEST(answer.records.size() == 2U);
     BOOST_TEST(answer.revision == 7U);
     BOOST_TEST(answer.position == store_replica.generation());
-    BOOST_TEST(served_feed.resume(7, true, now).records.empty());
-    BOOST_TEST((served_feed.resume(4, false, now).status == feed_status::not_current));
-    store_replica.expire(now + 2min); // forgets the removed backend server, but not its removal
-    BOOST_TEST(served_feed.resume(5, true, now).records.size() == 2U);
-    store_replica.expire(now + 20min);
-    BOOST_TEST((served_feed.resume(5, true, now).status == feed_status::history_dropped));
-    BOOST_TEST((served_feed.resume(6, true, now).status == feed_status::ok));
+    BOOST_TEST(served_feed.resume(call(2), 7, now).records.empty());
+    const auto resume_later = [&](std::uint64_t revision, duration delay) {
+        store_replica.expire(now + delay);
+        store_replica.note_store_available(now + delay);
+        return served_feed.resume(call(3), revision, now + delay);
+    };
+    BOOST_TEST(resume_later(5, 2min).records.size() == 2U); // forgets the backend server, but not its removal
+    BOOST_TEST((resume_later(5, 20min).status == feed_status::history_dropped));
+    BOOST_TEST((resume_later(6, 20min).status == feed_status::ok));
 }
 
 // If a feeder stops while it holds a removal, its followers must still learn of the removal from the store or another
 // feeder.
-BOOST_FIXTURE_TEST_CASE(a_held_removal_is_not_covered_by_the_revision_of_an_answer, feed_fixture) {
+BOOST_AUTO_TEST_CASE(a_held_removal_is_not_covered_by_the_revision_of_an_answer) {
     store_replica.note_store_available(now - 1min);
-    store_replica.apply_listing(std::vector{backend_record(2, registration_of(1))}, 5, now);
+    load({backend_record(2, registration_of(1))});
     store_replica.note_store_unavailable();
     store_replica.note_store_available(now);
     store_replica.apply(removal_record(7, 1), now);
     store_replica.set_complete_revision(9);
-    BOOST_TEST(served_feed.list(now).revision == 6U);
-    BOOST_TEST(served_feed.resume(5, true, now).records.empty());
-    store_replica.expire(now + 5s);
-    const feed_answer answer = served_feed.resume(6, true, now + 5s);
+    BOOST_TEST(list().revision == 6U);
+    BOOST_TEST(served_feed.resume(call(1), 5, now).records.empty());
+    now += 5s;
+    store_replica.expire(now);
+    store_replica.note_store_available(now);
+    const feed_answer answer = served_feed.resume(call(1), 6, now);
     BOOST_TEST(answer.revision == 9U);
     BOOST_REQUIRE(answer.records.size() == 1U);
     BOOST_TEST(std::holds_alternative<removed_record>(answer.records.front().content));
 }
 
 // A change must be encoded once for all followers, not once per follower.
-BOOST_FIXTURE_TEST_CASE(followers_at_the_same_position_share_an_answer, feed_fixture) {
-    store_replica.note_store_available(now - 1min);
-    store_replica.apply_listing(std::vector{backend_record(2, registration_of(1))}, 5, now);
-    const auto earlier_position = served_feed.list(now).position;
-    store_replica.apply(backend_record(6, registration_of(2)), now);
-    const auto position = served_feed.list(now).position;
-    BOOST_REQUIRE(earlier_position != position);
-    for (std::uint64_t call = 1; call <= 5; ++call)
-        served_feed.watch(call, position, 1s, true, now);
+BOOST_AUTO_TEST_CASE(followers_at_the_same_position_share_an_answer) {
+    load({backend_record(2, registration_of(1))});
+    for (std::uint32_t follower = 1; follower <= follower_limit; ++follower)
+        served_feed.watch(call(follower, follower), list().position, 1s, now);
     store_replica.apply(backend_record(7, registration_of(3)), now);
-    const auto due = served_feed.poll(true, now);
+    const auto due = served_feed.poll(now);
     BOOST_REQUIRE(due.size() == 1U);
-    BOOST_TEST(due.front().calls.size() == 5U);
+    BOOST_TEST(due.front().calls.size() == follower_limit);
     BOOST_TEST(due.front().answer.records.size() == 1U);
-    BOOST_TEST(served_feed.follower_count() == 0U);
+    BOOST_TEST(served_feed.poll(now + 10s).empty());
 }
 
 // A restarted feeder cannot interpret the positions of the earlier process.
 BOOST_AUTO_TEST_CASE(a_position_of_an_earlier_process_leads_to_a_listing) {
-    replica           store_replica(50'000);
-    feed              served_feed(store_replica, "self", {}, steady_time{});
-    const steady_time now{1h};
-    store_replica.apply_listing({}, 5, now);
-    BOOST_TEST((served_feed.watch(1, 1'234, 1s, true, now)->status == feed_status::history_dropped));
-    BOOST_TEST((served_feed.watch(1, 99'999, 1s, true, now)->status == feed_status::history_dropped));
+    load({});
+    BOOST_TEST((served_feed.watch(call(1), 123, 1s, now)->status == feed_status::history_dropped));
+    BOOST_TEST((served_feed.watch(call(1), 99'999, 1s, now)->status == feed_status::history_dropped));
+}
+
+// The load of a balancer must not grow with the fleet: further balancers read from its followers.
+BOOST_AUTO_TEST_CASE(a_balancer_names_its_followers_to_those_that_it_cannot_serve) {
+    load({});
+    for (std::uint32_t follower = 1; follower <= follower_limit; ++follower)
+        BOOST_TEST((served_feed.resume(call(follower, follower), 5, now).status == feed_status::ok));
+    const feed_answer answer = served_feed.resume(call(9, 9), 5, now);
+    BOOST_TEST((answer.status == feed_status::full));
+    BOOST_REQUIRE(answer.followers.size() == follower_limit);
+    BOOST_TEST((answer.followers.front() == endpoint{ip_address::v4(1), 7720}));
+    BOOST_TEST((served_feed.list(call(9, 9), now)->status == feed_status::full));
+    BOOST_TEST((served_feed.watch(call(9, 9), 1'000, 1s, now)->status == feed_status::full));
+    BOOST_TEST((served_feed.resume(call(2, 2), 5, now).status == feed_status::ok)); // it keeps its place
+}
+
+BOOST_AUTO_TEST_CASE(the_place_of_a_follower_that_is_gone_is_given_to_another) {
+    load({});
+    for (std::uint32_t follower = 1; follower <= follower_limit; ++follower)
+        served_feed.resume(call(follower, follower), 5, now);
+    now += 3s;
+    store_replica.note_store_available(now);
+    BOOST_TEST((served_feed.resume(call(9, 9), 5, now).status == feed_status::full));
+    now += 2s;
+    store_replica.note_store_available(now);
+    BOOST_TEST((served_feed.resume(call(9, 9), 5, now).status == feed_status::ok));
 }
 
-BOOST_FIXTURE_TEST_CASE(a_feeder_limits_the_number_of_its_followers, feed_fixture) {
-    store_replica.apply_listing({}, 5, now);
-    std::uint64_t call = 0;
-    while (!served_feed.watch(++call, store_replica.generation(), 1s, true, now))
-        BOOST_REQUIRE(call < 1'000U);
-    BOOST_TEST((served_feed.watch(++call, store_replica.generation(), 1s, true, now)->status == feed_status::full));
+BOOST_AUTO_TEST_SUITE_END()
+
+// Two balancers that have both lost the store and read from each other must not keep each other current.
+BOOST_AUTO_TEST_CASE(balancers_that_read_from_each_other_do_not_stay_current) {
+    steady_time now{1h};
+    replica     first(1'000);
+    replica     second(2'000);
+    feed        first_feed(first, {}, now);
+    feed        second_feed(second, {}, now);
+    for (replica* each : {&first, &second}) {
+        each->note_store_available(now);
+        each->apply_listing({}, 5, now);
+    }
+    const auto copy_confirmation = [&](feed& source, replica& follower) {
+        const feed_answer answer = source.resume({1, ip_address::v4(1)}, 5, now);
+        if (answer.status != feed_status::ok) return;
+        follower.note_store_available(now, answer.confirmation_age, answer.distance);
+    };
+    const steady_time lost_at = now;
+    while (first.is_current(now) || second.is_current(now)) {
+        now += 50ms;
+        copy_confirmation(first_feed, second);
+        copy_confirmation(second_feed, first);
+        BOOST_REQUIRE((now - lost_at <= max_confirmation_age + 50ms));
+    }
 }
 
 namespace {
 
 struct claim_fixture {
     replica      store_replica{1'000};
-    feeder_claim claim{
-        {.self = {"self", "north", 0, {ip_address::v4(own_domain_feeder), 7720}}, .delay = 100ms}, store_replica, 1};
-    steady_time now{1h};
+    feeder_claim claim{{.self = {"self", "north", 0, {ip_address::v4(own_domain_feeder), 7720}, feed_key{{1}}},
+                        .delay = 100ms,
+                        .spread = 50ms},
+                       store_replica,
+                       1};
+    steady_time  now{1h};
 
     template <class Call>
-    Call wait_for(bool is_eligible = true) {
+    Call wait_for() {
         for (int step = 0; step < 1'000; ++step, now += 10ms) {
-            const auto call = claim.next_call(now, is_eligible, 0);
+            const auto call = claim.next_call(now, true, false);
             if (!call) continue;
             BOOST_REQUIRE(std::holds_alternative<Call>(*call));
             return std::get<Call>(*call);
@@ -384,7 +654,9 @@
     void become_feeder() {
         wait_for<grant_lease>();
         claim.succeeded(7, now);
-        BOOST_TEST(wait_for<put_feeder>().lease == 7U);
+        const auto put = wait_for<put_feeder>();
+        BOOST_TEST(put.lease == 7U);
+        BOOST_TEST(put.replaced_revision == 0U);
         claim.succeeded(0, now);
         BOOST_TEST(claim.holds_slot());
     }
@@ -399,7 +671,7 @@
     BOOST_TEST(wait_for<renew_lease>().lease == 7U);
     claim.succeeded(0, now);
     BOOST_TEST(claim.holds_slot());
-    const auto stopping = claim.next_call(now, false, 0);
+    const auto stopping = claim.next_call(now, false, true);
     // Incident inc-5afb: the lease was ended only after a renewal, before which a stopping process may exit.
     BOOST_REQUIRE((stopping && std::holds_alternative<end_lease>(*stopping)));
     claim.succeeded(0, now);
@@ -409,7 +681,39 @@
 BOOST_AUTO_TEST_CASE(a_taken_slot_is_not_claimed) {
     store_replica.apply(feeder_record(3, "other", "north", 0, own_domain_feeder), now);
     for (int step = 0; step < 1'000; ++step, now += 10ms)
-        BOOST_REQUIRE(!claim.next_call(now, true, 0).has_value());
+        BOOST_REQUIRE(!claim.next_call(now, true, false).has_value());
+}
+
+// A balancer whose replica is not current may see a vacancy that is none.
+BOOST_AUTO_TEST_CASE(a_balancer_that_is_not_current_does_not_claim) {
+    for (int step = 0; step < 1'000; ++step, now += 10ms)
+        BOOST_REQUIRE(!claim.next_call(now, false, false).has_value());
+}
+
+// An outage of the store ends no lease: a feeder that gave up its slot then would leave it vacant afterwards.
+BOOST_AUTO_TEST_CASE(a_feeder_that_is_not_current_keeps_its_slot_while_its_lease_lasts) {
+    become_feeder();
+    for (int step = 0; step < 300; ++step, now += 10ms) {
+        const auto call = claim.next_call(now, false, false);
+        if (!call) continue;
+        BOOST_REQUIRE(std::holds_alternative<renew_lease>(*call));
+        claim.failed(claim_error::unavailable, now);
+    }
+    BOOST_TEST(claim.holds_slot());
+}
+
+// Followers that have just read the registration of the earlier process use its key.
+BOOST_AUTO_TEST_CASE(a_feeder_that_starts_again_renews_its_registration_with_the_same_key) {
+    record registration = feeder_record(9, "self", "north", 0, own_domain_feeder);
+    std::get<feeder_registration>(registration.content).key = feed_key{{2}};
+    store_replica.apply(registration, now);
+    const steady_time started_at = now;
+    wait_for<grant_lease>();
+    claim.succeeded(7, now);
+    const auto put = wait_for<put_feeder>();
+    BOOST_TEST(put.replaced_revision == 9U);
+    BOOST_TEST((put.registration.key == feed_key{{2}}));
+    BOOST_TEST((now == started_at)); // without the delay of other balancers
 }
 
 BOOST_AUTO_TEST_CASE(a_lost_race_leaves_the_slot_to_the_winner) {
@@ -429,11 +733,20 @@
     wait_for<grant_lease>();
 }
 
+// A process that was paused for longer than its lease must not act as the feeder when it continues.
+BOOST_AUTO_TEST_CASE(a_lease_that_ran_out_during_a_pause_is_not_renewed) {
+    become_feeder();
+    now += 10s;
+    const auto call = claim.next_call(now, false, false);
+    BOOST_TEST(!call.has_value());
+    BOOST_TEST(!claim.holds_slot());
+}
+
 BOOST_AUTO_TEST_CASE(renewals_without_an_answer_are_repeated_until_the_lease_must_have_expired) {
     become_feeder();
     unsigned renewals = 0;
     for (int step = 0; step < 700 && claim.holds_slot(); ++step, now += 10ms) {
-        const auto call = claim.next_call(now, true, 0);
+        const auto call = claim.next_call(now, true, false);
         if (!call) continue;
         if (!std::holds_alternative<renew_lease>(*call)) break;
         ++renewals;
@@ -447,7 +760,7 @@
     become_feeder();
     store_replica.apply(feeder_record(9, "other", "north", 0, other_domain_feeder), now);
     for (int step = 0; step < 300; ++step, now += 10ms)
-        claim.next_call(now, true, 0);
+        claim.next_call(now, true, false);
     BOOST_TEST(!claim.holds_slot());
 }
 
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -268,11 +268,45 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(followers_of_a_full_balancer_decode) {
+    const std::vector<endpoint> followers{{ip_address::v4(0x0a010001), 7720}, {ip_address::v4(0x0a010002), 7720}};
+    BOOST_TEST((decode_followers(encode_followers(followers)).value() == followers));
+    BOOST_TEST(decode_followers(encode_followers({})).value().empty());
+    for (const char* invalid : {"", "{}", R"({"followers":1})", R"({"followers":[1]})", R"({"followers":["north"]})"})
+        BOOST_TEST(!decode_followers(invalid).has_value(), invalid);
+}
+
+// Values that are not printable text travel in base64; a listing of a large deployment is compressed as a whole.
+BOOST_AUTO_TEST_CASE(listings_of_many_backend_servers_are_sent_compressed) {
+    feed_answer response{.position = 9, .revision = 3, .distance = 2};
+    response.records.push_back(decode_record("servers/i-0", 1, std::string("\x00\xff\n", 3)));
+    for (int server = 1; server <= 600; ++server) {
+        response.records.push_back(decode_record("servers/i-" + std::to_string(server), 2,
+                                                 R"({"service":"desk","address":"10.0.0.1:80","zone":"north",)"
+                                                 R"("state":"ready","version":"v)" +
+                                                     std::to_string(server) + "\"}"));
+    }
+    const std::string body = encode_listing(response);
+    BOOST_TEST(body.size() < 600U * 20U);
+    const auto listing = decode_listing(body);
+    BOOST_REQUIRE(listing.has_value());
+    BOOST_TEST(listing.value().distance == 2U);
+    BOOST_REQUIRE(listing.value().records.size() == 601U);
+    for (std::size_t i = 0; i < response.records.size(); ++i)
+        BOOST_REQUIRE(listing.value().records[i].raw_value == response.records[i].raw_value);
+    for (std::size_t size = 0; size < body.size(); size += 7)
+        BOOST_REQUIRE(!decode_listing(body.substr(0, size)).has_value());
+    BOOST_TEST(!decode_listing("z" + body).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(encodes_a_feeder_claim_with_its_key_lease_and_precondition) {
     const feeder_registration feeder{"one", "north", 1, {ip_address::v4(0x0a010001), 7720}, {{0xab, 1}}};
-    const std::string         body = encode_feeder_claim(feeder, 42);
+    const std::string         body = encode_feeder_claim({feeder, 42, 0});
     BOOST_TEST(body.find(R"("expected_rev":[{"key":"tamarack/feeders/north/1","revision":0}])") != std::string::npos);
     BOOST_TEST(body.find(R"("lease":42)") != std::string::npos);
+    const std::string replacing_body = encode_feeder_claim({feeder, 42, 7});
+    BOOST_TEST(replacing_body.find(R"("expected_rev":[{"key":"tamarack/feeders/north/1","revision":7}])") !=
+               std::string::npos);
     BOOST_TEST(decode_granted_lease(R"({"lease":77120,"ttl_ms":3000})").value() == 77120U);
     BOOST_TEST(!decode_granted_lease("{}").has_value());
     BOOST_TEST(encode_lease_request(std::chrono::seconds(6)) == R"({"ttl_ms":6000})");
--- a/tests/platform_store_client_test.cpp
+++ b/tests/platform_store_client_test.cpp
@@ -6,7 +6,11 @@
 #include "standins/kv_server.h"
 #include "tamarack/clock.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace tamarack;
@@ -28,6 +32,7 @@
     call.kind = read_kind::watch;
     call.after_position = after;
     call.max_wait = wait;
+    call.connect_timeout = 2s;
     call.timeout = 2s;
     return call;
 }
@@ -44,9 +49,9 @@
         store.put("servers/i-1f", R"({"service":"desk","address":"10.0.0.1:80","zone":"north","state":"ready"})");
     }
 
-    result<record_page, read_error> read(const read_call& call) {
-        std::optional<result<record_page, read_error>> outcome;
-        client.read(call, [&](result<record_page, read_error> received) { outcome = std::move(received); });
+    result<record_page, read_failure> read(const read_call& call) {
+        std::optional<result<record_page, read_failure>> outcome;
+        client.read(call, [&](result<record_page, read_failure> received) { outcome = std::move(received); });
         run_until([&] { return outcome.has_value(); });
         return *outcome;
     }
@@ -94,13 +99,13 @@
 
 BOOST_AUTO_TEST_CASE(each_failure_maps_to_its_error) {
     store.drop_history();
-    BOOST_TEST((read(watch_call(1, 1s)).error() == read_error::history_dropped));
+    BOOST_TEST((read(watch_call(1, 1s)).error().error == read_error::history_dropped));
     server.fault = standin::kv_fault::unavailable;
-    BOOST_TEST((read(list_call()).error() == read_error::refused));
+    BOOST_TEST((read(list_call()).error().error == read_error::refused));
     server.fault = standin::kv_fault::rate_limited;
-    BOOST_TEST((read(list_call()).error() == read_error::refused));
+    BOOST_TEST((read(list_call()).error().error == read_error::refused));
     server.fault = standin::kv_fault::unresponsive;
-    BOOST_TEST((read(list_call()).error() == read_error::timed_out));
+    BOOST_TEST((read(list_call()).error().error == read_error::timed_out));
     server.fault = standin::kv_fault::none;
     BOOST_TEST(read(list_call()).has_value()); // uses a new connection
 }
@@ -118,6 +123,30 @@
 }
 
 // The store executes the write, but its response is lost.
+// A balancer looks for the feeders before it lists all records.
+BOOST_AUTO_TEST_CASE(feeders_are_found_without_the_other_records) {
+    const auto lease = claim(grant_lease{6s});
+    BOOST_REQUIRE(lease.has_value());
+    BOOST_REQUIRE(claim(put_feeder{own_registration, lease.value()}).has_value());
+    read_call call = list_call();
+    call.kind = read_kind::find_feeders;
+    const auto feeders = read(call);
+    BOOST_REQUIRE(feeders.has_value());
+    BOOST_REQUIRE(feeders.value().records.size() == 1U);
+    BOOST_TEST(std::get<feeder_registration>(feeders.value().records.front().content).name == "one");
+}
+
+// A balancer that started again within its lease replaces its own registration, and only that revision of it.
+BOOST_AUTO_TEST_CASE(registration_is_replaced_only_in_the_expected_revision) {
+    const auto lease = claim(grant_lease{6s});
+    BOOST_REQUIRE(claim(put_feeder{own_registration, lease.value()}).has_value());
+    const std::uint64_t revision = store.items().at("tamarack/feeders/north/0").revision;
+    const auto          next_lease = claim(grant_lease{6s});
+    BOOST_TEST(
+        (claim(put_feeder{own_registration, next_lease.value(), revision + 1}).error() == claim_error::conflict));
+    BOOST_TEST(claim(put_feeder{own_registration, next_lease.value(), revision}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(lost_response_is_reported_as_unavailable) {
     const auto lease = claim(grant_lease{6s});
     server.loses_write_answers = true;
@@ -129,9 +158,70 @@
     platform::store_client    unreachable_client(context, {ip_address::v4(0x7f000001), 1});
     std::optional<read_error> error;
     unreachable_client.read(list_call(),
-                            [&](const result<record_page, read_error>& received) { error = received.error(); });
+                            [&](const result<record_page, read_failure>& received) { error = received.error().error; });
     run_until([&] { return error.has_value(); });
     BOOST_TEST((*error == read_error::unreachable));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Answers each request on a connection with the number of the request, twice.
+struct repeating_server {
+    explicit repeating_server(asio::io_context& context)
+        : acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)), socket(context) {
+        accept();
+    }
+    std::uint16_t port() const { return acceptor.local_endpoint().port(); }
+
+    void accept() {
+        acceptor.async_accept([this](const boost::system::error_code& error, asio::ip::tcp::socket accepted) {
+            if (error) return;
+            ++connections;
+            socket = std::move(accepted);
+            read();
+        });
+    }
+    void read() {
+        asio::async_read_until(
+            socket, request, "\r\n\r\n", [this](const boost::system::error_code& error, std::size_t size) {
+                if (error) return accept();
+                request.consume(size);
+                ++requests;
+                const std::string body = std::to_string(requests);
+                const std::string one =
+                    "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+                asio::write(socket, asio::buffer(one + one));
+                read();
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket   socket;
+    asio::streambuf         request;
+    unsigned                requests = 0;
+    unsigned                connections = 0;
+};
+
+} // namespace
+
+// A server sent a second copy of a response on a connection that was in use again, and the next request got it.
+BOOST_AUTO_TEST_CASE(second_copy_of_a_response_is_not_taken_for_the_next_one) {
+    asio::io_context      context;
+    repeating_server      server(context);
+    platform::http_client client(context, {ip_address::v4(0x7f000001), server.port()});
+    for (const char* expected : {"1", "2", "3"}) {
+        std::optional<std::string> body;
+        client.send_request({platform::http_method::get, "/", {}, 2s, 2s},
+                            [&](const auto& response) { body = response ? response.value().body : "failed"; });
+        for (int step = 0; step < 200 && !body; ++step) {
+            context.run_for(10ms);
+            context.restart();
+        }
+        BOOST_TEST(body.value_or("none") == expected);
+    }
+    BOOST_TEST(server.connections == 3U); // a connection with such bytes is not used again
+}
