Let strong hosts read the store first at the first start, and log the source of the records

T6009 says where the records of a host come from. Two settings, both checked: first_start and change_deadline_ms.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -60,12 +60,19 @@
     return initial_settings.memory_mb * bytes_per_mb / memory_divisor / bytes_per_flow;
 }
 
+bool is_strong_host(const settings& initial_settings) {
+    return initial_settings.processor_share >= strong_host_processor_share &&
+           initial_settings.link_mbps >= strong_host_link_mbps;
+}
+
 source_settings make_source_settings(const settings& initial_settings) {
     source_settings sources{.name = initial_settings.name,
                             .failure_domain = initial_settings.failure_domain,
                             .address = initial_settings.peer_address,
                             .contacts = {},
-                            .change_deadline = initial_settings.change_deadline};
+                            .change_deadline = initial_settings.change_deadline,
+                            .awaits_first_feeder =
+                                initial_settings.is_first_start && !is_strong_host(initial_settings)};
     // The port of a contact is not used: all balancers serve their followers on the same port.
     for (const endpoint& contact : initial_settings.contacts) {
         if (contact.address != initial_settings.peer_address.address)
@@ -74,11 +81,6 @@
     return sources;
 }
 
-bool is_strong_host(const settings& initial_settings) {
-    return initial_settings.processor_share >= strong_host_processor_share &&
-           initial_settings.link_mbps >= strong_host_link_mbps;
-}
-
 feed_settings make_feed_settings(const settings& initial_settings, const feed_key& key) {
     return {.key = key,
             .max_followers = is_strong_host(initial_settings) ? strong_host_followers : weak_host_followers,
@@ -105,6 +107,7 @@
     void             count_read(const read_call& call);
     void             handle_read_outcome(const result<record_page, read_failure>& outcome);
     void             log_new_changes();
+    void             log_source_change();
     claim_permission permission_to_claim() const;
     void             update_feeder_slot();
     void             schedule_tick();
@@ -127,6 +130,7 @@
     replica                              store_replica{first_generation()};
     std::uint64_t                        logged_generation = store_replica.generation(); // of the last logged change
     bool                                 has_logged_listing = false;
+    std::optional<record_source>         logged_source; // the last source that answered
     const feed_key                       own_feed_key = random_feed_key();
     store_sync                           sync;
     feeder_claim                         slot_claim;
@@ -192,6 +196,7 @@
         const std::uint64_t generation_before = store_replica.generation();
         sync.succeeded(outcome.value(), received_at);
         if (store_replica.generation() != generation_before) log.note_unusable(outcome.value().records);
+        log_source_change();
         log_new_changes();
     } else {
         ++calls_by_result[std::string(to_string(outcome.error().error))];
@@ -223,6 +228,12 @@
     logged_generation = store_replica.generation();
 }
 
+void entry_process::impl::log_source_change() {
+    if (!store_replica.is_complete() || logged_source == sync.source()) return;
+    logged_source = sync.source();
+    log.note_source(*logged_source, store_replica.store_distance());
+}
+
 claim_permission entry_process::impl::permission_to_claim() const {
     if (!store_replica.is_current(now()) || !process_lifecycle.is_ready()) return claim_permission::none;
     return sync.may_replace_feeder() ? claim_permission::if_useless : claim_permission::if_vacant;
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -139,6 +139,13 @@
     write(is_feeder ? event::feeding_began : event::feeding_ended, {});
 }
 
+void event_log::note_source(const record_source& source, unsigned distance) {
+    const bool is_store = source.kind == source_kind::store;
+    write(event::source_changed, {{"source", to_string(source.kind)},
+                                  {"address", is_store ? std::string() : source.address.to_string()},
+                                  {"distance", distance}});
+}
+
 void event_log::note_rejected_follower(std::string_view caller) {
     if (failure_budget_.take(1.0, time_.steady_now())) {
         write(event::follower_rejected, {{"caller", std::string(caller)}});
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "entry/settings.h"
+#include "entry/source_choice.h"
 #include "entry/steering.h"
 #include "tamarack/events.h"
 
@@ -24,7 +25,8 @@
     void note_invalid_settings(const findings& problems);
     void note_store_state(bool is_available, std::string_view error);
     void note_feeder_state(bool is_feeder);
-    void note_rejected_follower(std::string_view caller); // its call was not authenticated
+    void note_source(const record_source& source, unsigned distance); // has answered, unlike the source before it
+    void note_rejected_follower(std::string_view caller);             // its call was not authenticated
     // Logs the records that cannot be used.
     void note_unusable(std::span<const record> records);
     // Logs what the first listing brought, without a line for each backend server: hundreds of lines would push out
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -76,6 +76,11 @@
     return true;
 }
 
+bool parse_bool(std::string_view text, bool& output) {
+    output = text == "true";
+    return text == "true" || text == "false";
+}
+
 bool parse_milliseconds(std::string_view text, double low, double high, duration& output) {
     constexpr double milliseconds_per_second = 1'000.0;
     double           milliseconds = 0;
@@ -93,6 +98,11 @@
         {"balancer", "failure_domain", true, "non-empty text",
          "Failure domain of the host; its backend servers are preferred.", change_effect::after_restart,
          [](std::string_view text, settings& values) { return parse_text(text, values.failure_domain); }},
+        {"balancer", "first_start", false, "true or false",
+         "The whole system starts for the first time: hosts with little capacity wait for others to read the store. "
+         "Default false.",
+         change_effect::after_restart,
+         [](std::string_view text, settings& values) { return parse_bool(text, values.is_first_start); }},
         {"balancer", "packets_address", true, "ADDRESS:PORT",
          "Receives callers' packets from the fabric (UDP). Resets are sent to the same port number at the caller's "
          "address.",
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -10,15 +10,16 @@
 namespace tamarack::entry {
 
 struct settings {
-    std::string             name;              // [balancer] unique among the balancers
-    std::string             failure_domain;    // [balancer] of the host
-    endpoint                packets_address;   // [balancer] receives callers' packets from the fabric
-    endpoint                readiness_address; // [balancer] answers the fabric's readiness checks
-    std::optional<endpoint> metrics_address;   // [balancer] serves metrics; nullopt: not served
-    std::optional<endpoint> status_address;    // [balancer] answers an operator on this host; nullopt: not served
-    endpoint                peer_address;      // [peers] serves the replica of the store to other balancers
-    std::vector<endpoint>   contacts;          // [peers] hosts to ask at the start; their port is not used
-    endpoint                store_address;     // [store]
+    std::string             name;                   // [balancer] unique among the balancers
+    std::string             failure_domain;         // [balancer] of the host
+    bool                    is_first_start = false; // [balancer] the whole system starts for the first time
+    endpoint                packets_address;        // [balancer] receives callers' packets from the fabric
+    endpoint                readiness_address;      // [balancer] answers the fabric's readiness checks
+    std::optional<endpoint> metrics_address;        // [balancer] serves metrics; nullopt: not served
+    std::optional<endpoint> status_address;         // [balancer] answers an operator on this host; nullopt: not served
+    endpoint                peer_address;           // [peers] serves the replica of the store to other balancers
+    std::vector<endpoint>   contacts;               // [peers] hosts to ask at the start; their port is not used
+    endpoint                store_address;          // [store]
     duration                stop_grace = std::chrono::seconds(6); // [stop] the host kills the process after it
     double                  processor_share = 1.0;                // [limits] in cores
     double                  link_mbps = 1'000.0;                  // [limits] of the host's link
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -24,6 +24,10 @@
 // time; the spread divides the listings that still reach the store.
 constexpr duration least_first_listing_delay = std::chrono::milliseconds(200);
 constexpr duration most_first_listing_delay = std::chrono::milliseconds(800);
+// First start of the system: callers' packets come only seconds later, and the strong hosts have listed and claimed.
+constexpr unsigned max_lookups = 5;
+constexpr duration least_lookup_pause = std::chrono::milliseconds(300);
+constexpr duration most_lookup_pause = std::chrono::milliseconds(600);
 // The store may turn away all feeders and serve others. The followers of a feeder then try the store themselves, spread
 // over what the deadline of a change leaves after the loss has been noticed; balancers further down wait for them.
 constexpr duration loss_detection_time = std::chrono::milliseconds(2'900);
@@ -57,7 +61,8 @@
 }
 
 source_choice::source_choice(const source_settings& settings, const replica& store_replica, std::uint64_t random_seed)
-    : settings_(settings), store_replica_(store_replica), random_(random_seed), rotation_(random_()) {}
+    : settings_(settings), store_replica_(store_replica), random_(random_seed), rotation_(random_()),
+      lookups_left_(settings.awaits_first_feeder ? max_lookups : 0) {}
 
 const known_feeder* source_choice::feeder_of_own_domain() const {
     const auto found = store_replica_.feeders().find({settings_.failure_domain, 0});
@@ -198,9 +203,14 @@
 // Outcomes
 //----------------------------------------------------------------------------------------------------------------------
 
-void source_choice::note_feeders_looked_up(steady_time now) {
-    if (store_replica_.feeders().empty()) return;
-    store_due_ = now + random_between(least_first_listing_delay, most_first_listing_delay);
+std::optional<steady_time> source_choice::note_feeders_looked_up(steady_time now) {
+    if (!store_replica_.feeders().empty()) {
+        store_due_ = now + random_between(least_first_listing_delay, most_first_listing_delay);
+        return std::nullopt;
+    }
+    if (lookups_left_ == 0) return std::nullopt;
+    --lookups_left_;
+    return now + random_between(least_lookup_pause, most_lookup_pause);
 }
 
 void source_choice::succeeded(const record_source& source, unsigned distance) {
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -32,6 +32,8 @@
     std::vector<endpoint> contacts; // balancers that may serve a first listing while the store is unavailable
     // Time within which a change of the store must reach every balancer that the store serves.
     duration              change_deadline = std::chrono::seconds(3);
+    // The whole system starts for the first time, and stronger hosts become the feeders.
+    bool                  awaits_first_feeder = false;
 };
 
 enum class source_failure : std::uint8_t {
@@ -54,9 +56,10 @@
     void failed(const record_source& source, source_failure failure, std::span<const endpoint> followers,
                 steady_time now);
     // The feeders have been looked up in the store before the first listing. If there are any, one of them serves the
-    // listing, and the store is read only after a delay that differs between balancers.
-    void note_feeders_looked_up(steady_time now);
-    void set_holds_slot(bool holds_slot) { holds_slot_ = holds_slot; }
+    // listing, and the store is read only after a delay that differs between balancers. Returns when to look again;
+    // nullopt: the first listing may begin.
+    std::optional<steady_time> note_feeders_looked_up(steady_time now);
+    void                       set_holds_slot(bool holds_slot) { holds_slot_ = holds_slot; }
     // A feeder that the store turns away reads from one of its own followers that the store serves.
     void set_own_followers(std::vector<endpoint> followers) { own_followers_ = std::move(followers); }
     // This balancer is the feeder of its failure domain, or was it until its restart. It prefers the store.
@@ -100,6 +103,7 @@
     std::string                       branch_domain_; // root of the tree that branch_ belongs to
     std::vector<endpoint>             branch_;        // balancers of that tree to read from, best first
     std::optional<steady_time>        store_due_;     // a balancer that is no feeder does not read the store before it
+    unsigned                          lookups_left_;  // for a first feeder
     unsigned                          unanswered_feeders_ = 0;     // in a row
     bool                              is_served_by_store_ = false; // the store is the source, and answered last
     std::uint64_t lost_feeder_revision_ = 0; // registration of the own feeder when it had lost the store; 0: it has not
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -151,10 +151,11 @@
     probes_source_ = false;
     consecutive_timeouts_ = 0;
     if (latest_call_.kind == read_kind::find_feeders) {
-        has_looked_up_feeders_ = true;
         for (const record& item : page.records)
             store_replica_.apply(item, now);
-        sources_.note_feeders_looked_up(now);
+        const auto next_lookup = sources_.note_feeders_looked_up(now);
+        has_looked_up_feeders_ = !next_lookup;
+        next_call_due_ = next_lookup.value_or(now);
         return;
     }
     const bool is_feeder_call = latest_call_.source.kind == source_kind::feeder;
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -71,13 +71,18 @@
      "Entry balancer: `count` lines of single packets exceeded the rate of the log since the last such line."},
 
     {event::feeding_began, severity::info, "feeding began",
-     "Entry balancer: this balancer reads the store for the others of its failure domain."},
+     "Entry balancer: this balancer reads the store for its failure domain."},
     {event::feeding_ended, severity::info, "feeding ended",
-     "Entry balancer: the balancer stops, lost the store, or lost its lease; others read the store until there is a "
-     "new feeder."},
+     "Entry balancer: the balancer stops, lost its lease, or was replaced after it had lost the store; others of its "
+     "failure domain read from other failure domains until there is a new feeder."},
     {event::follower_rejected, severity::warning, "follower rejected",
-     "Entry balancer: a host requested records without proof that it knows the key of this feeder, which the store "
-     "holds. A follower may do so shortly after a restart of the feeder; otherwise look for another program."},
+     "Entry balancer: a host requested records without proof that it knows the key of a feeder, which the store holds. "
+     "A "
+     "follower may do so shortly after a change of the feeder; otherwise look for another program."},
+    {event::source_changed, severity::info, "source changed",
+     "Entry balancer: records come from another `source` now: the store, or the balancer at `address`. `distance` "
+     "counts "
+     "the balancers between the store and this one."},
 
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -51,6 +51,7 @@
     feeding_began = 6006,
     feeding_ended = 6007,
     follower_rejected = 6008,
+    source_changed = 6009,
 
     call_refused = 7001,
     calls_overloaded = 7002,
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -38,6 +38,21 @@
     BOOST_TEST(!values.value().metrics_address.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(the_deadline_of_a_change_and_the_first_start_are_read) {
+    const auto defaults = read_settings(valid_settings, "test.ini");
+    BOOST_TEST((defaults.value().change_deadline == std::chrono::seconds(3)));
+    BOOST_TEST(!defaults.value().is_first_start);
+    const auto values =
+        read_settings(valid_settings + "change_deadline_ms = 6000\n[balancer]\nfirst_start = true\n", "test.ini");
+    BOOST_REQUIRE(values.has_value());
+    BOOST_TEST((values.value().change_deadline == std::chrono::seconds(6)));
+    BOOST_TEST(values.value().is_first_start);
+    BOOST_TEST(problems_of(valid_settings + "change_deadline_ms = soon\n").find("change_deadline_ms") !=
+               std::string::npos);
+    BOOST_TEST(problems_of(valid_settings + "[balancer]\nfirst_start = yes\n").find("first_start") !=
+               std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(all_problems_are_reported_together) {
     const std::string problems =
         problems_of("[balancer]\nname = one\npackets_address = nowhere\nreadiness_address = 10.0.0.1:0\ncolour = red\n"
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -396,6 +396,46 @@
     BOOST_TEST((now - started_at <= 900ms));
 }
 
+// At the first start of hundreds of hosts only the strong ones read the store.
+BOOST_AUTO_TEST_CASE(a_weak_host_waits_for_the_first_feeder_at_the_first_start) {
+    replica    records{1'000};
+    store_sync waiting_sync{
+        records,
+        {.name = "self", .failure_domain = "north", .address = self, .contacts = {}, .awaits_first_feeder = true},
+        1};
+    const steady_time started_at = now;
+    const auto        look_up = [&](std::vector<record> feeders) {
+        std::optional<read_call> call;
+        for (; !call; now += 10ms)
+            call = waiting_sync.next_call(now);
+        if (call->kind == read_kind::find_feeders)
+            waiting_sync.succeeded({.records = std::move(feeders), .position = 5, .revision = 5}, now);
+        return *call;
+    };
+    BOOST_TEST((look_up({}).kind == read_kind::find_feeders));
+    BOOST_TEST((look_up({}).kind == read_kind::find_feeders));
+    BOOST_TEST((look_up({near_feeder}).kind == read_kind::find_feeders));
+    BOOST_TEST(is_sent_to(look_up({}), own_domain_feeder));
+    BOOST_TEST((now - started_at <= 2s));
+}
+
+BOOST_AUTO_TEST_CASE(a_weak_host_does_not_wait_for_ever_for_a_first_feeder) {
+    replica    records{1'000};
+    store_sync waiting_sync{
+        records,
+        {.name = "self", .failure_domain = "north", .address = self, .contacts = {}, .awaits_first_feeder = true},
+        1};
+    const steady_time        started_at = now;
+    std::optional<read_call> call;
+    for (; !call || call->kind == read_kind::find_feeders; now += 10ms) {
+        call = waiting_sync.next_call(now);
+        if (call && call->kind == read_kind::find_feeders)
+            waiting_sync.succeeded({.records = {}, .position = 5, .revision = 5}, now);
+    }
+    BOOST_TEST((call->kind == read_kind::list));
+    BOOST_TEST((now - started_at <= 4s));
+}
+
 // After the loss of all hosts a feeder must not wait for the others, which wait for it.
 BOOST_AUTO_TEST_CASE(a_feeder_that_starts_again_reads_the_store_first) {
     look_up_feeders({feeder_record(3, "self", "north", 0, own_address), far_feeder});
