--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -95,7 +95,7 @@
                                        steady_time now) {
     if (!store_replica_.is_complete()) return without_records(feed_status::not_current);
     if (!admit(call.follower, now)) return full_answer(call.follower, now);
-    feed_answer answer = answer_with(store_replica_.changes_after(position), now);
+    feed_answer answer = answer_with(store_replica_.changes_for_follower(position), now);
     if (answer.status != feed_status::ok || !answer.records.empty()) return answer;
     waiting_calls_[call.number] = {.position = position,
                                    .confirmed_at = store_replica_.last_confirmation(),
@@ -133,7 +133,7 @@
     const bool is_confirmed =
         store_replica_.is_current(now) && now - store_replica_.last_confirmation() <= confirmation_interval;
     if (!is_confirmed && store_replica_.generation() == call.position) return without_records(feed_status::not_current);
-    return answer_with(store_replica_.changes_after(call.position), now);
+    return answer_with(store_replica_.changes_for_follower(call.position), now);
 }
 
 std::vector<feed::due_answer> feed::poll(steady_time now) {
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -161,7 +161,7 @@
         apply(item, now);
     // Keys that were removed before the listing are unknown unless the replica held them. A follower may hold one.
     forgotten_revision_ = std::max(forgotten_revision_, revision);
-    if (is_complete_) forgotten_generation_ = ++generation_;
+    if (is_complete_) listed_generation_ = ++generation_;
     is_complete_ = true;
     set_complete_revision(revision);
 }
@@ -294,6 +294,11 @@
         [&](std::uint64_t /*revision*/, std::uint64_t changed_generation) { return changed_generation > generation; });
 }
 
+std::optional<std::vector<record>> replica::changes_for_follower(std::uint64_t generation) const {
+    if (generation < listed_generation_) return std::nullopt;
+    return changes_after(generation);
+}
+
 std::optional<std::vector<record>> replica::changes_after_revision(std::uint64_t revision) const {
     if (revision < forgotten_revision_) return std::nullopt;
     return collect_changes([&](std::uint64_t record_revision, std::uint64_t /*changed_generation*/) {
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -103,6 +103,9 @@
     // Latest state of all records that changed after a generation, without held removals. Nullopt: the generation was
     // not issued by this process, or removals since then have been forgotten.
     std::optional<std::vector<record>> changes_after(std::uint64_t generation) const;
+    // The same for a follower, which may hold records that this replica has never seen. Nullopt also if a listing has
+    // been applied since then: it does not tell which of those were removed.
+    std::optional<std::vector<record>> changes_for_follower(std::uint64_t generation) const;
     // Latest state of all records with a higher revision, without held removals. Nullopt: removals since then have
     // been forgotten.
     std::optional<std::vector<record>> changes_after_revision(std::uint64_t revision) const;
@@ -163,9 +166,9 @@
     std::uint64_t              complete_revision_ = 0;
     std::uint64_t              generation_ = 0;
     std::uint64_t              first_generation_ = 0;
-    // Removals up to these may be unknown: they were forgotten, or not part of a listing.
-    std::uint64_t              forgotten_generation_ = 0;
-    std::uint64_t              forgotten_revision_ = 0;
+    std::uint64_t              forgotten_generation_ = 0; // generation of the newest forgotten removal
+    std::uint64_t              forgotten_revision_ = 0;   // up to it removals were forgotten or preceded a listing
+    std::uint64_t              listed_generation_ = 0;    // of the last listing but the first
     bool                       is_complete_ = false;
 };
 
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -212,7 +212,8 @@
     const std::uint64_t position = store_replica.generation();
     store_replica.apply_listing(std::vector{backend_record(3, registration_of(1))}, 20, start);
     BOOST_TEST(!store_replica.changes_after_revision(15).has_value());
-    BOOST_TEST(!store_replica.changes_after(position).has_value()); // a follower may know a key that came and went
+    BOOST_TEST(!store_replica.changes_for_follower(position).has_value()); // it may hold a key that came and went
+    BOOST_TEST(store_replica.changes_after(position).has_value());         // the log reports what the listing changed
 }
 
 // Applying a listing must take linear time. With quadratic time, 13,000 records took a minute.
