--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -219,10 +219,11 @@
 void entry_process::impl::log_new_changes() {
     if (store_replica.generation() == logged_generation) return;
     if (const auto changes = store_replica.changes_after(logged_generation)) {
-        if (has_logged_listing)
+        if (has_logged_listing) {
             log.note_changes(*changes);
-        else
+        } else {
             log.note_first_listing(*changes);
+        }
     }
     has_logged_listing = store_replica.is_complete();
     logged_generation = store_replica.generation();
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -71,9 +71,10 @@
         if (fault == kv_fault::rate_limited) return respond({.status = 429, .body = {}});
         const auto feed_call = tamarack::platform::decode_feed_request(call.target);
         if (!feed_call) return handle_write(call, respond);
-        if (std::holds_alternative<tamarack::platform::feed_list_request>(feed_call->parameters))
-            return respond(listing(decode_percent(
-                tamarack::platform::query_parameter(call.target, "prefix").value_or(std::string_view{}))));
+        if (std::holds_alternative<tamarack::platform::feed_list_request>(feed_call->parameters)) {
+            const auto prefix = tamarack::platform::query_parameter(call.target, "prefix");
+            return respond(listing(decode_percent(prefix.value_or(std::string_view{}))));
+        }
         const auto* watch = std::get_if<tamarack::platform::feed_watch_request>(&feed_call->parameters);
         if (watch == nullptr) return respond({.status = 404, .body = {}}); // a call that only feeders answer
         if (store_.revision() > watch->position && !withholds_events) return answer_watch(watch->position, respond);
