--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -864,6 +864,15 @@
     BOOST_TEST(!pauses.note_loop_iteration(now += 100ms));
 }
 
+// A lease or a confirmation that runs out while the host is suspended must not be used afterwards.
+BOOST_AUTO_TEST_CASE(the_process_clock_counts_the_time_of_a_suspended_host) {
+    const suspend_aware_clock time;
+    const steady_time         before = system_clock().boot_now();
+    const steady_time         now = time.steady_now();
+    BOOST_TEST((now >= before));
+    BOOST_TEST((now <= system_clock().boot_now()));
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_balancer_leaves_the_rotation_before_it_exits) {
     lifecycle         life(6s);
     const steady_time start{1h};
