--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -237,7 +237,7 @@
 
 claim_permission entry_process::impl::permission_to_claim() const {
     if (!store_replica.is_current(now()) || !process_lifecycle.is_ready()) return claim_permission::none;
-    return sync.may_replace_feeder() ? claim_permission::if_useless : claim_permission::if_vacant;
+    return sync.may_replace_feeder() ? claim_permission::if_vacant_or_lost : claim_permission::if_vacant;
 }
 
 // Claims, renews or releases the slot, as feeder_claim decides.
--- a/entry/feeder_claim.cpp
+++ b/entry/feeder_claim.cpp
@@ -67,7 +67,7 @@
 
 // A registration of an earlier process of this balancer is replaced without a delay: its lease is not renewed any more.
 std::optional<claim_call> feeder_claim::begin_claim(steady_time now, claim_permission permission) {
-    if (is_slot_taken_by_other() && permission != claim_permission::if_useless) {
+    if (is_slot_taken_by_other() && permission != claim_permission::if_vacant_or_lost) {
         claim_due_.reset();
         return std::nullopt;
     }
--- a/entry/feeder_claim.h
+++ b/entry/feeder_claim.h
@@ -46,7 +46,7 @@
 enum class claim_permission : std::uint8_t {
     none, // the replica is not current, or the balancer is not ready
     if_vacant,
-    if_useless, // also if the registered feeder has lost the store
+    if_vacant_or_lost, // also if the registered feeder has lost the store
 };
 
 class feeder_claim {
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -793,10 +793,10 @@
     store_replica.apply(feeder_record(9, "other", "north", 0, other_domain_feeder), now);
     std::optional<claim_call> call;
     for (; !call; now += 10ms)
-        call = claim.next_call(now, claim_permission::if_useless, false);
+        call = claim.next_call(now, claim_permission::if_vacant_or_lost, false);
     BOOST_TEST(std::holds_alternative<grant_lease>(*call));
     claim.succeeded(7, now);
-    call = claim.next_call(now, claim_permission::if_useless, false);
+    call = claim.next_call(now, claim_permission::if_vacant_or_lost, false);
     BOOST_REQUIRE((call && std::holds_alternative<put_feeder>(*call)));
     BOOST_TEST(std::get<put_feeder>(*call).replaced_revision == 9U);
     BOOST_TEST((std::get<put_feeder>(*call).registration.key == feed_key{{1}})); // its own, not the other's
--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -252,7 +252,8 @@
         host.synchronized_after = steady_time(now_ - host.started_at);
     host.sync->set_own_followers(host.served_feed->followers(now_));
     if (const auto call = host.sync->next_call(now_)) read(host, *call);
-    auto permission = host.sync->may_replace_feeder() ? claim_permission::if_useless : claim_permission::if_vacant;
+    auto permission =
+        host.sync->may_replace_feeder() ? claim_permission::if_vacant_or_lost : claim_permission::if_vacant;
     if (!host.records->is_current(now_)) permission = claim_permission::none;
     if (const auto call = host.claim->next_call(now_, permission, false)) make_claim(host, *call);
     host.sync->set_holds_slot(host.claim->holds_slot());
