Start without waiting for feeders in a small fleet

Eight hosts don't fill the store's link. Where the deadline of a change is below 4 s, the store is read 10 to 40 ms after the feeders have been looked up, and a call to one of them ends after 20 ms without a connection. Large fleets are as before.

--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -152,7 +152,9 @@
              return parse_number(text, 0.1, 1'000'000.0, values.link_mbps);
          }},
         {"limits", "change_deadline_ms", false, "100 to 600000",
-         "Time within which a change in the store must be in force on every host. Default 3000.",
+         "Time within which a change in the store must be in force on every host. Below 4000 the fleet counts as "
+         "small. "
+         "Default 3000.",
          change_effect::after_restart,
          [](std::string_view text, settings& values) {
              return parse_milliseconds(text, 100, 600'000, values.change_deadline);
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -20,19 +20,23 @@
 constexpr backoff_settings unanswered_listing_backoff = {std::chrono::milliseconds(800), std::chrono::seconds(3)};
 constexpr duration         full_source_pause = std::chrono::seconds(2);
 
-// Delay before the first listing is read from the store although there are feeders. All hosts may start at the same
-// time; the spread divides the listings that still reach the store.
-constexpr duration least_first_listing_delay = std::chrono::milliseconds(200);
-constexpr duration most_first_listing_delay = std::chrono::milliseconds(800);
+// All hosts may start at the same time. In a large fleet the spread of the delays divides the listings that still reach
+// the store; in a small one the store serves them all, and callers wait.
+constexpr first_listing_limits large_fleet_limits = {std::chrono::milliseconds(200), std::chrono::milliseconds(800),
+                                                     std::chrono::milliseconds(100), std::chrono::milliseconds(400)};
+constexpr first_listing_limits small_fleet_limits = {std::chrono::milliseconds(10), std::chrono::milliseconds(40),
+                                                     std::chrono::milliseconds(20), std::chrono::milliseconds(60)};
+// The deadline of a change grows with the fleet: from this on it is large.
+constexpr duration             large_fleet_deadline = std::chrono::seconds(4);
 // First start of the system: callers' packets come only seconds later, and the strong hosts have listed and claimed.
-constexpr unsigned max_lookups = 5;
-constexpr duration least_lookup_pause = std::chrono::milliseconds(300);
-constexpr duration most_lookup_pause = std::chrono::milliseconds(600);
+constexpr unsigned             max_lookups = 5;
+constexpr duration             least_lookup_pause = std::chrono::milliseconds(300);
+constexpr duration             most_lookup_pause = std::chrono::milliseconds(600);
 // The store may turn away all feeders and serve others. The followers of a feeder then try the store themselves, spread
 // over what the deadline of a change leaves after the loss has been noticed; balancers further down wait for them.
-constexpr duration loss_detection_time = std::chrono::milliseconds(2'900);
-constexpr duration least_lower_store_delay = std::chrono::seconds(3);
-constexpr duration most_lower_store_delay = std::chrono::seconds(9);
+constexpr duration             loss_detection_time = std::chrono::milliseconds(2'900);
+constexpr duration             least_lower_store_delay = std::chrono::seconds(3);
+constexpr duration             most_lower_store_delay = std::chrono::seconds(9);
 
 // A host whose feeders do not answer may be cut off from their failure domains, but not from the store.
 constexpr unsigned max_unanswered_feeders = 2;
@@ -203,9 +207,14 @@
 // Outcomes
 //----------------------------------------------------------------------------------------------------------------------
 
+first_listing_limits source_choice::limits_of_first_listing() const {
+    return settings_.change_deadline < large_fleet_deadline ? small_fleet_limits : large_fleet_limits;
+}
+
 std::optional<steady_time> source_choice::note_feeders_looked_up(steady_time now) {
     if (!store_replica_.feeders().empty()) {
-        store_due_ = now + random_between(least_first_listing_delay, most_first_listing_delay);
+        const first_listing_limits limits = limits_of_first_listing();
+        store_due_ = now + random_between(limits.least_delay, limits.most_delay);
         return std::nullopt;
     }
     if (lookups_left_ == 0) return std::nullopt;
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -36,6 +36,14 @@
     bool                  awaits_first_feeder = false;
 };
 
+// How long the first listing waits for feeders, which may have started at the same moment or not at all.
+struct first_listing_limits {
+    duration least_delay{}; // before the store is read instead
+    duration most_delay{};
+    duration connect_timeout{}; // of a call to a feeder
+    duration timeout{};         // of a call to a feeder
+};
+
 enum class source_failure : std::uint8_t {
     no_answer,   // unreachable, timed out, or without a valid answer
     not_current, // answers, but has no recent confirmation by the store
@@ -59,6 +67,7 @@
     // listing, and the store is read only after a delay that differs between balancers. Returns when to look again;
     // nullopt: the first listing may begin.
     std::optional<steady_time> note_feeders_looked_up(steady_time now);
+    first_listing_limits       limits_of_first_listing() const;
     void                       set_holds_slot(bool holds_slot) { holds_slot_ = holds_slot; }
     // A feeder that the store turns away reads from one of its own followers that the store serves.
     void        set_own_followers(std::vector<endpoint> followers) { own_followers_ = std::move(followers); }
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -17,10 +17,7 @@
 constexpr duration store_watch_grace = std::chrono::milliseconds(700);
 constexpr duration feeder_watch_grace = std::chrono::milliseconds(500);
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
-// Shorter, since another balancer or the store can be read instead.
-constexpr duration first_feeder_timeout = std::chrono::milliseconds(400);
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
-constexpr duration first_feeder_connect_timeout = std::chrono::milliseconds(100);
 // A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
 constexpr unsigned max_timeout_doublings = 2;
 // Changes in quick succession are collected into one answer of the store; a single change is read immediately. A
@@ -112,9 +109,10 @@
 }
 
 void store_sync::set_timeouts(steady_time now) {
-    const bool is_feeder_call = latest_call_.source.kind == source_kind::feeder;
-    const bool is_first_listing = is_feeder_call && !store_replica_.is_complete();
-    latest_call_.connect_timeout = is_first_listing ? first_feeder_connect_timeout : connect_timeout;
+    const bool                 is_feeder_call = latest_call_.source.kind == source_kind::feeder;
+    const bool                 is_first_listing = is_feeder_call && !store_replica_.is_complete();
+    const first_listing_limits limits = sources_.limits_of_first_listing();
+    latest_call_.connect_timeout = is_first_listing ? limits.connect_timeout : connect_timeout;
     if (latest_call_.kind == read_kind::watch) {
         latest_call_.max_wait = is_feeder_call ? feeder_watch_wait : store_watch_wait - pause_before_call_;
         if (probes_source_) latest_call_.max_wait = {};
@@ -124,7 +122,7 @@
         latest_call_.timeout = latest_call_.max_wait + (is_feeder_call ? feeder_watch_grace : store_watch_grace);
         return;
     }
-    const duration timeout = is_first_listing ? first_feeder_timeout : list_timeout;
+    const duration timeout = is_first_listing ? limits.timeout : list_timeout;
     latest_call_.max_wait = {};
     latest_call_.timeout =
         timeout * (reads_store() ? 1U << std::min(consecutive_timeouts_, max_timeout_doublings) : 1U);
