--- a/entry/feeder_claim.h
+++ b/entry/feeder_claim.h
@@ -17,7 +17,7 @@
 struct put_feeder {
     feeder_registration registration;
     std::uint64_t       lease = 0;
-    std::uint64_t       replaced_revision = 0; // of the registration of an earlier process; 0: only if there is none
+    std::uint64_t       replaced_revision = 0; // of the registration that it replaces; 0: only if there is none
 };
 struct renew_lease {
     std::uint64_t lease = 0;
