--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -33,6 +33,7 @@
     metrics["entry_follower_calls_rejected"] = status.rejected_requests;
     metrics["entry_configuration_version"] = store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
     metrics["entry_store_revision"] = store_replica.complete_revision();
+    metrics["entry_records_ignored"] = store_replica.ignored_count();
     metrics["entry_knowledge_age_ms"] = to_milliseconds(now - store_replica.last_confirmation());
     metrics["entry_store_distance"] = store_replica.store_distance();
     for (const auto& [call_result, count] : status.calls_by_result)
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -108,6 +108,8 @@
     void             handle_read_outcome(const result<record_page, read_failure>& outcome);
     void             log_new_changes();
     void             log_source_change();
+    void             log_store_epoch(std::uint64_t epoch, std::string_view call_result);
+    void             log_ignored_records();
     claim_permission permission_to_claim() const;
     void             update_feeder_slot();
     void             schedule_tick();
@@ -130,6 +132,8 @@
     replica                              store_replica{first_generation()};
     std::uint64_t                        logged_generation = store_replica.generation(); // of the last logged change
     bool                                 has_logged_listing = false;
+    std::uint64_t                        logged_store_epoch = 0;
+    std::uint64_t                        logged_ignored_count = 0;
     std::optional<record_source>         logged_source; // the last source that answered
     const feed_key                       own_feed_key = random_feed_key();
     store_sync                           sync;
@@ -194,12 +198,15 @@
     if (outcome) {
         ++calls_by_result["ok"];
         const std::uint64_t generation_before = store_replica.generation();
+        log_store_epoch(outcome.value().store_epoch, "ok");
         sync.succeeded(outcome.value(), received_at);
         if (store_replica.generation() != generation_before) log.note_unusable(outcome.value().records);
         log_source_change();
         log_new_changes();
+        log_ignored_records();
     } else {
         ++calls_by_result[std::string(to_string(outcome.error().error))];
+        log_store_epoch(outcome.error().store_epoch, to_string(outcome.error().error));
         sync.failed(outcome.error(), received_at);
     }
     if (sync.is_store_available() != was_store_available) {
@@ -235,6 +242,18 @@
     log.note_source(*logged_source, store_replica.store_distance());
 }
 
+void entry_process::impl::log_store_epoch(std::uint64_t epoch, std::string_view call_result) {
+    if (epoch == 0 || epoch == logged_store_epoch) return;
+    if (logged_store_epoch != 0) log.note_store_epoch(epoch, logged_store_epoch, sync.latest_call(), call_result);
+    logged_store_epoch = epoch;
+}
+
+void entry_process::impl::log_ignored_records() {
+    if (store_replica.ignored_count() == logged_ignored_count) return;
+    logged_ignored_count = store_replica.ignored_count();
+    log.note_ignored(store_replica);
+}
+
 claim_permission entry_process::impl::permission_to_claim() const {
     if (!store_replica.is_current(now()) || !process_lifecycle.is_ready()) return claim_permission::none;
     return sync.may_replace_feeder() ? claim_permission::if_vacant_or_lost : claim_permission::if_vacant;
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -146,6 +146,27 @@
                                   {"distance", distance}});
 }
 
+void event_log::note_store_epoch(std::uint64_t epoch, std::uint64_t previous_epoch, const read_call& call,
+                                 std::string_view result) {
+    write(event::store_epoch_changed, {{"epoch", epoch},
+                                       {"previous", previous_epoch},
+                                       {"call", to_string(call.kind)},
+                                       {"after", call.after_position},
+                                       {"result", result}});
+}
+
+void event_log::note_ignored(const replica& store_replica) {
+    if (!failure_budget_.take(1.0, time_.steady_now())) {
+        ++omitted_lines_;
+        return;
+    }
+    const ignored_record& ignored = store_replica.last_ignored();
+    write(event::record_ignored, {{"key", ignored.key},
+                                  {"revision", ignored.revision},
+                                  {"known_revision", ignored.known_revision},
+                                  {"count", store_replica.ignored_count()}});
+}
+
 void event_log::note_rejected_follower(std::string_view caller) {
     if (failure_budget_.take(1.0, time_.steady_now())) {
         write(event::follower_rejected, {{"caller", std::string(caller)}});
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "entry/settings.h"
-#include "entry/source_choice.h"
+#include "entry/store_sync.h"
 #include "entry/steering.h"
 #include "tamarack/events.h"
 
@@ -26,6 +26,9 @@
     void note_store_state(bool is_available, std::string_view error);
     void note_feeder_state(bool is_feeder);
     void note_source(const record_source& source, unsigned distance); // has answered, unlike the source before it
+    void note_store_epoch(std::uint64_t epoch, std::uint64_t previous_epoch, const read_call& call,
+                          std::string_view result);
+    void note_ignored(const replica& store_replica); // the last record that was ignored
     void note_rejected_follower(std::string_view caller);             // its call was not authenticated
     // Logs the records that cannot be used.
     void note_unusable(std::span<const record> records);
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -36,6 +36,26 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 replica_change replica::apply(const record& item, steady_time now) {
+    const replica_change change = apply_content(item, now);
+    if (change == replica_change::none) note_ignored(item);
+    return change;
+}
+
+void replica::note_ignored(const record& item) {
+    std::uint64_t known_revision = 0;
+    if (item.key == routing_key_ && item.raw_value != routing_raw_value_) known_revision = routing_revision_;
+    if (const auto found = backends_.find(item.key); found != backends_.end()) {
+        const bool is_removal = std::holds_alternative<removed_record>(item.content);
+        const bool is_known = is_removal ? found->second.removed_at.has_value()
+                                         : !found->second.removed_at && raw_values_.at(item.key) == item.raw_value;
+        if (!is_known) known_revision = found->second.revision;
+    }
+    if (item.revision > known_revision) return;
+    ++ignored_count_;
+    last_ignored_ = {item.key, item.revision, known_revision};
+}
+
+replica_change replica::apply_content(const record& item, steady_time now) {
     if (const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&item.content))
         return apply_routing(item, *table);
     if (const auto* registration = std::get_if<backend_registration>(&item.content))
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -45,6 +45,13 @@
     bool takes_new_flows() const { return is_usable && !removed_at && registration.state == backend_state::active; }
 };
 
+// A state of a key that was not applied, although it differs from the known one, since it was taken for an older one.
+struct ignored_record {
+    std::string   key;
+    std::uint64_t revision = 0;
+    std::uint64_t known_revision = 0;
+};
+
 // Effect of applying a record.
 enum class replica_change : std::uint8_t {
     none,
@@ -77,6 +84,10 @@
     // Applies held removals that are due, and forgets old removals. Returns the number of removals that took effect.
     std::size_t expire(steady_time now);
 
+    // Records ignored so far, and the last one of them.
+    std::uint64_t         ignored_count() const { return ignored_count_; }
+    const ignored_record& last_ignored() const { return last_ignored_; }
+
     // Null until the first configuration has been received.
     const routing_table*                                  routing() const { return routing_.get(); }
     const route*                                          find_route(const endpoint& address) const;
@@ -121,6 +132,8 @@
         std::size_t operator()(const endpoint& value) const;
     };
 
+    replica_change apply_content(const record& item, steady_time now);
+    void           note_ignored(const record& item);
     replica_change apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
     replica_change apply_backend(const record& item, const backend_registration& registration, steady_time now);
     replica_change apply_feeder(const record& item, const feeder_registration& registration);
@@ -170,6 +183,8 @@
     std::uint64_t              forgotten_revision_ = 0;   // up to it removals were forgotten or preceded a listing
     std::uint64_t              listed_generation_ = 0;    // of the last listing but the first
     bool                       is_complete_ = false;
+    std::uint64_t              ignored_count_ = 0;
+    ignored_record             last_ignored_;
 };
 
 } // namespace tamarack::entry
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -43,6 +43,7 @@
 struct read_failure {
     read_error            error = read_error::unreachable;
     std::vector<endpoint> followers; // full: of the balancer that was asked
+    std::uint64_t         store_epoch = 0; // of the store that answered; 0: unknown
 };
 
 // Answer to a read call.
@@ -50,6 +51,7 @@
     std::vector<record> records;
     std::uint64_t       position = 0;       // where the next watch on the same source starts
     std::uint64_t       revision = 0;       // of the store; the source contains every change up to it
+    std::uint64_t       store_epoch = 0;    // of the store that answered; 0: unknown
     duration            confirmation_age{}; // since the store confirmed that nothing newer exists; zero from the store
     unsigned            distance = 0;       // balancers between the store and the reader; 0: read from the store
     duration            held{};             // from the arrival of the call at a balancer to its answer
@@ -70,6 +72,7 @@
     // A contact's answer changes nothing.
     bool                 is_store_available() const { return is_store_available_; }
     const record_source& source() const { return latest_call_.source; } // of the pending call, or the last one
+    const read_call&     latest_call() const { return latest_call_; }   // the pending call, or the last one
     // The feeder of the failure domain has lost the store, which serves this balancer.
     bool                 may_replace_feeder() const { return sources_.may_replace_feeder(); }
     void                 set_holds_slot(bool holds_slot) { sources_.set_holds_slot(holds_slot); }
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -83,6 +83,9 @@
      "Entry balancer: records come from another `source` now: the store, or the balancer at `address`. `distance` "
      "counts "
      "the balancers between the store and this one."},
+    {event::record_ignored, severity::info, "record ignored",
+     "Entry balancer: a source delivered a state of `key` that differs from the known one and is older, by `revision` and "
+     "`known_revision`. `count` counts all such records since the start; lines are rate-limited."},
 
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
@@ -107,6 +110,9 @@
     {event::store_too_old, severity::error, "store too old",
      "The store was restored to a state older than the kept changes: changes that it took since then stay in the audit "
      "archive and are not committed again. Compare the archive with the configuration."},
+    {event::store_epoch_changed, severity::warning, "store epoch changed",
+     "Entry balancer: the store answers from another epoch: it was restored from a copy, and issues revisions again. "
+     "`call`, `after` and `result` are those of the first call that showed it."},
 
     {event::invariant_violated, severity::error, "invariant violated",
      "The program violated one of its invariants, which is a fault of the program. Report it with the surrounding "
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -52,6 +52,7 @@
     feeding_ended = 6007,
     follower_rejected = 6008,
     source_changed = 6009,
+    record_ignored = 6010,
 
     call_refused = 7001,
     calls_overloaded = 7002,
@@ -64,6 +65,7 @@
     head_unreadable = 8005,
     store_call_failed = 8006,
     store_too_old = 8007,
+    store_epoch_changed = 8008,
 
     invariant_violated = 9001,
 };
