Test that changes reach all balancers after the store is restored from a copy; fails

The fleet in virtual time can restore its store from a copy now: revisions and leases are issued again, and the operator and the backend servers write again what the copy lacks.

--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -54,9 +54,14 @@
         record        value;
         std::uint64_t lease = 0;
     };
+    struct lease_terms {
+        steady_time granted_at{};
+        steady_time expires_at{};
+    };
     std::map<std::string, item>                        items;
-    std::map<std::uint64_t, steady_time>               leases; // time of expiry
-    std::vector<record>                                history;
+    std::map<std::uint64_t, lease_terms>               leases;
+    std::vector<item>                                  history;   // with removals
+    std::uint64_t                                      epoch = 1; // rises when the store is restored from a copy
     std::vector<std::pair<steady_time, std::uint64_t>> revisions; // when each revision began
     std::uint64_t                                      revision = 1;
     std::uint64_t                                      last_lease = 0;
@@ -74,8 +79,13 @@
     void start(fleet_host& host);
     void stop(fleet_host& host); // without notice
     void run_for(duration time);
-    void write(const record& item); // the revision is set by the store
+    void write(const record& item);     // the revision is set by the store
+    void leave(const std::string& key); // ends a backend server and removes its registration
     void change_configuration();
+    // Replaces the store's state by a copy of this age: revisions and leases are issued again. The operator and the
+    // backend servers write again what the copy lacks when this time has passed; registrations that had been removed
+    // expire.
+    void restore_store(duration copy_age, duration rewrite_delay);
 
     steady_time                               now() const { return now_; }
     std::vector<std::unique_ptr<fleet_host>>& hosts() { return hosts_; }
@@ -86,6 +96,7 @@
     bool                                      is_feeder(const fleet_host& host);
     // Called at each step with the host; for invariants.
     std::function<void(fleet_host&)>          check = [](fleet_host&) {};
+    std::uint64_t                             configuration_version() const { return configuration_version_; }
     // The store's revision at a time in the past.
     std::uint64_t                             revision_at(steady_time time) const;
 
@@ -128,6 +139,10 @@
     void           poll_store();
     void           expire_leases();
     void           remove(const std::string& key);
+    void           write_again();
+    void           expire_restored_registrations();
+    read_failure   store_failure(read_error error) const;
+    outcome        watch_outcome(const store_watch& watch) const;
     record_page    page_after(std::uint64_t revision) const;
 
     fleet_options                                                     options_;
@@ -142,6 +157,7 @@
     std::vector<store_watch>                                          store_watches_;
     std::map<std::pair<const fleet_host*, std::uint64_t>, feed_watch> feed_watches_; // by server and number of the call
     std::uint64_t                                                     configuration_version_ = 1;
+    std::map<std::string, record> latest_; // last state that the operator or a backend server wrote, by key
 };
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -282,14 +298,19 @@
     if (!host.reaches_store) return; // the call ends by its timeout
     if (call.kind != read_kind::find_feeders) ++store_.calls;
     if (store_.is_down || host.is_refused) {
-        at(now_ + delay(), [this, &host, number] { finish(host, number, read_failure{read_error::refused, {}}); });
+        at(now_ + delay(), [this, &host, number] { finish(host, number, store_failure(read_error::refused)); });
+        return;
+    }
+    if (call.kind == read_kind::watch && call.after_position > store_.revision) {
+        at(now_ + delay(), [this, &host, number] { finish(host, number, store_failure(read_error::history_dropped)); });
         return;
     }
     if (call.kind == read_kind::watch) {
         store_watches_.push_back({&host, number, call.after_position, now_ + call.max_wait});
         return;
     }
-    record_page page{.records = {}, .position = store_.revision, .revision = store_.revision};
+    record_page page{
+        .records = {}, .position = store_.revision, .revision = store_.revision, .store_epoch = store_.epoch};
     for (const auto& [key, each] : store_.items) {
         const bool is_feeder = std::holds_alternative<feeder_registration>(each.value.content);
         if (call.kind == read_kind::list || is_feeder) page.records.push_back(each.value);
@@ -332,7 +353,11 @@
     if (answer.status == feed_status::full) return read_failure{read_error::full, answer.followers};
     if (answer.status == feed_status::history_dropped) return read_failure{read_error::history_dropped, {}};
     if (answer.status != feed_status::ok) return read_failure{read_error::refused, {}};
-    return record_page{answer.records, answer.position, answer.revision, answer.confirmation_age, answer.distance};
+    return record_page{.records = answer.records,
+                       .position = answer.position,
+                       .revision = answer.revision,
+                       .confirmation_age = answer.confirmation_age,
+                       .distance = answer.distance};
 }
 
 inline void fleet::answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer) {
@@ -383,26 +408,35 @@
     expire_leases();
     std::erase_if(store_watches_, [&](const store_watch& watch) {
         const bool is_due = store_.is_down || watch.host->is_refused || !watch.host->reaches_store ||
-                            store_.revision > watch.after || now_ >= watch.due_at;
+                            store_.revision != watch.after || now_ >= watch.due_at;
         if (!is_due) return false;
         if (!watch.host->reaches_store) return true; // its connection has gone silent
-        const bool    is_served = !store_.is_down && !watch.host->is_refused;
-        const outcome read_outcome =
-            is_served ? outcome(page_after(watch.after)) : outcome(read_failure{read_error::refused, {}});
+        const outcome read_outcome = watch_outcome(watch);
         at(now_ + delay(),
            [this, host = watch.host, call = watch.call, read_outcome] { finish(*host, call, read_outcome); });
         return true;
     });
 }
 
+inline fleet::outcome fleet::watch_outcome(const store_watch& watch) const {
+    if (store_.is_down || watch.host->is_refused) return store_failure(read_error::refused);
+    if (watch.after > store_.revision) return store_failure(read_error::history_dropped);
+    return page_after(watch.after);
+}
+
 inline record_page fleet::page_after(std::uint64_t revision) const {
-    record_page page{.records = {}, .position = store_.revision, .revision = store_.revision};
-    for (const record& each : store_.history) {
-        if (each.revision > revision) page.records.push_back(each);
+    record_page page{
+        .records = {}, .position = store_.revision, .revision = store_.revision, .store_epoch = store_.epoch};
+    for (const fleet_store::item& each : store_.history) {
+        if (each.value.revision > revision) page.records.push_back(each.value);
     }
     return page;
 }
 
+inline read_failure fleet::store_failure(read_error error) const {
+    return {.error = error, .followers = {}, .store_epoch = store_.epoch};
+}
+
 inline void fleet::make_claim(fleet_host& host, const claim_call& call) {
     const unsigned lifetime = host.lifetime;
     const auto     reply = [this, &host, lifetime](result<std::uint64_t, claim_error> claim_outcome) {
@@ -419,13 +453,13 @@
     if (store_.is_down || host.is_refused || !host.reaches_store) return reply(claim_error::unavailable);
     constexpr duration lease_time = std::chrono::seconds(6);
     if (std::holds_alternative<grant_lease>(call)) {
-        store_.leases[++store_.last_lease] = now_ + lease_time;
+        store_.leases[++store_.last_lease] = {now_, now_ + lease_time};
         return reply(store_.last_lease);
     }
     if (const auto* renewal = std::get_if<renew_lease>(&call)) {
         const auto lease = store_.leases.find(renewal->lease);
         if (lease == store_.leases.end()) return reply(claim_error::lease_ended);
-        lease->second = now_ + lease_time;
+        lease->second.expires_at = now_ + lease_time;
         return reply(std::uint64_t{0});
     }
     const auto* put = std::get_if<put_feeder>(&call);
@@ -437,13 +471,14 @@
     if (revision != put->replaced_revision) return reply(claim_error::conflict);
     write({key, 0, put->registration, "raw"});
     store_.items.at(key).lease = put->lease;
+    store_.history.back().lease = put->lease;
     reply(std::uint64_t{0});
 }
 
 inline void fleet::expire_leases() {
     std::set<std::uint64_t> expired;
     std::erase_if(store_.leases, [&](const auto& lease) {
-        if (now_ < lease.second) return false;
+        if (now_ < lease.second.expires_at) return false;
         expired.insert(lease.first);
         return true;
     });
@@ -460,13 +495,63 @@
     written.revision = ++store_.revision;
     store_.revisions.emplace_back(now_, store_.revision);
     store_.items[written.key] = {written, 0};
-    store_.history.push_back(written);
+    store_.history.push_back({written, 0});
+    if (!std::holds_alternative<feeder_registration>(item.content)) latest_[item.key] = item;
 }
 
 inline void fleet::remove(const std::string& key) {
     store_.items.erase(key);
     store_.revisions.emplace_back(now_, ++store_.revision);
-    store_.history.push_back({key, store_.revision, removed_record{}, {}});
+    store_.history.push_back({{key, store_.revision, removed_record{}, {}}, 0});
+}
+
+inline void fleet::leave(const std::string& key) {
+    latest_.erase(key);
+    remove(key);
+}
+
+inline void fleet::restore_store(duration copy_age, duration rewrite_delay) {
+    const steady_time copied_at = now_ - copy_age;
+    store_.revision = revision_at(copied_at);
+    ++store_.epoch;
+    std::erase_if(store_.revisions, [&](const auto& time_and_revision) { return time_and_revision.first > copied_at; });
+    std::erase_if(store_.history, [&](const fleet_store::item& each) { return each.value.revision > store_.revision; });
+    std::erase_if(store_.leases, [&](const auto& lease) { return lease.second.granted_at > copied_at; });
+    store_.last_lease = store_.leases.empty() ? 0 : store_.leases.rbegin()->first;
+    store_.items.clear();
+    for (const fleet_store::item& each : store_.history) {
+        store_.items.erase(each.value.key);
+        if (!std::holds_alternative<removed_record>(each.value.content)) store_.items[each.value.key] = each;
+    }
+    std::erase_if(store_.items, [&](const auto& item) {
+        return item.second.lease != 0 && !store_.leases.contains(item.second.lease);
+    });
+    const std::uint64_t epoch = store_.epoch;
+    at(now_ + rewrite_delay, [this, epoch] {
+        if (store_.epoch == epoch) write_again();
+    });
+    constexpr duration expiry_of_silent = std::chrono::milliseconds(3'600); // three heartbeats
+    at(now_ + expiry_of_silent, [this, epoch] {
+        if (store_.epoch == epoch) expire_restored_registrations();
+    });
+}
+
+inline void fleet::write_again() {
+    const std::map<std::string, record> latest = latest_;
+    for (const auto& [key, state] : latest) {
+        const auto found = store_.items.find(key);
+        if (found == store_.items.end() || found->second.value.raw_value != state.raw_value) write(state);
+    }
+}
+
+inline void fleet::expire_restored_registrations() {
+    std::vector<std::string> silent_keys;
+    for (const auto& [key, each] : store_.items) {
+        const bool is_feeder = std::holds_alternative<feeder_registration>(each.value.content);
+        if (!is_feeder && !latest_.contains(key)) silent_keys.push_back(key);
+    }
+    for (const std::string& key : silent_keys)
+        remove(key);
 }
 
 inline void fleet::change_configuration() {
