--- a/bench/entry_slopes.cpp
+++ b/bench/entry_slopes.cpp
@@ -34,7 +34,7 @@
 }
 
 record backend_record(unsigned number, std::uint64_t revision) {
-    return {"servers/i-" + std::to_string(number), revision, make_registration(number), std::string(180, 'x')};
+    return {"servers/i-" + std::to_string(number), {1, revision}, make_registration(number), std::string(180, 'x')};
 }
 
 record configuration_record(unsigned services, unsigned routes) {
@@ -45,7 +45,7 @@
         table->routes.push_back(
             {"route", {ip_address::v4(0xc6120000U + i), 443}, {{service, 1}}, request_kind::upload});
     }
-    return {"configuration", 1, std::shared_ptr<const routing_table>(table), std::string(routes * 170UL, 'x')};
+    return {"configuration", {1, 1}, std::shared_ptr<const routing_table>(table), std::string(routes * 170UL, 'x')};
 }
 
 segment make_segment(unsigned flow, bool syn, backend_reference reference) {
@@ -72,7 +72,7 @@
     replica      store_replica;
     store_replica.note_store_available(time.steady_now());
     const steady_time listing_start = time.steady_now();
-    store_replica.apply_listing(records, backends + 2, listing_start);
+    store_replica.apply_listing(records, {1, backends + 2}, listing_start);
     const double listing_ms = milliseconds_since(time, listing_start);
     const double state_mb = resident_mb() - initial_mb;
 
--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -32,7 +32,8 @@
     metrics["entry_flows"] = status.flow_count;
     metrics["entry_follower_calls_rejected"] = status.rejected_requests;
     metrics["entry_configuration_version"] = store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
-    metrics["entry_store_revision"] = store_replica.complete_revision();
+    metrics["entry_store_revision"] = store_replica.complete_revision().number;
+    metrics["entry_store_epoch"] = store_replica.complete_revision().epoch;
     metrics["entry_records_ignored"] = store_replica.ignored_count();
     metrics["entry_knowledge_age_ms"] = to_milliseconds(now - store_replica.last_confirmation());
     metrics["entry_store_distance"] = store_replica.store_distance();
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -198,7 +198,7 @@
     if (outcome) {
         ++calls_by_result["ok"];
         const std::uint64_t generation_before = store_replica.generation();
-        log_store_epoch(outcome.value().store_epoch, "ok");
+        log_store_epoch(outcome.value().revision.epoch, "ok");
         sync.succeeded(outcome.value(), received_at);
         if (store_replica.generation() != generation_before) log.note_unusable(outcome.value().records);
         log_source_change();
@@ -270,7 +270,7 @@
     }
     if (!next_claim) return;
     ++calls_by_kind["store_" + std::string(to_string(*next_claim))];
-    store.claim(*next_claim, [this](const result<std::uint64_t, claim_error>& outcome) {
+    store.claim(*next_claim, [this](const result<claim_answer, claim_error>& outcome) {
         ++calls_by_result[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
         if (outcome) {
             slot_claim.succeeded(outcome.value(), now());
--- a/daemons/entry/http_server.cpp
+++ b/daemons/entry/http_server.cpp
@@ -78,6 +78,8 @@
     response.version(request.version());
     response.result(new_response.status);
     response.set(http::field::content_type, new_response.content_type);
+    for (const auto& [name, value] : new_response.headers)
+        response.set(name, value);
     response.body() = std::move(new_response.body);
     response.keep_alive(request.keep_alive());
     response.prepare_payload();
--- a/daemons/entry/http_server.h
+++ b/daemons/entry/http_server.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 
 namespace tamarack::entry {
 
@@ -19,9 +20,10 @@
 };
 
 struct server_response {
-    unsigned    status = 200;
-    std::string body;
-    std::string content_type = "text/plain; charset=utf-8";
+    unsigned                           status = 200;
+    std::string                        body;
+    std::string                        content_type = "text/plain; charset=utf-8";
+    std::map<std::string, std::string> headers{}; // further ones, by name
 };
 
 class http_server {
--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -75,7 +75,8 @@
                                                {"address", registration.address.to_string()},
                                                {"failure_domain", registration.failure_domain},
                                                {"state", state_of(backend)},
-                                               {"revision", backend.revision},
+                                               {"epoch", backend.revision.epoch},
+                                               {"revision", backend.revision.number},
                                                {"slots", registration.slots},
                                                {"requests", activity.waiting_flows},
                                                {"flows", activity.open_flows},
@@ -94,7 +95,8 @@
                                        {"failure_domain", slot.first},
                                        {"slot", slot.second},
                                        {"address", feeder.registration.address.to_string()},
-                                       {"revision", feeder.revision}});
+                                       {"epoch", feeder.revision.epoch},
+                                       {"revision", feeder.revision.number}});
     }
     return text;
 }
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -103,7 +103,7 @@
     write(event::synchronized, {{"after_ms", to_milliseconds(time_since_start)},
                                 {"version", version_of(store_replica)},
                                 {"backend_servers", store_replica.backends().size()},
-                                {"store_revision", store_replica.complete_revision()}});
+                                {"store_revision", store_replica.complete_revision().number}});
 }
 
 void event_log::note_pause() {
@@ -162,8 +162,10 @@
     }
     const ignored_record& ignored = store_replica.last_ignored();
     write(event::record_ignored, {{"key", ignored.key},
-                                  {"revision", ignored.revision},
-                                  {"known_revision", ignored.known_revision},
+                                  {"epoch", ignored.revision.epoch},
+                                  {"revision", ignored.revision.number},
+                                  {"known_epoch", ignored.known_revision.epoch},
+                                  {"known_revision", ignored.known_revision.number},
                                   {"count", store_replica.ignored_count()}});
 }
 
@@ -179,7 +181,10 @@
     for (const record& item : records) {
         const auto* unusable = std::get_if<unusable_record>(&item.content);
         if (unusable == nullptr) continue;
-        write(event::record_unusable, {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
+        write(event::record_unusable, {{"key", item.key},
+                                       {"epoch", item.revision.epoch},
+                                       {"revision", item.revision.number},
+                                       {"reason", unusable->reason}});
     }
 }
 
@@ -192,21 +197,25 @@
 void event_log::note_changes(std::span<const record> changes) {
     for (const record& item : changes) {
         if (const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&item.content)) {
-            write(event::revision_in_force, {{"version", (*table)->version}, {"revision", item.revision}});
+            write(event::revision_in_force,
+                  {{"version", (*table)->version}, {"epoch", item.revision.epoch}, {"revision", item.revision.number}});
         } else if (const auto* registration = std::get_if<backend_registration>(&item.content)) {
             write(event::backend_server_registered, {{"backend_server", registration->name},
                                                      {"service", registration->service},
                                                      {"address", registration->address.to_string()},
                                                      {"failure_domain", registration->failure_domain},
                                                      {"state", to_string(registration->state)},
-                                                     {"revision", item.revision}});
+                                                     {"epoch", item.revision.epoch},
+                                                     {"revision", item.revision.number}});
         } else if (const auto* feeder = std::get_if<feeder_registration>(&item.content)) {
             write(event::feeder_registered, {{"feeder", feeder->name},
                                              {"failure_domain", feeder->failure_domain},
                                              {"slot", feeder->slot},
-                                             {"revision", item.revision}});
+                                             {"epoch", item.revision.epoch},
+                                             {"revision", item.revision.number}});
         } else {
-            write(event::record_removed, {{"key", item.key}, {"revision", item.revision}});
+            write(event::record_removed,
+                  {{"key", item.key}, {"epoch", item.revision.epoch}, {"revision", item.revision.number}});
         }
     }
 }
@@ -242,7 +251,7 @@
            {"backend_server", is_delivered ? decision.backend->registration.name : std::string("none")},
            {"copy", packet.syn ? packet.acknowledged : 0},
            {"version", version_of(store_replica)},
-           {"store_revision", store_replica.complete_revision()},
+           {"store_revision", store_replica.complete_revision().number},
            {"knowledge_age_ms", confirmation_age_text(store_replica, now)}});
 }
 
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "entry/settings.h"
-#include "entry/store_sync.h"
 #include "entry/steering.h"
+#include "entry/store_sync.h"
 #include "tamarack/events.h"
 
 namespace tamarack::entry {
@@ -28,8 +28,8 @@
     void note_source(const record_source& source, unsigned distance); // has answered, unlike the source before it
     void note_store_epoch(std::uint64_t epoch, std::uint64_t previous_epoch, const read_call& call,
                           std::string_view result);
-    void note_ignored(const replica& store_replica); // the last record that was ignored
-    void note_rejected_follower(std::string_view caller);             // its call was not authenticated
+    void note_ignored(const replica& store_replica);      // the last record that was ignored
+    void note_rejected_follower(std::string_view caller); // its call was not authenticated
     // Logs the records that cannot be used.
     void note_unusable(std::span<const record> records);
     // Logs what the first listing brought, without a line for each backend server: hundreds of lines would push out
--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -85,8 +85,9 @@
     return std::nullopt;
 }
 
-feed_answer feed::resume(const feed_call& call, std::uint64_t revision, steady_time now) {
-    if (!store_replica_.is_current(now)) return without_records(feed_status::not_current);
+feed_answer feed::resume(const feed_call& call, const store_revision& revision, steady_time now) {
+    const bool is_behind_caller = store_replica_.complete_revision().epoch < revision.epoch;
+    if (!store_replica_.is_current(now) || is_behind_caller) return without_records(feed_status::not_current);
     if (!admit(call.follower, now)) return full_answer(call.follower, now);
     return answer_with(store_replica_.changes_after_revision(revision), now);
 }
@@ -108,6 +109,7 @@
     return {.records = std::move(*changes),
             .position = store_replica_.generation(),
             .revision = store_replica_.shareable_revision(),
+            .listed_revision = store_replica_.complete_revision(),
             .confirmation_age = now - store_replica_.last_confirmation(),
             .distance = store_replica_.store_distance() + 1,
             .followers = {}};
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -24,7 +24,8 @@
     feed_status           status = feed_status::ok;
     std::vector<record>   records{};
     std::uint64_t         position = 0;       // generation of the replica, where the next watch starts
-    std::uint64_t         revision = 0;       // of the store
+    store_revision        revision{};         // of the store
+    store_revision        listed_revision{};  // keys that the replica lacks had been removed at this revision
     duration              confirmation_age{}; // since the store last confirmed that nothing newer exists
     unsigned              distance = 0;       // balancers between the store and the follower
     std::vector<endpoint> followers{};        // full: of this balancer, one of which the caller should ask
@@ -63,7 +64,7 @@
     // A listing waits a short time for this balancer's own first listing.
     std::optional<feed_answer> list(const feed_call& call, steady_time now);
     // Changes after a revision of the store, for a follower that has read from another source.
-    feed_answer                resume(const feed_call& call, std::uint64_t revision, steady_time now);
+    feed_answer                resume(const feed_call& call, const store_revision& revision, steady_time now);
     std::optional<feed_answer> watch(const feed_call& call, std::uint64_t position, duration max_wait, steady_time now);
 
     // One answer for all calls from the same position, so that it is built and encoded only once.
--- a/entry/feeder_claim.cpp
+++ b/entry/feeder_claim.cpp
@@ -43,6 +43,7 @@
     latest_call_time_ = now;
     if (state_ == state::holding && is_slot_taken_by_other()) reset(now);
     if (state_ == state::holding && now >= lease_expires_at_) reset(now);
+    if (is_lease_lost()) reset(now);
     if (is_stopping) {
         if (state_ == state::idle) return std::nullopt;
         return begin_call(end_lease{lease_}); // immediately: the process may end before the next renewal
@@ -62,7 +63,7 @@
     if (replaced == nullptr) return {settings_.self, lease_, 0};
     feeder_registration registration = settings_.self;
     if (!is_slot_taken_by_other()) registration.key = replaced->registration.key;
-    return {registration, lease_, replaced->revision};
+    return {registration, lease_, replaced->revision.number};
 }
 
 // A registration of an earlier process of this balancer is replaced without a delay: its lease is not renewed any more.
@@ -90,17 +91,25 @@
     return feeder != nullptr && feeder->registration.name != settings_.self.name;
 }
 
+bool feeder_claim::is_lease_lost() const {
+    return state_ != state::idle && store_replica_.complete_revision().epoch > lease_epoch_;
+}
+
 void feeder_claim::reset(steady_time now) {
     state_ = state::idle;
     claim_due_.reset();
     next_call_due_ = now + retry_interval;
 }
 
-void feeder_claim::succeeded(std::uint64_t lease, steady_time now) {
+// A call that names a lease may have found another host's lease in a new epoch of the store.
+void feeder_claim::succeeded(const claim_answer& answer, steady_time now) {
+    const bool is_grant = std::holds_alternative<grant_lease>(latest_call_);
+    if (!is_grant && answer.store_epoch != lease_epoch_) return failed(claim_error::lease_ended, now);
     is_call_pending_ = false;
-    if (std::holds_alternative<grant_lease>(latest_call_)) {
+    if (is_grant) {
         state_ = state::granted;
-        lease_ = lease;
+        lease_ = answer.lease;
+        lease_epoch_ = answer.store_epoch;
         lease_expires_at_ = latest_call_time_ + lease_time;
         next_call_due_ = now;
     } else if (std::holds_alternative<end_lease>(latest_call_)) {
--- a/entry/feeder_claim.h
+++ b/entry/feeder_claim.h
@@ -3,7 +3,8 @@
 //
 // The key only tells other balancers where to read; it is no lock. Several feeders in one slot do no harm, and a
 // missing feeder only costs calls to the store. A lost answer, a deleted key or a lease that ended unnoticed is
-// therefore handled by claiming the slot again.
+// therefore handled by claiming the slot again. So is a new epoch of the store, which may grant the number of the lease
+// to another host.
 #pragma once
 
 #include "entry/replica.h"
@@ -29,6 +30,12 @@
 
 std::string_view to_string(const claim_call& call);
 
+// Answer of the store to a claim call.
+struct claim_answer {
+    std::uint64_t lease = 0;       // the granted one; 0 for other calls
+    std::uint64_t store_epoch = 0; // in which the store executed the call; 0: unknown
+};
+
 enum class claim_error : std::uint8_t {
     unavailable, // no answer, or refused; the call may have been executed
     conflict,    // the slot is taken
@@ -56,8 +63,7 @@
     // The call to make now; nullopt: none. A feeder keeps its slot without permission as long as its lease lasts, and
     // gives it up when the balancer stops.
     std::optional<claim_call> next_call(steady_time now, claim_permission permission, bool is_stopping);
-    // The lease is the granted one if the call was grant_lease, and ignored otherwise.
-    void                      succeeded(std::uint64_t lease, steady_time now);
+    void                      succeeded(const claim_answer& answer, steady_time now);
     void                      failed(claim_error error, steady_time now);
 
     // This balancer is a feeder.
@@ -75,6 +81,7 @@
     put_feeder                put_registration() const;
     const known_feeder*       registered_feeder() const; // of the own slot; null: there is none
     bool                      is_slot_taken_by_other() const;
+    bool                      is_lease_lost() const;
     void                      reset(steady_time now);
 
     claim_settings             settings_;
@@ -83,6 +90,7 @@
     state                      state_ = state::idle;
     bool                       is_call_pending_ = false;
     std::uint64_t              lease_ = 0;
+    std::uint64_t              lease_epoch_ = 0;    // of the store that granted the lease
     std::optional<steady_time> claim_due_;          // when the vacant slot is claimed
     steady_time                next_call_due_{};    // next renewal or next attempt
     steady_time                lease_expires_at_{}; // counted from the start of the grant or the last renewal
--- a/entry/model.h
+++ b/entry/model.h
@@ -3,7 +3,7 @@
 // Index
 //   [1] Routing    request_kind, service_share, route, routing_table
 //   [2] Backends   backend_registration, backend_reference
-//   [3] Records    feeder_registration, record, record_content
+//   [3] Records    feeder_registration, store_revision, record, record_content
 //   [4] Packets    segment
 //
 // The platform provides the fabric, which sends callers' packets to the balancers that report to be ready, so that the
@@ -14,6 +14,7 @@
 
 #include "entry/feed_key.h"
 
+#include <compare>
 #include <unordered_map>
 
 namespace tamarack::entry {
@@ -66,6 +67,7 @@
     backend_state state = backend_state::active;
     duration      warmup_remaining{};  // reduced speed after the start, counted from the registration
     std::int64_t  started_unix_ms = 0; // start time in Unix milliseconds; 0: unknown
+    std::uint64_t report_number = 0;   // counts the reports of the backend server since its start; 0: unknown
 };
 
 // Derives the reference from the identity alone, so that all balancers agree without coordination. Never returns 0.
@@ -94,10 +96,20 @@
 using record_content = std::variant<removed_record, unusable_record, std::shared_ptr<const routing_table>,
                                     backend_registration, feeder_registration>;
 
-// One state of one key of the store. Of two states of the same key, the one with the higher revision is newer.
+// Position in the history of the store. A store that is restored from a copy begins a new epoch: it has lost the
+// changes since the copy, and issues their revision numbers again. So numbers are only compared within an epoch.
+struct store_revision {
+    std::uint64_t epoch = 0;  // 0: not told by the store itself; older than all others
+    std::uint64_t number = 0; // 0: none
+
+    friend auto operator<=>(const store_revision&, const store_revision&) = default;
+};
+
+// One state of one key of the store. Within an epoch, the state with the higher revision is the newer one; the replica
+// also compares what the writers say of states from different epochs.
 struct record {
     std::string    key;
-    std::uint64_t  revision = 0;
+    store_revision revision{};
     record_content content;
     std::string    raw_value; // as stored, forwarded unchanged to other balancers
 };
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -13,6 +13,12 @@
 // Sources that lag by more than this are not used, so that no older state of a key can arrive after it.
 constexpr duration tombstone_retention = std::chrono::minutes(10);
 
+// Whether one state of a backend server is older than another by its own account, whichever epoch they were stored in.
+bool is_older_report(const backend_registration& state, const backend_registration& other) {
+    if (state.started_unix_ms != other.started_unix_ms) return state.started_unix_ms < other.started_unix_ms;
+    return state.report_number < other.report_number;
+}
+
 } // namespace
 
 backend_reference reference_of(std::uint64_t identity) {
@@ -38,11 +44,21 @@
 replica_change replica::apply(const record& item, steady_time now) {
     const replica_change change = apply_content(item, now);
     if (change == replica_change::none) note_ignored(item);
+    if (change == replica_change::state_confirmed) note_confirmed(item.key);
     return change;
 }
 
+// A follower may hold an older registration of the epoch, which this state replaces.
+void replica::note_confirmed(const std::string& key) {
+    if (key == routing_key_) {
+        routing_changed_generation_ = ++generation_;
+    } else {
+        backends_.at(key).changed_generation = ++generation_;
+    }
+}
+
 void replica::note_ignored(const record& item) {
-    std::uint64_t known_revision = 0;
+    store_revision known_revision;
     if (item.key == routing_key_ && item.raw_value != routing_raw_value_) known_revision = routing_revision_;
     if (const auto found = backends_.find(item.key); found != backends_.end()) {
         const bool is_removal = std::holds_alternative<removed_record>(item.content);
@@ -50,7 +66,7 @@
                                          : !found->second.removed_at && raw_values_.at(item.key) == item.raw_value;
         if (!is_known) known_revision = found->second.revision;
     }
-    if (item.revision > known_revision) return;
+    if (known_revision == store_revision{}) return;
     ++ignored_count_;
     last_ignored_ = {item.key, item.revision, known_revision};
 }
@@ -62,16 +78,26 @@
         return apply_backend(item, *registration, now);
     if (const auto* registration = std::get_if<feeder_registration>(&item.content))
         return apply_feeder(item, *registration);
-    if (std::holds_alternative<removed_record>(item.content)) return apply_removal(item, now);
+    if (std::holds_alternative<removed_record>(item.content)) {
+        const store_revision registered_until{item.revision.epoch, item.revision.number - 1};
+        return apply_removal(item, registered_until, now);
+    }
     mark_unusable(item);
     return replica_change::none;
 }
 
+bool replica::is_newer_table(const record& item, const routing_table& table) const {
+    if (!routing_) return true;
+    if (item.revision.epoch != routing_revision_.epoch && table.version != routing_->version)
+        return table.version > routing_->version;
+    return item.revision > routing_revision_ && table.version >= routing_->version;
+}
+
 replica_change replica::apply_routing(const record& item, const std::shared_ptr<const routing_table>& table) {
-    if (item.revision <= routing_revision_) return replica_change::none;
-    if (routing_ && table->version < routing_->version) return replica_change::none;
-    routing_ = table;
+    if (!is_newer_table(item, *table)) return replica_change::none;
     routing_revision_ = item.revision;
+    if (routing_ && item.raw_value == routing_raw_value_) return replica_change::state_confirmed;
+    routing_ = table;
     routing_key_ = item.key;
     routing_raw_value_ = item.raw_value;
     routes_by_address_.clear();
@@ -89,17 +115,41 @@
     return false;
 }
 
+// A copy that the store was restored from. A backend server that was removed since then may have ended: only a later
+// report shows that it has not.
+bool replica::is_older_copy(const record& item, const backend_registration& registration,
+                            const known_backend& backend) const {
+    const bool is_known = backend.revision.number != 0;
+    if (!is_known || item.revision.epoch == backend.revision.epoch) return false;
+    if (backend.removed_at) return !is_older_report(backend.registration, registration);
+    return is_older_report(registration, backend.registration);
+}
+
 replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
     if (was_removed_since(item)) return replica_change::none;
     known_backend& backend = backends_[item.key];
     if (item.revision <= backend.revision) return replica_change::none;
-    const bool is_new = backend.revision == 0 || backend.removed_at.has_value();
+    if (backend.held_registration && item.revision <= backend.held_registration->revision) return replica_change::none;
+    if (item.revision > backend.held_removal_revision) backend.held_removal_due.reset();
+    if (!is_older_copy(item, registration, backend)) return take_registration(item, registration, backend, now);
+    if (backend.held_removal_due) return replica_change::none; // removed after this state
+    backend.held_registration = item;
+    backend.held_registration_due = now + restored_state_hold_time;
+    return replica_change::registration_held;
+}
+
+replica_change replica::take_registration(const record& item, const backend_registration& registration,
+                                          known_backend& backend, steady_time now) {
+    const bool is_new = backend.revision.number == 0 || backend.removed_at.has_value();
+    const bool is_from_other_epoch = item.revision.epoch != backend.revision.epoch;
+    backend.revision = item.revision;
+    backend.held_registration.reset();
+    if (!is_new && is_from_other_epoch && backend.is_usable && raw_values_.at(item.key) == item.raw_value)
+        return replica_change::state_confirmed;
     backend.registration = registration;
     backend.reference = reference_of(registration.identity);
-    backend.revision = item.revision;
     backend.registration_received = now;
     backend.removed_at.reset();
-    if (item.revision > backend.held_removal_revision) backend.held_removal_due.reset();
     backend.is_usable = true;
     backend.changed_generation = ++generation_;
     raw_values_[item.key] = item.raw_value;
@@ -129,7 +179,7 @@
     return replica_change::feeders_changed;
 }
 
-replica_change replica::apply_removal(const record& item, steady_time now) {
+replica_change replica::apply_removal(const record& item, const store_revision& registered_until, steady_time now) {
     if (feeder_slots_by_key_.contains(item.key)) return remove_feeder(item, now);
     const auto found = backends_.find(item.key);
     if (found == backends_.end()) {
@@ -138,9 +188,18 @@
         return replica_change::none;
     }
     known_backend& backend = found->second;
-    if (item.revision <= backend.revision || backend.removed_at) return replica_change::none;
+    if (backend.held_registration && item.revision > backend.held_registration->revision)
+        backend.held_registration.reset();
+    if (item.revision <= backend.revision) return replica_change::none;
+    if (backend.removed_at) {
+        backend.revision = item.revision;
+        return replica_change::state_confirmed;
+    }
     if (holds_removals(now)) {
-        if (!backend.held_removal_due) backend.held_removal_due = store_recovered_at_.value_or(now) + removal_hold_time;
+        if (!backend.held_removal_due) {
+            backend.held_removal_due = store_available_since_.value_or(now) + removal_hold_time;
+            backend.registered_until = registered_until;
+        }
         backend.held_removal_revision = std::max(backend.held_removal_revision, item.revision);
         return replica_change::removal_held;
     }
@@ -162,11 +221,15 @@
     indexes_are_current_ = false;
 }
 
-void replica::apply_listing(std::span<const record> items, std::uint64_t revision, steady_time now) {
+void replica::apply_listing(std::span<const record> items, const store_revision& revision, steady_time now,
+                            const store_revision& complete_until) {
+    // Registrations that the copy lacks are written again, as after an outage, which may have been too short to notice.
+    if (is_complete_ && revision.epoch > complete_revision_.epoch && store_available_since_) begin_availability(now);
     std::unordered_set<std::string_view> listed_keys;
     for (const record& item : items) {
         listed_keys.insert(item.key);
-        apply(item, now);
+        // Followers list as well, so that confirmed states need not be sent to them.
+        if (apply_content(item, now) == replica_change::none) note_ignored(item);
     }
     std::vector<record> removals;
     for (const auto& [key, domain_and_slot] : feeder_slots_by_key_) {
@@ -174,19 +237,23 @@
             removals.push_back({.key = key, .revision = revision, .content = removed_record{}, .raw_value = {}});
     }
     for (const auto& [key, backend] : backends_) {
-        if (!backend.removed_at && backend.revision < revision && !listed_keys.contains(key))
+        const bool is_registered = !backend.removed_at || backend.held_registration;
+        if (is_registered && backend.revision < revision && !listed_keys.contains(key))
             removals.push_back({.key = key, .revision = revision, .content = removed_record{}, .raw_value = {}});
     }
+    // The listing does not tell when the keys were removed.
+    const bool           is_same_epoch = revision.epoch == complete_revision_.epoch;
+    const store_revision registered_until{revision.epoch, is_same_epoch ? complete_revision_.number : 0};
     for (const record& item : removals)
-        apply(item, now);
+        apply_removal(item, registered_until, now);
     // Keys that were removed before the listing are unknown unless the replica held them. A follower may hold one.
     forgotten_revision_ = std::max(forgotten_revision_, revision);
     if (is_complete_) listed_generation_ = ++generation_;
     is_complete_ = true;
-    set_complete_revision(revision);
+    set_complete_revision(complete_until);
 }
 
-void replica::set_complete_revision(std::uint64_t revision) {
+void replica::set_complete_revision(const store_revision& revision) {
     complete_revision_ = std::max(complete_revision_, revision);
 }
 
@@ -196,15 +263,16 @@
 
 void replica::note_store_unavailable() {
     store_available_since_.reset();
-    store_recovered_at_.reset();
 }
 
 void replica::note_store_available(steady_time now, duration confirmation_age, unsigned distance) {
     last_confirmation_ = std::max(last_confirmation_, now - confirmation_age);
     store_distance_ = distance;
-    if (store_available_since_) return;
+    if (!store_available_since_) begin_availability(now);
+}
+
+void replica::begin_availability(steady_time now) {
     store_available_since_ = now;
-    store_recovered_at_ = now;
     for (auto& [key, backend] : backends_) {
         if (backend.held_removal_due) backend.held_removal_due = now + removal_hold_time;
     }
@@ -216,11 +284,11 @@
 }
 
 bool replica::holds_removals(steady_time now) const {
-    if (!store_available_since_) return true;
-    return store_recovered_at_ && now < *store_recovered_at_ + removal_hold_time;
+    return !store_available_since_ || now < *store_available_since_ + removal_hold_time;
 }
 
 std::size_t replica::expire(steady_time now) {
+    apply_held_registrations(now);
     std::size_t applied_removals = 0;
     for (auto& [key, backend] : backends_) {
         if (!backend.held_removal_due || now < *backend.held_removal_due || !store_available_since_) continue;
@@ -231,11 +299,11 @@
         ++applied_removals;
     }
     const std::size_t forgotten_backends = std::erase_if(backends_, [&](const auto& key_and_backend) {
-        const bool is_expired =
-            key_and_backend.second.removed_at && now > *key_and_backend.second.removed_at + removed_backend_retention;
+        const known_backend& backend = key_and_backend.second;
+        const bool           is_expired =
+            backend.removed_at && !backend.held_registration && now > *backend.removed_at + removed_backend_retention;
         if (is_expired) {
-            tombstones_[key_and_backend.first] = {key_and_backend.second.revision,
-                                                  key_and_backend.second.changed_generation, now};
+            tombstones_[key_and_backend.first] = {backend.revision, backend.changed_generation, now};
             raw_values_.erase(key_and_backend.first);
         }
         return is_expired;
@@ -245,6 +313,15 @@
     return applied_removals;
 }
 
+void replica::apply_held_registrations(steady_time now) {
+    if (!store_available_since_) return;
+    for (auto& [key, backend] : backends_) {
+        if (!backend.held_registration || now < backend.held_registration_due) continue;
+        const record item = *backend.held_registration;
+        take_registration(item, std::get<backend_registration>(item.content), backend, now);
+    }
+}
+
 // A follower whose position precedes a forgotten removal has to list again.
 void replica::expire_tombstones(steady_time now) {
     std::erase_if(tombstones_, [&](const auto& key_and_tombstone) {
@@ -310,8 +387,9 @@
 std::optional<std::vector<record>> replica::changes_after(std::uint64_t generation) const {
     if (generation < std::max(first_generation_, forgotten_generation_) || generation > generation_)
         return std::nullopt;
-    return collect_changes(
-        [&](std::uint64_t /*revision*/, std::uint64_t changed_generation) { return changed_generation > generation; });
+    return collect_changes([&](const store_revision& /*revision*/, std::uint64_t changed_generation) {
+        return changed_generation > generation;
+    });
 }
 
 std::optional<std::vector<record>> replica::changes_for_follower(std::uint64_t generation) const {
@@ -319,9 +397,9 @@
     return changes_after(generation);
 }
 
-std::optional<std::vector<record>> replica::changes_after_revision(std::uint64_t revision) const {
-    if (revision < forgotten_revision_) return std::nullopt;
-    return collect_changes([&](std::uint64_t record_revision, std::uint64_t /*changed_generation*/) {
+std::optional<std::vector<record>> replica::changes_after_revision(const store_revision& revision) const {
+    if (revision.epoch != complete_revision_.epoch || revision < forgotten_revision_) return std::nullopt;
+    return collect_changes([&](const store_revision& record_revision, std::uint64_t /*changed_generation*/) {
         return record_revision > revision;
     });
 }
@@ -353,16 +431,18 @@
 
 // Held removals are not shared yet. The returned revision precedes them, so that followers can still learn of them
 // from the store later.
-std::uint64_t replica::shareable_revision() const {
-    std::uint64_t revision = complete_revision_;
+store_revision replica::shareable_revision() const {
+    store_revision revision = complete_revision_;
     for (const auto& [key, backend] : backends_) {
-        if (backend.held_removal_due) revision = std::min(revision, backend.held_removal_revision - 1);
+        if (!backend.held_removal_due) continue;
+        const bool is_same_epoch = backend.registered_until.epoch == revision.epoch;
+        revision.number = std::min(revision.number, is_same_epoch ? backend.registered_until.number : 0);
     }
     return revision;
 }
 
 std::vector<record> replica::records() const {
-    auto live_records = collect_changes([](std::uint64_t, std::uint64_t) { return true; });
+    auto live_records = collect_changes([](const store_revision&, std::uint64_t) { return true; });
     std::erase_if(live_records,
                   [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
     return live_records;
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -1,7 +1,13 @@
 // Local replica of the store: the routing table, the registered backend servers and the feeders.
 //
-// Records arrive from the store and from other balancers in any order. The revision decides which state of a key is
-// newer. The routing table never reverts to a lower version.
+// Records arrive from the store and from other balancers in any order. Within an epoch of the store, the revision
+// decides which state of a key is newer. The routing table never reverts to a lower version.
+//
+// A store that begins a new epoch has an older copy of its state, until the operator and the backend servers have
+// written it again. A state of a later epoch is therefore newer only if its writer says so: the operator by the
+// version, a backend server by its start time and the number of its report. A registration that is older by that is
+// held: it applies if it is still in the store after the hold time, when all others have been written again or have
+// expired.
 //
 // During an outage of the store, registrations may expire although their backend servers are alive. Removals seen
 // during an outage, or within the hold time after it, are therefore held: the backend server stays in use until it
@@ -16,6 +22,8 @@
 
 // Backend servers register again within about two seconds after the store has recovered.
 inline constexpr duration removal_hold_time = std::chrono::milliseconds(2'300);
+// Registrations in a restored copy whose backend servers have ended expire after several missed reports.
+inline constexpr duration restored_state_hold_time = std::chrono::seconds(10);
 
 // The replica is current while the store has confirmed it within this time. Covers the longest time between two answers
 // of an available store.
@@ -26,7 +34,7 @@
 
 struct known_feeder {
     feeder_registration registration;
-    std::uint64_t       revision = 0;
+    store_revision      revision{};
     std::uint64_t       changed_generation = 0; // generation of the last change
 };
 
@@ -34,22 +42,25 @@
 struct known_backend {
     backend_registration       registration;
     backend_reference          reference = 0;
-    std::uint64_t              revision = 0;
-    steady_time                registration_received{};   // when the current registration was received
-    std::optional<steady_time> removed_at;                // set: removed, but kept for packets of its open flows
-    std::optional<steady_time> held_removal_due;          // set: a removal is held until this time
-    std::uint64_t              held_removal_revision = 0; // revision of the held removal
-    std::uint64_t              changed_generation = 0;    // generation of the last change
-    bool                       is_usable = true;          // false: its latest record cannot be decoded
+    store_revision             revision{};
+    steady_time                registration_received{}; // when the current registration was received
+    std::optional<steady_time> removed_at;              // set: removed, but kept for packets of its open flows
+    std::optional<steady_time> held_removal_due;        // set: a removal is held until this time
+    store_revision             held_removal_revision{}; // revision of the held removal
+    store_revision             registered_until{};      // the held removal took place after this revision
+    std::optional<record>      held_registration;       // of a restored copy, and older than the known registration
+    steady_time                held_registration_due{}; // when the held registration applies
+    std::uint64_t              changed_generation = 0;  // generation of the last change
+    bool                       is_usable = true;        // false: its latest record cannot be decoded
 
     bool takes_new_flows() const { return is_usable && !removed_at && registration.state == backend_state::active; }
 };
 
 // A state of a key that was not applied, although it differs from the known one, since it was taken for an older one.
 struct ignored_record {
-    std::string   key;
-    std::uint64_t revision = 0;
-    std::uint64_t known_revision = 0;
+    std::string    key;
+    store_revision revision{};
+    store_revision known_revision{};
 };
 
 // Effect of applying a record.
@@ -60,7 +71,9 @@
     backend_registered,
     backend_changed,
     backend_removed,
-    removal_held
+    removal_held,
+    registration_held,
+    state_confirmed // the known state, from a later epoch
 };
 
 class replica {
@@ -72,8 +85,13 @@
     replica_change apply(const record& item, steady_time now);
     // Applies a complete listing of the store. The revision is that of the listing's first page. Keys that the listing
     // lacks have been removed, unless the replica holds a state that is not older than the revision: such a record was
-    // created while the later pages were read.
-    void           apply_listing(std::span<const record> items, std::uint64_t revision, steady_time now);
+    // created while the later pages were read. Removals by the first listing of an epoch are held. Every change up
+    // to the last revision is in the listing; it is lower if the source holds removals.
+    void           apply_listing(std::span<const record> items, const store_revision& revision, steady_time now,
+                                 const store_revision& complete_until);
+    void           apply_listing(std::span<const record> items, const store_revision& revision, steady_time now) {
+                  apply_listing(items, revision, now, revision);
+    }
 
     // The store does not answer, or refuses calls. Removals are held from now on, until the hold time after the store
     // has become available again.
@@ -81,7 +99,8 @@
     // The store has answered, or a balancer whose replica the store has confirmed this long ago. The distance is the
     // number of balancers between the store and this one.
     void        note_store_available(steady_time now, duration confirmation_age = {}, unsigned distance = 0);
-    // Applies held removals that are due, and forgets old removals. Returns the number of removals that took effect.
+    // Applies held removals and registrations that are due, and forgets old removals. Returns the number of removals
+    // that took effect.
     std::size_t expire(steady_time now);
 
     // Records ignored so far, and the last one of them.
@@ -97,8 +116,8 @@
     // A complete listing has been applied at least once.
     bool                                                  is_complete() const { return is_complete_; }
     // The replica contains every change up to this revision.
-    std::uint64_t                                         complete_revision() const { return complete_revision_; }
-    void                                                  set_complete_revision(std::uint64_t revision);
+    const store_revision&                                 complete_revision() const { return complete_revision_; }
+    void                                                  set_complete_revision(const store_revision& revision);
     // When the store last confirmed, directly or through a feeder, that nothing newer exists.
     steady_time                                           last_confirmation() const { return last_confirmation_; }
     // Complete, and confirmed by the store within max_confirmation_age. Other balancers may rely on the replica.
@@ -118,10 +137,11 @@
     // been applied since then: it does not tell which of those were removed.
     std::optional<std::vector<record>> changes_for_follower(std::uint64_t generation) const;
     // Latest state of all records with a higher revision, without held removals. Nullopt: removals since then have
-    // been forgotten.
-    std::optional<std::vector<record>> changes_after_revision(std::uint64_t revision) const;
-    // Whoever has received all records that this balancer serves has every change up to this revision.
-    std::uint64_t                      shareable_revision() const;
+    // been forgotten, or the revision is of another epoch than complete_revision.
+    std::optional<std::vector<record>> changes_after_revision(const store_revision& revision) const;
+    // Whoever has received all records that this balancer serves has every change up to this revision. Its epoch is
+    // that of complete_revision.
+    store_revision                     shareable_revision() const;
     // Latest state of all records that have not been removed.
     std::vector<record>                records() const;
     // By failure domain and slot.
@@ -134,17 +154,26 @@
 
     replica_change apply_content(const record& item, steady_time now);
     void           note_ignored(const record& item);
+    void           note_confirmed(const std::string& key);
     replica_change apply_routing(const record& item, const std::shared_ptr<const routing_table>& table);
     replica_change apply_backend(const record& item, const backend_registration& registration, steady_time now);
+    replica_change take_registration(const record& item, const backend_registration& registration,
+                                     known_backend& backend, steady_time now);
+    bool           is_older_copy(const record& item, const backend_registration& registration,
+                                 const known_backend& backend) const;
+    bool           is_newer_table(const record& item, const routing_table& table) const;
+    void           begin_availability(steady_time now);
+    void           apply_held_registrations(steady_time now);
     replica_change apply_feeder(const record& item, const feeder_registration& registration);
     replica_change remove_feeder(const record& item, steady_time now);
-    replica_change apply_removal(const record& item, steady_time now);
+    // The key was still registered at the second revision.
+    replica_change apply_removal(const record& item, const store_revision& registered_until, steady_time now);
     void           mark_unusable(const record& item);
     // Whether the key was removed at the record's revision or later. Erases a tombstone that is older than the record.
     bool           was_removed_since(const record& item);
     void           expire_tombstones(steady_time now);
     record         record_of(const std::string& key, const known_backend& backend) const;
-    // Records for which is_newer(revision, generation of the last change) holds.
+    // Records for which is_newer(revision, generation of the last change) is true.
     template <class IsNewer>
     std::vector<record> collect_changes(IsNewer is_newer) const;
     bool                holds_removals(steady_time now) const;
@@ -152,13 +181,13 @@
 
     // Remembers a removal, so that an older state of the key is not applied and followers learn of the removal.
     struct tombstone {
-        std::uint64_t revision = 0;           // of the removal
-        std::uint64_t changed_generation = 0; // generation of the removal
-        steady_time   created_at{};
+        store_revision revision;               // of the removal
+        std::uint64_t  changed_generation = 0; // generation of the removal
+        steady_time    created_at{};
     };
 
     std::shared_ptr<const routing_table>                                       routing_;
-    std::uint64_t                                                              routing_revision_ = 0;
+    store_revision                                                             routing_revision_;
     std::uint64_t                                                              routing_changed_generation_ = 0;
     std::string                                                                routing_key_;
     std::string                                                                routing_raw_value_;
@@ -173,18 +202,17 @@
     std::map<std::pair<std::string, unsigned>, known_feeder>                   feeders_; // by failure domain and slot
     std::unordered_map<std::string, std::pair<std::string, unsigned>>          feeder_slots_by_key_; // into feeders_
     std::optional<steady_time>                                                 store_available_since_;
-    std::optional<steady_time> store_recovered_at_; // start of the hold time; always equal to store_available_since_
-    steady_time                last_confirmation_{};
-    unsigned                   store_distance_ = 0; // of the last confirmation
-    std::uint64_t              complete_revision_ = 0;
-    std::uint64_t              generation_ = 0;
-    std::uint64_t              first_generation_ = 0;
-    std::uint64_t              forgotten_generation_ = 0; // generation of the newest forgotten removal
-    std::uint64_t              forgotten_revision_ = 0;   // up to it removals were forgotten or preceded a listing
-    std::uint64_t              listed_generation_ = 0;    // of the last listing but the first
-    bool                       is_complete_ = false;
-    std::uint64_t              ignored_count_ = 0;
-    ignored_record             last_ignored_;
+    steady_time                                                                last_confirmation_{};
+    unsigned       store_distance_ = 0; // of the last confirmation
+    store_revision complete_revision_;
+    std::uint64_t  generation_ = 0;
+    std::uint64_t  first_generation_ = 0;
+    std::uint64_t  forgotten_generation_ = 0; // generation of the newest forgotten removal
+    store_revision forgotten_revision_;       // up to it removals were forgotten or preceded a listing
+    std::uint64_t  listed_generation_ = 0;    // of the last listing but the first
+    bool           is_complete_ = false;
+    std::uint64_t  ignored_count_ = 0;
+    ignored_record last_ignored_;
 };
 
 } // namespace tamarack::entry
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -87,7 +87,7 @@
 void source_choice::note_feeder_state(const record_source& source, bool reads_store) {
     const known_feeder* feeder = feeder_of_own_domain();
     if (feeder == nullptr || feeder->registration.address != source.address) return;
-    lost_feeder_revision_ = reads_store ? 0 : feeder->revision;
+    lost_feeder_revision_ = reads_store ? std::nullopt : std::optional(feeder->revision);
 }
 
 duration source_choice::random_between(duration least, duration most) {
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -116,7 +116,8 @@
     unsigned                          lookups_left_;  // for a first feeder
     unsigned                          unanswered_feeders_ = 0;     // in a row
     bool                              is_served_by_store_ = false; // the store is the source, and answered last
-    std::uint64_t lost_feeder_revision_ = 0; // registration of the own feeder when it had lost the store; 0: it has not
+    // Registration of the own feeder when it had lost the store; nullopt: it has not.
+    std::optional<store_revision>     lost_feeder_revision_;
 };
 
 } // namespace tamarack::entry
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -80,8 +80,9 @@
 // Calls
 //----------------------------------------------------------------------------------------------------------------------
 
-// A position is only valid at the source that issued it. The store's position is its revision, so that a watch on the
-// store can continue from the revision that a feeder reported, and a feeder can find the changes after a revision. A
+// A position is only valid at the source that issued it. The store's position is the number of its revision, so that a
+// watch on the store can continue from the revision that a feeder reported, and a feeder can find the changes after a
+// revision. A
 // complete listing for each change of source would load a feeder most when many followers switch to it at once.
 void store_sync::switch_to(const record_source& source) {
     if (source == latest_call_.source && latest_call_.kind != read_kind::find_feeders) return;
@@ -90,7 +91,8 @@
     if (!store_replica_.is_complete()) return;
     probes_source_ = source.kind == source_kind::store;
     latest_call_.kind = source.kind == source_kind::store ? read_kind::watch : read_kind::resume;
-    latest_call_.after_position = store_replica_.complete_revision();
+    latest_call_.after_position = store_replica_.complete_revision().number;
+    latest_call_.after_revision = store_replica_.complete_revision();
 }
 
 // Leaves next_call_due_ in the future if no source is available.
@@ -148,6 +150,7 @@
 void store_sync::succeeded(const record_page& page, steady_time now) {
     if (now - latest_call_time_ > latest_call_.connect_timeout + latest_call_.timeout)
         return failed({read_error::timed_out, {}}, now);
+    if (const auto error = check_epoch(page)) return failed({*error, {}}, now);
     if (!answers_call(page)) return failed({read_error::unreadable, {}}, now);
     is_call_pending_ = false;
     probes_source_ = false;
@@ -171,6 +174,19 @@
     apply_changes(page, now);
 }
 
+// Only a listing leads from one epoch of the store to the next: the changes after a position do not tell what the new
+// epoch lacks, and a position of the old one may already have been issued again. A source that is still in an earlier
+// epoch has not read the store since.
+std::optional<read_error> store_sync::check_epoch(const record_page& page) const {
+    if (latest_call_.kind == read_kind::find_feeders || !store_replica_.is_complete()) return std::nullopt;
+    const std::uint64_t known_epoch = store_replica_.complete_revision().epoch;
+    if (page.revision.epoch < known_epoch) return read_error::refused;
+    const bool is_later_page = latest_call_.kind == read_kind::list && !latest_call_.after_key.empty();
+    if (is_later_page && page.revision.epoch != first_page_.revision.epoch) return read_error::history_dropped;
+    if (latest_call_.kind != read_kind::list && page.revision.epoch != known_epoch) return read_error::history_dropped;
+    return std::nullopt;
+}
+
 // A source that sends an answer twice may have its copy taken for the answer to the next call: a page that repeats keys
 // or a watch that goes back in the source's history is such a copy.
 bool store_sync::answers_call(const record_page& page) const {
@@ -220,14 +236,17 @@
 void store_sync::apply_listing_page(const record_page& page, steady_time now) {
     if (latest_call_.after_key.empty()) {
         listed_records_.clear();
-        first_page_ = {.records = {}, .position = page.position, .revision = page.revision};
+        first_page_ = {.records = {},
+                       .position = page.position,
+                       .revision = page.revision,
+                       .listed_revision = page.listed_revision};
     }
     listed_records_.insert(listed_records_.end(), page.records.begin(), page.records.end());
     if (page.has_more && !page.records.empty()) {
         latest_call_.after_key = page.records.back().key;
         return;
     }
-    store_replica_.apply_listing(listed_records_, first_page_.revision, now);
+    store_replica_.apply_listing(listed_records_, first_page_.listed_revision, now, first_page_.revision);
     listed_records_.clear();
     latest_call_.kind = read_kind::watch;
     latest_call_.after_key.clear();
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -19,13 +19,14 @@
 std::string_view to_string(read_kind kind);
 
 struct read_call {
-    read_kind     kind = read_kind::list;
-    record_source source;
-    std::string   after_key;          // list: last key of the previous page; empty: the first page
-    std::uint64_t after_position = 0; // watch: position of the source; resume: revision of the store
-    duration      max_wait{};         // watch: how long the source may wait for an event
-    duration      connect_timeout{};
-    duration      timeout{}; // from the request to the end of the answer
+    read_kind      kind = read_kind::list;
+    record_source  source;
+    std::string    after_key;          // list: last key of the previous page; empty: the first page
+    std::uint64_t  after_position = 0; // watch: position of the source
+    store_revision after_revision{};   // resume: of the store
+    duration       max_wait{};         // watch: how long the source may wait for an event
+    duration       connect_timeout{};
+    duration       timeout{}; // from the request to the end of the answer
 };
 
 enum class read_error : std::uint8_t {
@@ -42,7 +43,7 @@
 
 struct read_failure {
     read_error            error = read_error::unreachable;
-    std::vector<endpoint> followers; // full: of the balancer that was asked
+    std::vector<endpoint> followers;       // full: of the balancer that was asked
     std::uint64_t         store_epoch = 0; // of the store that answered; 0: unknown
 };
 
@@ -50,8 +51,8 @@
 struct record_page {
     std::vector<record> records;
     std::uint64_t       position = 0;       // where the next watch on the same source starts
-    std::uint64_t       revision = 0;       // of the store; the source contains every change up to it
-    std::uint64_t       store_epoch = 0;    // of the store that answered; 0: unknown
+    store_revision      revision{};         // of the store; the source contains every change up to it
+    store_revision      listed_revision{};  // list: keys that the source lacks had been removed at this revision
     duration            confirmation_age{}; // since the store confirmed that nothing newer exists; zero from the store
     unsigned            distance = 0;       // balancers between the store and the reader; 0: read from the store
     duration            held{};             // from the arrival of the call at a balancer to its answer
@@ -79,16 +80,17 @@
     void set_own_followers(std::vector<endpoint> followers) { sources_.set_own_followers(std::move(followers)); }
 
 private:
-    bool     reads_store() const { return latest_call_.source.kind == source_kind::store; }
-    void     switch_to(const record_source& source);
-    void     choose_call(steady_time now);
-    void     set_timeouts(steady_time now);
-    bool     answers_call(const record_page& page) const;
-    duration age_of(const record_page& page, steady_time now) const;
-    void     note_confirmation(const record_page& page, steady_time now);
-    void     apply_listing_page(const record_page& page, steady_time now);
-    void     apply_changes(const record_page& page, steady_time now);
-    duration pause_after(bool has_changes, steady_time now);
+    bool                      reads_store() const { return latest_call_.source.kind == source_kind::store; }
+    void                      switch_to(const record_source& source);
+    void                      choose_call(steady_time now);
+    void                      set_timeouts(steady_time now);
+    bool                      answers_call(const record_page& page) const;
+    std::optional<read_error> check_epoch(const record_page& page) const;
+    duration                  age_of(const record_page& page, steady_time now) const;
+    void                      note_confirmation(const record_page& page, steady_time now);
+    void                      apply_listing_page(const record_page& page, steady_time now);
+    void                      apply_changes(const record_page& page, steady_time now);
+    duration                  pause_after(bool has_changes, steady_time now);
 
     replica&            store_replica_;
     source_choice       sources_;
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -45,7 +45,7 @@
         if (withholds_events || fault == kv_fault::unresponsive) return;
         std::vector<waiting_watch> still_waiting;
         for (waiting_watch& watch : std::exchange(waiting_watches_, {})) {
-            if (fault != kv_fault::none || store_.revision() > watch.after_revision ||
+            if (fault != kv_fault::none || store_.revision() != watch.after_revision ||
                 time_.steady_now() >= watch.deadline) {
                 answer_watch(watch.after_revision, watch.respond);
             } else {
@@ -64,8 +64,12 @@
         reply         respond;
     };
 
-    void handle_call(const tamarack::entry::server_request& call, reply respond) {
+    void handle_call(const tamarack::entry::server_request& call, reply respond_without_epoch) {
         ++call_count_;
+        reply respond = [this, send = std::move(respond_without_epoch)](tamarack::entry::server_response response) {
+            response.headers["Store-Era"] = std::to_string(store_.epoch());
+            send(std::move(response));
+        };
         if (fault == kv_fault::unresponsive) return void(unanswered_calls_.push_back(std::move(respond)));
         if (fault == kv_fault::unavailable) return respond({.status = 503, .body = {}});
         if (fault == kv_fault::rate_limited) return respond({.status = 429, .body = {}});
@@ -77,7 +81,7 @@
         }
         const auto* watch = std::get_if<tamarack::platform::feed_watch_request>(&feed_call->parameters);
         if (watch == nullptr) return respond({.status = 404, .body = {}}); // a call that only feeders answer
-        if (store_.revision() > watch->position && !withholds_events) return answer_watch(watch->position, respond);
+        if (store_.revision() != watch->position && !withholds_events) return answer_watch(watch->position, respond);
         waiting_watches_.push_back({watch->position, time_.steady_now() + watch->wait, std::move(respond)});
     }
 
@@ -95,11 +99,14 @@
     }
 
     tamarack::entry::server_response listing(std::string_view prefix) const {
-        tamarack::entry::feed_answer answer{
-            .records = {}, .position = store_.revision(), .revision = store_.revision()};
+        tamarack::entry::feed_answer answer{.records = {},
+                                            .position = store_.revision(),
+                                            .revision = {store_.epoch(), store_.revision()},
+                                            .listed_revision = {store_.epoch(), store_.revision()}};
         for (const auto& [key, item] : store_.items()) {
             if (!key.starts_with(prefix)) continue;
-            answer.records.push_back(tamarack::platform::decode_record(key, item.revision, item.value));
+            answer.records.push_back(
+                tamarack::platform::decode_record(key, {store_.epoch(), item.revision}, item.value));
         }
         return {.body = tamarack::platform::encode_listing(answer), .content_type = "application/json"};
     }
@@ -108,12 +115,15 @@
         if (fault != kv_fault::none) return respond({.status = 503, .body = {}});
         const auto events = store_.events_after(after_revision);
         if (!events) return respond({.status = 410, .body = {}});
-        tamarack::entry::feed_answer answer{
-            .records = {}, .position = store_.revision(), .revision = store_.revision()};
+        tamarack::entry::feed_answer answer{.records = {},
+                                            .position = store_.revision(),
+                                            .revision = {store_.epoch(), store_.revision()},
+                                            .listed_revision = {store_.epoch(), store_.revision()}};
         for (const kv_store::event& event : *events) {
-            answer.records.push_back(event.value
-                                         ? tamarack::platform::decode_record(event.key, event.revision, *event.value)
-                                         : tamarack::platform::make_removed_record(event.key, event.revision));
+            answer.records.push_back(
+                event.value
+                    ? tamarack::platform::decode_record(event.key, {store_.epoch(), event.revision}, *event.value)
+                    : tamarack::platform::make_removed_record(event.key, {store_.epoch(), event.revision}));
         }
         respond({.body = tamarack::platform::encode_changes(answer), .content_type = "application/json"});
     }
--- a/standins/kv_store.h
+++ b/standins/kv_store.h
@@ -27,6 +27,7 @@
     };
 
     std::uint64_t                      revision() const { return revision_; }
+    std::uint64_t                      epoch() const { return epoch_; }
     const std::map<std::string, item>& items() const { return items_; }
 
     void put(const std::string& key, const std::string& value, std::uint64_t lease = 0) {
@@ -45,9 +46,15 @@
         put(key, value, lease);
         return true;
     }
-    // Nullopt: the history no longer holds all events after that revision.
+    // The changes since the copy are lost, leases included, and their numbers are issued again.
+    void restore(const kv_store& copy) {
+        const std::uint64_t next_epoch = epoch_ + 1;
+        *this = copy;
+        epoch_ = next_epoch;
+    }
+    // Nullopt: the history does not hold all events after that revision.
     std::optional<std::vector<event>> events_after(std::uint64_t after_revision) const {
-        if (after_revision < dropped_revision_) return std::nullopt;
+        if (after_revision < dropped_revision_ || after_revision > revision_) return std::nullopt;
         std::vector<event> events;
         std::ranges::copy_if(history_, std::back_inserter(events),
                              [&](const event& candidate) { return candidate.revision > after_revision; });
@@ -97,6 +104,7 @@
     std::map<std::string, item>          items_;
     std::deque<event>                    history_; // oldest first
     std::map<std::uint64_t, lease_terms> leases_;
+    std::uint64_t                        epoch_ = 1; // rises with each restore
     std::uint64_t                        revision_ = 1;
     std::uint64_t                        dropped_revision_ = 0; // the history holds no events up to this revision
     std::uint64_t                        last_lease_id_ = 0;
--- a/tests/entry_feed_test.cpp
+++ b/tests/entry_feed_test.cpp
@@ -38,7 +38,7 @@
         record backend = backend_record(2, registration_of(1));
         backend.key = "servers/i-1";
         backend.raw_value = backend_json;
-        store_replica.apply_listing(std::vector{backend}, 5, time.steady_now());
+        store_replica.apply_listing(std::vector{backend}, at_revision(5), time.steady_now());
         server.emplace(feed(store_replica, {.key = feeder_key}, time.steady_now()));
         auto opened_server = http_server::open(
             context, feeder_endpoint, [this](const server_request& request, http_server::response_callback respond) {
@@ -55,6 +55,7 @@
         call.kind = kind;
         call.source = source;
         call.after_position = position;
+        call.after_revision = at_revision(position);
         call.max_wait = 50ms;
         call.connect_timeout = 2s;
         call.timeout = 2s;
@@ -84,9 +85,9 @@
     const auto listing = read(read_kind::list, feeder);
     BOOST_REQUIRE(listing.has_value());
     BOOST_TEST(listing.value().records.size() == 1U);
-    BOOST_TEST(listing.value().revision == 5U);
+    BOOST_TEST(listing.value().revision.number == 5U);
     BOOST_TEST((read(read_kind::resume, feeder, 1).error().error == read_error::history_dropped));
-    store_replica.apply({"servers/i-2", 6, registration_of(2),
+    store_replica.apply({"servers/i-2", at_revision(6), registration_of(2),
                          R"({"service":"desk","address":"10.0.0.2:80","zone":"north","state":"ready"})"},
                         time.steady_now());
     const auto resumed = read(read_kind::resume, feeder, 5);
@@ -115,7 +116,7 @@
 // If a feeder restarts before its lease expires, the store still has the key of the earlier process.
 BOOST_AUTO_TEST_CASE(restarted_feeder_accepts_the_key_of_its_earlier_process) {
     store_replica.apply(
-        {"feeder/north/0", 6, feeder_registration{"self", "north", 0, feeder_endpoint, other_key}, "raw"},
+        {"feeder/north/0", at_revision(6), feeder_registration{"self", "north", 0, feeder_endpoint, other_key}, "raw"},
         time.steady_now());
     BOOST_TEST(read(read_kind::list, feeder_with_other_key).has_value());
     BOOST_TEST(read(read_kind::list, feeder).has_value());
@@ -128,7 +129,7 @@
 BOOST_AUTO_TEST_CASE(unauthenticated_listings_are_rate_limited) {
     replica           store_replica(1'000);
     const steady_time now{1h};
-    store_replica.apply_listing({}, 5, now);
+    store_replica.apply_listing({}, at_revision(5), now);
     feed record_feed(store_replica, {.key = feeder_key}, now);
     int  served = 0;
     for (int request = 0; request < 1'000; ++request)
@@ -143,7 +144,7 @@
 BOOST_AUTO_TEST_CASE(corrupt_requests_get_exactly_one_error_response) {
     replica           store_replica(1'000);
     const steady_time now{1h};
-    store_replica.apply_listing({}, 5, now);
+    store_replica.apply_listing({}, at_revision(5), now);
     feed_server       server(feed(store_replica, {.key = feeder_key}, now));
     const std::string watch =
         platform::add_request_mac("/tamarackshore/kv-watch?prefix=&after=1&wait_ms=1500", other_key, 5);
--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -28,7 +28,7 @@
 void check_currency(const fleet& balancers, const fleet_host& host) {
     if (!host.records->is_current(balancers.now())) return;
     const std::uint64_t oldest_allowed = balancers.revision_at(balancers.now() - max_confirmation_age - transfer_slack);
-    BOOST_REQUIRE(host.records->complete_revision() >= oldest_allowed);
+    BOOST_REQUIRE(host.records->complete_revision().number >= oldest_allowed);
 }
 
 void check_fan_out(const fleet& balancers, const fleet_host& host) {
@@ -39,7 +39,7 @@
     unsigned count = 0;
     for (const auto& host : balancers.hosts()) {
         const bool is_up_to_date = host->runs() && host->records->is_current(balancers.now()) &&
-                                   host->records->complete_revision() >= balancers.store().revision;
+                                   host->records->complete_revision().number >= balancers.store().revision;
         count += is_up_to_date ? 1 : 0;
     }
     return count;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -6,13 +6,19 @@
 
 namespace tamarack::entry {
 
+// A revision of the epoch in which the tests begin.
+constexpr store_revision at_revision(std::uint64_t number) {
+    return {1, number};
+}
+
 inline const endpoint service_address{ip_address::v4(0xc6120001), 443}; // 198.18.0.1:443
 
 inline record configuration_record(std::uint64_t revision, std::uint64_t version, std::vector<route> routes) {
     auto table = std::make_shared<routing_table>();
     table->version = version;
     table->routes = std::move(routes);
-    return {"configuration", revision, std::shared_ptr<const routing_table>(table), "raw " + std::to_string(version)};
+    return {"configuration", at_revision(revision), std::shared_ptr<const routing_table>(table),
+            "raw " + std::to_string(version)};
 }
 
 inline record configuration_record(std::uint64_t revision, std::uint64_t version) {
@@ -30,11 +36,11 @@
 }
 
 inline record backend_record(std::uint64_t revision, const backend_registration& registration) {
-    return {"backend/" + registration.name, revision, registration, "raw " + registration.name};
+    return {"backend/" + registration.name, at_revision(revision), registration, "raw " + registration.name};
 }
 
 inline record removal_record(std::uint64_t revision, std::uint64_t identity) {
-    return {"backend/" + std::to_string(identity), revision, removed_record{}, {}};
+    return {"backend/" + std::to_string(identity), at_revision(revision), removed_record{}, {}};
 }
 
 // The caller numbers the retransmissions of a SYN; 0 is the first transmission.
@@ -69,7 +75,7 @@
 
     void load_records(std::vector<record> records, std::uint64_t revision) {
         store_replica.note_store_available(time.steady_now());
-        store_replica.apply_listing(records, revision, time.steady_now());
+        store_replica.apply_listing(records, at_revision(revision), time.steady_now());
     }
     steering_decision decide(const segment& packet) { return decisions.decide(packet, time.steady_now()); }
 };
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -67,7 +67,7 @@
     replica store_replica = synchronized_replica();
     store_replica.apply(backend_record(3, registration_of(1)), start);
     store_replica.apply(backend_record(8, registration_of(2)), start); // created after the listing
-    store_replica.apply_listing({}, 5, start);
+    store_replica.apply_listing({}, at_revision(5), start);
     BOOST_TEST(store_replica.find_backend(reference_of(1))->removed_at.has_value());
     BOOST_TEST(!store_replica.find_backend(reference_of(2))->removed_at.has_value());
 }
@@ -91,7 +91,7 @@
     store_replica.apply(backend_record(3, registration_of(1)), start);
     store_replica.note_store_unavailable();
     store_replica.note_store_available(start + 5s);
-    store_replica.apply_listing({}, 7, start + 5s);
+    store_replica.apply_listing({}, at_revision(7), start + 5s);
     store_replica.expire(start + 5s + removal_hold_time);
     BOOST_TEST(store_replica.available_backends("desk").empty());
 }
@@ -130,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(an_unusable_record_stops_new_flows_and_keeps_open_flows) {
     replica store_replica = synchronized_replica();
     store_replica.apply(backend_record(3, registration_of(1)), start);
-    store_replica.apply({"backend/1", 4, unusable_record{"not JSON"}, "x"}, start);
+    store_replica.apply({"backend/1", at_revision(4), unusable_record{"not JSON"}, "x"}, start);
     BOOST_TEST(store_replica.available_backends("desk").empty());
     BOOST_TEST(store_replica.find_backend(reference_of(1)) != nullptr);
     store_replica.apply(backend_record(5, registration_of(1)), start);
@@ -206,12 +206,12 @@
 // left was in use again on its follower.
 BOOST_AUTO_TEST_CASE(a_listing_does_not_prove_the_removals_before_it) {
     replica store_replica;
-    store_replica.apply_listing(std::vector{backend_record(3, registration_of(1))}, 10, start);
-    BOOST_TEST(!store_replica.changes_after_revision(7).has_value());
-    BOOST_TEST(store_replica.changes_after_revision(10).has_value());
+    store_replica.apply_listing(std::vector{backend_record(3, registration_of(1))}, at_revision(10), start);
+    BOOST_TEST(!store_replica.changes_after_revision(at_revision(7)).has_value());
+    BOOST_TEST(store_replica.changes_after_revision(at_revision(10)).has_value());
     const std::uint64_t position = store_replica.generation();
-    store_replica.apply_listing(std::vector{backend_record(3, registration_of(1))}, 20, start);
-    BOOST_TEST(!store_replica.changes_after_revision(15).has_value());
+    store_replica.apply_listing(std::vector{backend_record(3, registration_of(1))}, at_revision(20), start);
+    BOOST_TEST(!store_replica.changes_after_revision(at_revision(15)).has_value());
     BOOST_TEST(!store_replica.changes_for_follower(position).has_value()); // it may hold a key that came and went
     BOOST_TEST(store_replica.changes_after(position).has_value());         // the log reports what the listing changed
 }
@@ -223,7 +223,7 @@
     for (std::uint64_t identity = 1; identity <= 13'000; ++identity)
         records.push_back(backend_record(identity, registration_of(identity)));
     const auto started = std::chrono::steady_clock::now();
-    store_replica.apply_listing(records, 20'000, start);
+    store_replica.apply_listing(records, at_revision(20'000), start);
     BOOST_TEST(store_replica.available_backends("desk").size() >= 12'999U);
     BOOST_TEST((std::chrono::steady_clock::now() - started < 2s));
 }
--- a/tests/entry_status_test.cpp
+++ b/tests/entry_status_test.cpp
@@ -58,10 +58,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(shows_feeders) {
-    store_replica.apply({"feeder/north/0", 9, feeder_registration{"near", "north", 0, service_address, {}}, "raw"},
-                        time.steady_now());
+    store_replica.apply(
+        {"feeder/north/0", at_revision(9), feeder_registration{"near", "north", 0, service_address, {}}, "raw"},
+        time.steady_now());
     BOOST_TEST(text("/balancers") ==
-               "feeder name=near failure_domain=north slot=0 address=198.18.0.1:443 revision=9\n");
+               "feeder name=near failure_domain=north slot=0 address=198.18.0.1:443 epoch=1 revision=9\n");
 }
 
 // The first candidate of an explanation must be the backend server that the next flow is placed on.
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -59,7 +59,7 @@
     std::vector<record> records = {configuration_record(1, 1)};
     for (std::uint64_t identity = 1; identity <= 8; ++identity)
         records.push_back(backend_record(1 + identity, registration_of(identity)));
-    large_replica.apply_listing(records, 9, time.steady_now());
+    large_replica.apply_listing(records, at_revision(9), time.steady_now());
     std::map<std::uint64_t, int> first_choices;
     for (std::uint64_t seed = 1; seed <= 64; ++seed) {
         steering balancer({.failure_domain = "north"}, large_replica, seed);
--- a/tests/entry_store_restore_test.cpp
+++ b/tests/entry_store_restore_test.cpp
@@ -15,14 +15,18 @@
 
 constexpr std::uint64_t leaving_identity = 1;
 
-record draining_record(std::uint64_t identity) {
-    backend_registration registration = registration_of(identity);
+record draining_record(const backend_registration& active) {
+    backend_registration registration = active;
     registration.state = backend_state::draining;
     record item = backend_record(0, registration);
-    item.raw_value += " draining";
+    item.raw_value += " draining since " + std::to_string(active.started_unix_ms);
     return item;
 }
 
+record draining_record(std::uint64_t identity) {
+    return draining_record(registration_of(identity));
+}
+
 bool takes_new_flows(const fleet_host& host, std::uint64_t identity) {
     const known_backend* backend = host.records->find_backend(reference_of(identity));
     return backend != nullptr && backend->takes_new_flows();
@@ -53,20 +57,20 @@
 
 void register_again(fleet& balancers, std::uint64_t identity) {
     backend_registration registration = registration_of(identity);
-    registration.slots = 3 + static_cast<std::uint32_t>(balancers.store().history.size());
+    registration.started_unix_ms = to_milliseconds(balancers.now().time_since_epoch());
     record item = backend_record(0, registration);
-    item.raw_value += " with slots " + std::to_string(registration.slots);
+    item.raw_value += " started " + std::to_string(registration.started_unix_ms);
     balancers.write(item);
 }
 
 void change_a_backend_server(fleet& balancers) {
     const std::uint64_t identity = steps(1, 6)(balancers.random());
     const std::string   key = backend_record(0, registration_of(identity)).key;
-    const auto          found = balancers.store().items.find(key);
-    if (found == balancers.store().items.end()) return register_again(balancers, identity);
-    const auto& registration = std::get<backend_registration>(found->second.value.content);
+    const record*       latest = balancers.latest(key);
+    if (latest == nullptr) return register_again(balancers, identity);
+    const auto& registration = std::get<backend_registration>(latest->content);
     if (registration.state == backend_state::draining) return balancers.leave(key);
-    balancers.write(draining_record(identity));
+    balancers.write(draining_record(registration));
 }
 
 void disturb_a_host(fleet& balancers) {
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -17,7 +17,7 @@
 
 record feeder_record(std::uint64_t revision, const std::string& name, const std::string& failure_domain, unsigned slot,
                      std::uint32_t address) {
-    return {"feeder/" + failure_domain + "/" + std::to_string(slot), revision,
+    return {"feeder/" + failure_domain + "/" + std::to_string(slot), at_revision(revision),
             feeder_registration{name, failure_domain, slot, {ip_address::v4(address), 7720}}, "raw"};
 }
 
@@ -55,8 +55,12 @@
         return {};
     }
     void answer(std::vector<record> records, std::uint64_t position, std::uint64_t revision, bool has_more = false) {
-        sync.succeeded(
-            {.records = std::move(records), .position = position, .revision = revision, .has_more = has_more}, now);
+        sync.succeeded({.records = std::move(records),
+                        .position = position,
+                        .revision = at_revision(revision),
+                        .listed_revision = at_revision(revision),
+                        .has_more = has_more},
+                       now);
     }
     void complete_listing(std::vector<record> records = {}) {
         look_up_feeders();
@@ -250,7 +254,7 @@
     // A position is only valid at its source, but a revision of the store is valid at every source.
     BOOST_TEST((first.kind == read_kind::resume));
     BOOST_TEST(first.after_position == 5U);
-    sync.succeeded({{backend_record(6, registration_of(1))}, 77, 6, 100ms, 1}, now);
+    sync.succeeded({{backend_record(6, registration_of(1))}, 77, at_revision(6), at_revision(6), 100ms, 1}, now);
     const read_call watch = next();
     BOOST_TEST(is_sent_to(watch, own_domain_feeder));
     BOOST_TEST(watch.after_position == 77U);
@@ -313,9 +317,9 @@
     BOOST_TEST((call.source.address == follower_one || call.source.address == follower_two));
     BOOST_TEST((call.kind == read_kind::resume));
     BOOST_TEST((call.source.key == refused.source.key)); // the key of the tree
-    sync.succeeded({{}, 77, 6, {}, 2}, now);
+    sync.succeeded({{}, 77, at_revision(6), at_revision(6), {}, 2}, now);
     BOOST_TEST((next().source == call.source));
-    sync.succeeded({{}, 77, 6, {}, 2}, now);
+    sync.succeeded({{}, 77, at_revision(6), at_revision(6), {}, 2}, now);
     now += 5s;
     BOOST_TEST((next().source == call.source)); // it stays there
     fail(read_error::unreachable);
@@ -352,7 +356,7 @@
     wait_for_next();
     fail(read_error::full, {follower_one});
     next();
-    sync.succeeded({{}, 77, 6, {}, 2}, now);
+    sync.succeeded({{}, 77, at_revision(6), at_revision(6), {}, 2}, now);
     next();
     fail(read_error::refused);
     const steady_time refused_at = now;
@@ -372,10 +376,10 @@
     BOOST_TEST(is_sent_to(next(), other_domain_feeder));
     fail(read_error::refused);
     BOOST_TEST(is_sent_to(next(), first_follower));
-    sync.succeeded({{}, 77, 6, 1s, 2}, now);
+    sync.succeeded({{}, 77, at_revision(6), at_revision(6), 1s, 2}, now);
     BOOST_TEST(store_replica.is_current(now));
     BOOST_TEST((next().max_wait <= 100ms));
-    sync.succeeded({{}, 77, 6, 1s, 2}, now);
+    sync.succeeded({{}, 77, at_revision(6), at_revision(6), 1s, 2}, now);
     now += 1s;
     BOOST_TEST(is_store(next())); // the store is tried again
 }
@@ -483,12 +487,12 @@
     fail(read_error::refused);
     BOOST_TEST(!store_replica.store_available_since().has_value());
     wait_for_next();
-    sync.succeeded({{}, 77, 5, 10s}, now);
+    sync.succeeded({{}, 77, at_revision(5), at_revision(5), 10s}, now);
     BOOST_TEST(!store_replica.store_available_since().has_value());
     BOOST_TEST(!sync.is_store_available());
     // A feeder with a recent confirmation by the store shows that the store has recovered.
     BOOST_TEST((wait_for_next().source.kind == source_kind::feeder));
-    sync.succeeded({{}, 77, 5, 2s}, now);
+    sync.succeeded({{}, 77, at_revision(5), at_revision(5), 2s}, now);
     BOOST_TEST(store_replica.store_available_since().has_value());
     BOOST_TEST(sync.is_store_available());
 }
@@ -516,7 +520,7 @@
     // The store confirms the replica now.
     void load(std::vector<record> records) {
         store_replica.note_store_available(now);
-        store_replica.apply_listing(records, 5, now);
+        store_replica.apply_listing(records, at_revision(5), now);
     }
     feed_answer list(std::uint32_t follower = 1) {
         const auto answer = served_feed.list(call(1'000, follower), now);
@@ -530,13 +534,14 @@
 BOOST_FIXTURE_TEST_SUITE(feeding, feed_fixture)
 
 BOOST_AUTO_TEST_CASE(a_balancer_serves_followers_only_while_the_store_confirms_its_replica) {
-    BOOST_TEST((served_feed.resume(call(1), 0, now).status == feed_status::not_current)); // not synchronized yet
+    BOOST_TEST(
+        (served_feed.resume(call(1), at_revision(0), now).status == feed_status::not_current)); // not synchronized yet
     load({configuration_record(1, 1), backend_record(2, registration_of(1))});
     const feed_answer listing = list();
     BOOST_TEST(listing.records.size() == 2U);
-    BOOST_TEST(listing.revision == 5U);
-    BOOST_TEST((served_feed.resume(call(2), 5, now + 3s).status == feed_status::ok));
-    BOOST_TEST((served_feed.resume(call(3), 5, now + 3'200ms).status == feed_status::not_current));
+    BOOST_TEST(listing.revision.number == 5U);
+    BOOST_TEST((served_feed.resume(call(2), at_revision(5), now + 3s).status == feed_status::ok));
+    BOOST_TEST((served_feed.resume(call(3), at_revision(5), now + 3'200ms).status == feed_status::not_current));
 }
 
 // A watch that ends without a change says that there is none. A balancer that has lost the store must not say so.
@@ -608,17 +613,18 @@
           feeder_record(4, "x", "north", 0, 7)});
     store_replica.apply(removal_record(6, 1), now);
     store_replica.apply(backend_record(7, registration_of(3)), now);
-    store_replica.set_complete_revision(7);
-    BOOST_TEST((served_feed.resume(call(1), 4, now).status == feed_status::history_dropped)); // before the listing
-    const feed_answer answer = served_feed.resume(call(1), 5, now);
+    store_replica.set_complete_revision(at_revision(7));
+    BOOST_TEST((served_feed.resume(call(1), at_revision(4), now).status ==
+                feed_status::history_dropped)); // before the listing
+    const feed_answer answer = served_feed.resume(call(1), at_revision(5), now);
     BOOST_TEST(answer.records.size() == 2U);
-    BOOST_TEST(answer.revision == 7U);
+    BOOST_TEST(answer.revision.number == 7U);
     BOOST_TEST(answer.position == store_replica.generation());
-    BOOST_TEST(served_feed.resume(call(2), 7, now).records.empty());
+    BOOST_TEST(served_feed.resume(call(2), at_revision(7), now).records.empty());
     const auto resume_later = [&](std::uint64_t revision, duration delay) {
         store_replica.expire(now + delay);
         store_replica.note_store_available(now + delay);
-        return served_feed.resume(call(3), revision, now + delay);
+        return served_feed.resume(call(3), at_revision(revision), now + delay);
     };
     BOOST_TEST(resume_later(5, 2min).records.size() == 2U); // forgets the backend server, but not its removal
     BOOST_TEST((resume_later(5, 20min).status == feed_status::history_dropped));
@@ -633,14 +639,14 @@
     store_replica.note_store_unavailable();
     store_replica.note_store_available(now);
     store_replica.apply(removal_record(7, 1), now);
-    store_replica.set_complete_revision(9);
-    BOOST_TEST(list().revision == 6U);
-    BOOST_TEST(served_feed.resume(call(1), 5, now).records.empty());
+    store_replica.set_complete_revision(at_revision(9));
+    BOOST_TEST(list().revision.number == 6U);
+    BOOST_TEST(served_feed.resume(call(1), at_revision(5), now).records.empty());
     now += 5s;
     store_replica.expire(now);
     store_replica.note_store_available(now);
-    const feed_answer answer = served_feed.resume(call(1), 6, now);
-    BOOST_TEST(answer.revision == 9U);
+    const feed_answer answer = served_feed.resume(call(1), at_revision(6), now);
+    BOOST_TEST(answer.revision.number == 9U);
     BOOST_REQUIRE(answer.records.size() == 1U);
     BOOST_TEST(std::holds_alternative<removed_record>(answer.records.front().content));
 }
@@ -669,26 +675,26 @@
 BOOST_AUTO_TEST_CASE(a_balancer_names_its_followers_to_those_that_it_cannot_serve) {
     load({});
     for (std::uint32_t follower = 1; follower <= follower_limit; ++follower)
-        BOOST_TEST((served_feed.resume(call(follower, follower), 5, now).status == feed_status::ok));
-    const feed_answer answer = served_feed.resume(call(9, 9), 5, now);
+        BOOST_TEST((served_feed.resume(call(follower, follower), at_revision(5), now).status == feed_status::ok));
+    const feed_answer answer = served_feed.resume(call(9, 9), at_revision(5), now);
     BOOST_TEST((answer.status == feed_status::full));
     BOOST_REQUIRE(answer.followers.size() == follower_limit);
     BOOST_TEST((answer.followers.front() == endpoint{ip_address::v4(1), 7720}));
     BOOST_TEST((served_feed.list(call(9, 9), now)->status == feed_status::full));
     BOOST_TEST((served_feed.watch(call(9, 9), 1'000, 1s, now)->status == feed_status::full));
-    BOOST_TEST((served_feed.resume(call(2, 2), 5, now).status == feed_status::ok)); // it keeps its place
+    BOOST_TEST((served_feed.resume(call(2, 2), at_revision(5), now).status == feed_status::ok)); // it keeps its place
 }
 
 BOOST_AUTO_TEST_CASE(the_place_of_a_follower_that_is_gone_is_given_to_another) {
     load({});
     for (std::uint32_t follower = 1; follower <= follower_limit; ++follower)
-        served_feed.resume(call(follower, follower), 5, now);
+        served_feed.resume(call(follower, follower), at_revision(5), now);
     now += 3s;
     store_replica.note_store_available(now);
-    BOOST_TEST((served_feed.resume(call(9, 9), 5, now).status == feed_status::full));
+    BOOST_TEST((served_feed.resume(call(9, 9), at_revision(5), now).status == feed_status::full));
     now += 2s;
     store_replica.note_store_available(now);
-    BOOST_TEST((served_feed.resume(call(9, 9), 5, now).status == feed_status::ok));
+    BOOST_TEST((served_feed.resume(call(9, 9), at_revision(5), now).status == feed_status::ok));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -702,10 +708,10 @@
     feed        second_feed(second, {}, now);
     for (replica* each : {&first, &second}) {
         each->note_store_available(now);
-        each->apply_listing({}, 5, now);
+        each->apply_listing({}, at_revision(5), now);
     }
     const auto copy_confirmation = [&](feed& source, replica& follower) {
-        const feed_answer answer = source.resume({1, ip_address::v4(1)}, 5, now);
+        const feed_answer answer = source.resume({1, ip_address::v4(1)}, at_revision(5), now);
         if (answer.status != feed_status::ok) return;
         follower.note_store_available(now, answer.confirmation_age, answer.distance);
     };
@@ -742,11 +748,11 @@
     }
     void become_feeder() {
         wait_for<grant_lease>();
-        claim.succeeded(7, now);
+        claim.succeeded({.lease = 7, .store_epoch = 1}, now);
         const auto put = wait_for<put_feeder>();
         BOOST_TEST(put.lease == 7U);
         BOOST_TEST(put.replaced_revision == 0U);
-        claim.succeeded(0, now);
+        claim.succeeded({.lease = 0, .store_epoch = 1}, now);
         BOOST_TEST(claim.holds_slot());
     }
 };
@@ -758,12 +764,12 @@
 BOOST_AUTO_TEST_CASE(a_vacant_slot_is_claimed_renewed_and_released_at_the_stop) {
     become_feeder();
     BOOST_TEST(wait_for<renew_lease>().lease == 7U);
-    claim.succeeded(0, now);
+    claim.succeeded({.lease = 0, .store_epoch = 1}, now);
     BOOST_TEST(claim.holds_slot());
     const auto stopping = claim.next_call(now, claim_permission::none, true);
     // Incident inc-5afb: the lease was ended only after a renewal, before which a stopping process may exit.
     BOOST_REQUIRE((stopping && std::holds_alternative<end_lease>(*stopping)));
-    claim.succeeded(0, now);
+    claim.succeeded({.lease = 0, .store_epoch = 1}, now);
     BOOST_TEST(!claim.holds_slot());
 }
 
@@ -798,7 +804,7 @@
     store_replica.apply(registration, now);
     const steady_time started_at = now;
     wait_for<grant_lease>();
-    claim.succeeded(7, now);
+    claim.succeeded({.lease = 7, .store_epoch = 1}, now);
     const auto put = wait_for<put_feeder>();
     BOOST_TEST(put.replaced_revision == 9U);
     BOOST_TEST((put.registration.key == feed_key{{2}}));
@@ -812,7 +818,7 @@
     for (; !call; now += 10ms)
         call = claim.next_call(now, claim_permission::if_vacant_or_lost, false);
     BOOST_TEST(std::holds_alternative<grant_lease>(*call));
-    claim.succeeded(7, now);
+    claim.succeeded({.lease = 7, .store_epoch = 1}, now);
     call = claim.next_call(now, claim_permission::if_vacant_or_lost, false);
     BOOST_REQUIRE((call && std::holds_alternative<put_feeder>(*call)));
     BOOST_TEST(std::get<put_feeder>(*call).replaced_revision == 9U);
@@ -821,7 +827,7 @@
 
 BOOST_AUTO_TEST_CASE(a_lost_race_leaves_the_slot_to_the_winner) {
     wait_for<grant_lease>();
-    claim.succeeded(7, now);
+    claim.succeeded({.lease = 7, .store_epoch = 1}, now);
     wait_for<put_feeder>();
     claim.failed(claim_error::conflict, now);
     BOOST_TEST(!claim.holds_slot());
--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -48,6 +48,10 @@
     bool runs() const { return records.has_value() && !is_dark && !is_paused; }
 };
 
+// Backend servers count their reports, and write one to the store if more than its number has changed.
+constexpr duration       report_interval = std::chrono::milliseconds(100);
+inline const std::string report_prefix = " in report "; // ends the raw value of a registration
+
 // The store, with its registrations, leases and faults.
 struct fleet_store {
     struct item {
@@ -60,10 +64,10 @@
     };
     std::map<std::string, item>                        items;
     std::map<std::uint64_t, lease_terms>               leases;
-    std::vector<item>                                  history;   // with removals
-    std::uint64_t                                      epoch = 1; // rises when the store is restored from a copy
-    std::vector<std::pair<steady_time, std::uint64_t>> revisions; // when each revision began
-    std::uint64_t                                      revision = 1;
+    std::vector<item>                                  history;      // with removals
+    std::uint64_t                                      epoch = 1;    // rises when the store is restored from a copy
+    std::vector<std::pair<steady_time, std::uint64_t>> revisions;    // when each revision began
+    std::uint64_t                                      revision = 1; // of the epoch
     std::uint64_t                                      last_lease = 0;
     bool                                               is_down = false;
     steady_time                                        link_free_at{};
@@ -96,6 +100,8 @@
     bool                                      is_feeder(const fleet_host& host);
     // Called at each step with the host; for invariants.
     std::function<void(fleet_host&)>          check = [](fleet_host&) {};
+    // Last state of a configuration or a backend server that has not left; null: there is none.
+    const record*                             latest(const std::string& key) const;
     std::uint64_t                             configuration_version() const { return configuration_version_; }
     // The store's revision at a time in the past.
     std::uint64_t                             revision_at(steady_time time) const;
@@ -143,6 +149,7 @@
     void           expire_restored_registrations();
     read_failure   store_failure(read_error error) const;
     outcome        watch_outcome(const store_watch& watch) const;
+    store_revision store_revision_now() const { return {store_.epoch, store_.revision}; }
     record_page    page_after(std::uint64_t revision) const;
 
     fleet_options                                                     options_;
@@ -309,8 +316,10 @@
         store_watches_.push_back({&host, number, call.after_position, now_ + call.max_wait});
         return;
     }
-    record_page page{
-        .records = {}, .position = store_.revision, .revision = store_.revision, .store_epoch = store_.epoch};
+    record_page page{.records = {},
+                     .position = store_.revision,
+                     .revision = store_revision_now(),
+                     .listed_revision = store_revision_now()};
     for (const auto& [key, each] : store_.items) {
         const bool is_feeder = std::holds_alternative<feeder_registration>(each.value.content);
         if (call.kind == read_kind::list || is_feeder) page.records.push_back(each.value);
@@ -341,7 +350,7 @@
     const feed_call            received{number, host.address.address};
     std::optional<feed_answer> answer;
     if (call.kind == read_kind::list) answer = server.served_feed->list(received, now_);
-    if (call.kind == read_kind::resume) answer = server.served_feed->resume(received, call.after_position, now_);
+    if (call.kind == read_kind::resume) answer = server.served_feed->resume(received, call.after_revision, now_);
     if (call.kind == read_kind::watch)
         answer = server.served_feed->watch(received, call.after_position, call.max_wait, now_);
     const feed_watch arrived{&host, number, now_};
@@ -356,6 +365,7 @@
     return record_page{.records = answer.records,
                        .position = answer.position,
                        .revision = answer.revision,
+                       .listed_revision = answer.listed_revision,
                        .confirmation_age = answer.confirmation_age,
                        .distance = answer.distance};
 }
@@ -425,10 +435,12 @@
 }
 
 inline record_page fleet::page_after(std::uint64_t revision) const {
-    record_page page{
-        .records = {}, .position = store_.revision, .revision = store_.revision, .store_epoch = store_.epoch};
+    record_page page{.records = {},
+                     .position = store_.revision,
+                     .revision = store_revision_now(),
+                     .listed_revision = store_revision_now()};
     for (const fleet_store::item& each : store_.history) {
-        if (each.value.revision > revision) page.records.push_back(each.value);
+        if (each.value.revision.number > revision) page.records.push_back(each.value);
     }
     return page;
 }
@@ -439,7 +451,7 @@
 
 inline void fleet::make_claim(fleet_host& host, const claim_call& call) {
     const unsigned lifetime = host.lifetime;
-    const auto     reply = [this, &host, lifetime](result<std::uint64_t, claim_error> claim_outcome) {
+    const auto     reply = [this, &host, lifetime](result<claim_answer, claim_error> claim_outcome) {
         at(now_ + delay(), [this, &host, lifetime, claim_outcome] {
             if (host.lifetime != lifetime || !host.claim) return;
             if (claim_outcome) {
@@ -451,28 +463,29 @@
     };
     if (!std::holds_alternative<renew_lease>(call)) ++store_.calls;
     if (store_.is_down || host.is_refused || !host.reaches_store) return reply(claim_error::unavailable);
+    const claim_answer done{.store_epoch = store_.epoch};
     constexpr duration lease_time = std::chrono::seconds(6);
     if (std::holds_alternative<grant_lease>(call)) {
         store_.leases[++store_.last_lease] = {now_, now_ + lease_time};
-        return reply(store_.last_lease);
+        return reply(claim_answer{store_.last_lease, store_.epoch});
     }
     if (const auto* renewal = std::get_if<renew_lease>(&call)) {
         const auto lease = store_.leases.find(renewal->lease);
         if (lease == store_.leases.end()) return reply(claim_error::lease_ended);
         lease->second.expires_at = now_ + lease_time;
-        return reply(std::uint64_t{0});
+        return reply(done);
     }
     const auto* put = std::get_if<put_feeder>(&call);
-    if (put == nullptr) return reply(std::uint64_t{0});
+    if (put == nullptr) return reply(done);
     const std::string key = "feeder/" + put->registration.failure_domain;
     const auto        found = store_.items.find(key);
-    const auto        revision = found == store_.items.end() ? 0 : found->second.value.revision;
+    const auto        revision = found == store_.items.end() ? 0 : found->second.value.revision.number;
     if (!store_.leases.contains(put->lease)) return reply(claim_error::lease_ended);
     if (revision != put->replaced_revision) return reply(claim_error::conflict);
-    write({key, 0, put->registration, "raw"});
+    write({key, {}, put->registration, "raw"});
     store_.items.at(key).lease = put->lease;
     store_.history.back().lease = put->lease;
-    reply(std::uint64_t{0});
+    reply(done);
 }
 
 inline void fleet::expire_leases() {
@@ -492,7 +505,12 @@
 
 inline void fleet::write(const record& item) {
     record written = item;
-    written.revision = ++store_.revision;
+    ++store_.revision;
+    written.revision = store_revision_now();
+    if (auto* registration = std::get_if<backend_registration>(&written.content)) {
+        registration->report_number = static_cast<std::uint64_t>(now_.time_since_epoch() / report_interval);
+        written.raw_value += report_prefix + std::to_string(registration->report_number);
+    }
     store_.revisions.emplace_back(now_, store_.revision);
     store_.items[written.key] = {written, 0};
     store_.history.push_back({written, 0});
@@ -502,7 +520,12 @@
 inline void fleet::remove(const std::string& key) {
     store_.items.erase(key);
     store_.revisions.emplace_back(now_, ++store_.revision);
-    store_.history.push_back({{key, store_.revision, removed_record{}, {}}, 0});
+    store_.history.push_back({{key, store_revision_now(), removed_record{}, {}}, 0});
+}
+
+inline const record* fleet::latest(const std::string& key) const {
+    const auto found = latest_.find(key);
+    return found == latest_.end() ? nullptr : &found->second;
 }
 
 inline void fleet::leave(const std::string& key) {
@@ -515,11 +538,13 @@
     store_.revision = revision_at(copied_at);
     ++store_.epoch;
     std::erase_if(store_.revisions, [&](const auto& time_and_revision) { return time_and_revision.first > copied_at; });
-    std::erase_if(store_.history, [&](const fleet_store::item& each) { return each.value.revision > store_.revision; });
+    std::erase_if(store_.history,
+                  [&](const fleet_store::item& each) { return each.value.revision.number > store_.revision; });
     std::erase_if(store_.leases, [&](const auto& lease) { return lease.second.granted_at > copied_at; });
     store_.last_lease = store_.leases.empty() ? 0 : store_.leases.rbegin()->first;
     store_.items.clear();
-    for (const fleet_store::item& each : store_.history) {
+    for (fleet_store::item& each : store_.history) {
+        each.value.revision.epoch = store_.epoch;
         store_.items.erase(each.value.key);
         if (!std::holds_alternative<removed_record>(each.value.content)) store_.items[each.value.key] = each;
     }
@@ -536,11 +561,16 @@
     });
 }
 
+inline std::string without_report(const std::string& raw_value) {
+    return raw_value.substr(0, raw_value.find(report_prefix));
+}
+
 inline void fleet::write_again() {
     const std::map<std::string, record> latest = latest_;
     for (const auto& [key, state] : latest) {
         const auto found = store_.items.find(key);
-        if (found == store_.items.end() || found->second.value.raw_value != state.raw_value) write(state);
+        if (found == store_.items.end() || without_report(found->second.value.raw_value) != state.raw_value)
+            write(state);
     }
 }
 
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -37,7 +37,7 @@
     R"("capacity":2,"state":"ready","warmup_left_ms":1500,"sequence":4,"born":1700000000000})";
 
 bool is_usable(const std::string& key, const std::string& value) {
-    return !std::holds_alternative<unusable_record>(decode_record(key, 1, value).content);
+    return !std::holds_alternative<unusable_record>(decode_record(key, {1, 1}, value).content);
 }
 
 } // namespace
@@ -86,7 +86,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(decodes_a_backend_registration) {
-    const auto  decoded_record = decode_record("servers/i-7f3a91c2", 3, backend_json);
+    const auto  decoded_record = decode_record("servers/i-7f3a91c2", {1, 3}, backend_json);
     const auto* registration = std::get_if<backend_registration>(&decoded_record.content);
     BOOST_REQUIRE(registration != nullptr);
     BOOST_TEST(registration->identity == 0x7f3a91c2U);
@@ -113,7 +113,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(decodes_a_configuration_without_its_invalid_routes) {
-    const auto  decoded_record = decode_record("op/config", 9, R"({"version":7,"routes":[
+    const auto  decoded_record = decode_record("op/config", {1, 9}, R"({"version":7,"routes":[
         {"name":"a","host":"198.18.0.1","prefix":"/8080/","type":"non_idempotent","service":"desk"},
         {"name":"b","host":"198.18.0.1","prefix":"/8443/","type":"idempotent",
          "split":[{"service":"desk","weight":90},{"service":"ledger","weight":10}]},
@@ -135,7 +135,7 @@
     const auto listing = decode_listing(
         R"({"items":[{"key":"my/a","value":"bm9kZS0x","revision":412,"created":412,"lease":0}],"has_more":true,"current_rev":530})");
     BOOST_REQUIRE(listing.has_value());
-    BOOST_TEST(listing.value().revision == 530U);
+    BOOST_TEST(listing.value().revision.number == 530U);
     BOOST_TEST(listing.value().has_more);
     BOOST_TEST(listing.value().records.front().raw_value == "node-1");
     const auto changes =
@@ -145,14 +145,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(feeder_responses_decode_like_store_responses) {
-    const feed_answer response{
-        .records = {decode_record("servers/i-7f3a91c2", 3, backend_json), make_removed_record("servers/i-1", 4)},
-        .position = 9'000'000'000'000U,
-        .revision = 5};
-    const auto changes = decode_changes(encode_changes(response));
+    const feed_answer response{.records = {decode_record("servers/i-7f3a91c2", {1, 3}, backend_json),
+                                           make_removed_record("servers/i-1", {1, 4})},
+                               .position = 9'000'000'000'000U,
+                               .revision = {1, 5}};
+    const auto        changes = decode_changes(encode_changes(response));
     BOOST_REQUIRE(changes.has_value());
     BOOST_TEST(changes.value().position == 9'000'000'000'000U);
-    BOOST_TEST(changes.value().revision == 5U);
+    BOOST_TEST(changes.value().revision.number == 5U);
     BOOST_REQUIRE(changes.value().records.size() == 2U);
     BOOST_TEST(changes.value().records[0].raw_value == backend_json);
     BOOST_TEST(std::holds_alternative<removed_record>(changes.value().records[1].content));
@@ -169,7 +169,7 @@
                R"(","prefix":"/443/","type":"idempotent","service":"service-)" + std::to_string(route % 97) + R"("})";
     }
     raw += "]}";
-    const feed_answer response{.records = {decode_record("op/config", 3, raw)}, .position = 9, .revision = 3};
+    const feed_answer response{.records = {decode_record("op/config", {1, 3}, raw)}, .position = 9, .revision = {1, 3}};
     const std::string body = encode_changes(response);
     BOOST_TEST(body.size() * 5 < raw.size());
     const auto changes = decode_changes(body);
@@ -241,7 +241,7 @@
     const feed_key    key{{1, 2, 3}};
     const std::string target = add_request_mac("/tamarackshore/kv-watch?prefix=&after=77&wait_ms=1500", key, 5);
     const std::string response =
-        add_response_mac({{}, encode_changes({.records = {}, .position = 9, .revision = 9})}, key, 5);
+        add_response_mac({{}, encode_changes({.records = {}, .position = 9, .revision = {1, 9}})}, key, 5);
     std::mt19937 random(20261204);
     const auto   corrupt = [&](const std::string& text) {
         std::string corrupted_text = text.substr(0, random() % 4 == 0 ? random() % text.size() : text.size());
@@ -279,10 +279,10 @@
 
 // Values that are not printable text travel in base64; a listing of a large deployment is compressed as a whole.
 BOOST_AUTO_TEST_CASE(listings_of_many_backend_servers_are_sent_compressed) {
-    feed_answer response{.position = 9, .revision = 3, .distance = 2};
-    response.records.push_back(decode_record("servers/i-0", 1, std::string("\x00\xff\n", 3)));
+    feed_answer response{.position = 9, .revision = {1, 3}, .distance = 2};
+    response.records.push_back(decode_record("servers/i-0", {1, 1}, std::string("\x00\xff\n", 3)));
     for (int server = 1; server <= 600; ++server) {
-        response.records.push_back(decode_record("servers/i-" + std::to_string(server), 2,
+        response.records.push_back(decode_record("servers/i-" + std::to_string(server), {1, 2},
                                                  R"({"service":"desk","address":"10.0.0.1:80","zone":"north",)"
                                                  R"("state":"ready","version":"v)" +
                                                      std::to_string(server) + "\"}"));
--- a/tests/platform_store_client_test.cpp
+++ b/tests/platform_store_client_test.cpp
@@ -55,9 +55,9 @@
         run_until([&] { return outcome.has_value(); });
         return *outcome;
     }
-    result<std::uint64_t, claim_error> claim(const claim_call& call) {
-        std::optional<result<std::uint64_t, claim_error>> outcome;
-        client.claim(call, [&](result<std::uint64_t, claim_error> received) { outcome = received; });
+    result<claim_answer, claim_error> claim(const claim_call& call) {
+        std::optional<result<claim_answer, claim_error>> outcome;
+        client.claim(call, [&](result<claim_answer, claim_error> received) { outcome = received; });
         run_until([&] { return outcome.has_value(); });
         return *outcome;
     }
@@ -113,13 +113,13 @@
 BOOST_AUTO_TEST_CASE(feeder_slot_is_claimed_renewed_and_released) {
     const auto lease = claim(grant_lease{6s});
     BOOST_REQUIRE(lease.has_value());
-    BOOST_TEST(claim(put_feeder{own_registration, lease.value()}).has_value());
+    BOOST_TEST(claim(put_feeder{own_registration, lease.value().lease}).has_value());
     BOOST_TEST(store.items().contains("tamarack/feeders/north/0"));
-    BOOST_TEST((claim(put_feeder{own_registration, lease.value()}).error() == claim_error::conflict));
-    BOOST_TEST(claim(renew_lease{lease.value()}).has_value());
-    BOOST_TEST(claim(end_lease{lease.value()}).has_value());
+    BOOST_TEST((claim(put_feeder{own_registration, lease.value().lease}).error() == claim_error::conflict));
+    BOOST_TEST(claim(renew_lease{lease.value().lease}).has_value());
+    BOOST_TEST(claim(end_lease{lease.value().lease}).has_value());
     BOOST_TEST(!store.items().contains("tamarack/feeders/north/0"));
-    BOOST_TEST((claim(renew_lease{lease.value()}).error() == claim_error::lease_ended));
+    BOOST_TEST((claim(renew_lease{lease.value().lease}).error() == claim_error::lease_ended));
 }
 
 // The store executes the write, but its response is lost.
@@ -127,7 +127,7 @@
 BOOST_AUTO_TEST_CASE(feeders_are_found_without_the_other_records) {
     const auto lease = claim(grant_lease{6s});
     BOOST_REQUIRE(lease.has_value());
-    BOOST_REQUIRE(claim(put_feeder{own_registration, lease.value()}).has_value());
+    BOOST_REQUIRE(claim(put_feeder{own_registration, lease.value().lease}).has_value());
     read_call call = list_call();
     call.kind = read_kind::find_feeders;
     const auto feeders = read(call);
@@ -139,18 +139,18 @@
 // A balancer that started again within its lease replaces its own registration, and only that revision of it.
 BOOST_AUTO_TEST_CASE(registration_is_replaced_only_in_the_expected_revision) {
     const auto lease = claim(grant_lease{6s});
-    BOOST_REQUIRE(claim(put_feeder{own_registration, lease.value()}).has_value());
+    BOOST_REQUIRE(claim(put_feeder{own_registration, lease.value().lease}).has_value());
     const std::uint64_t revision = store.items().at("tamarack/feeders/north/0").revision;
     const auto          next_lease = claim(grant_lease{6s});
     BOOST_TEST(
-        (claim(put_feeder{own_registration, next_lease.value(), revision + 1}).error() == claim_error::conflict));
-    BOOST_TEST(claim(put_feeder{own_registration, next_lease.value(), revision}).has_value());
+        (claim(put_feeder{own_registration, next_lease.value().lease, revision + 1}).error() == claim_error::conflict));
+    BOOST_TEST(claim(put_feeder{own_registration, next_lease.value().lease, revision}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(lost_response_is_reported_as_unavailable) {
     const auto lease = claim(grant_lease{6s});
     server.loses_write_answers = true;
-    BOOST_TEST((claim(put_feeder{own_registration, lease.value()}).error() == claim_error::unavailable));
+    BOOST_TEST((claim(put_feeder{own_registration, lease.value().lease}).error() == claim_error::unavailable));
     BOOST_TEST(store.items().contains("tamarack/feeders/north/0"));
 }
 
