Do not take a key that has been removed from a source that holds the removal

What callers saw: flows placed on a backend server that had left, for as long as the process lived. A replica that is complete up to a revision knows that a key which it lacks had been removed by then, so an older state of such a key is ignored.

--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -127,6 +127,9 @@
 
 replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
     if (was_removed_since(item)) return replica_change::none;
+    // A source that holds a removal still lists the key, also to a balancer that has learned of the removal elsewhere.
+    const bool has_been_removed = is_complete_ && !backends_.contains(item.key) && item.revision <= complete_revision_;
+    if (has_been_removed) return replica_change::none;
     known_backend& backend = backends_[item.key];
     if (item.revision <= backend.revision) return replica_change::none;
     if (backend.held_registration && item.revision <= backend.held_registration->revision) return replica_change::none;
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -235,3 +235,14 @@
     BOOST_TEST(identities_by_reference.count(0) == 0U);
     BOOST_TEST(identities_by_reference.size() >= 12'999U);
 }
+
+// A balancer that knows of a removal may list from one that still holds it. The backend server would stay in use, since
+// the removal is not sent again.
+BOOST_AUTO_TEST_CASE(a_removed_key_is_not_taken_from_a_source_that_holds_the_removal) {
+    replica store_replica = synchronized_replica();
+    store_replica.apply_listing({}, at_revision(8), start);
+    BOOST_TEST((store_replica.apply(backend_record(4, registration_of(1)), start) == replica_change::none));
+    BOOST_TEST(store_replica.available_backends("desk").empty());
+    store_replica.apply(backend_record(9, registration_of(1)), start);
+    BOOST_TEST(store_replica.available_backends("desk").size() == 1U);
+}
