Do not make followers list again after a listing that is no newer than the last

A listing invalidated the positions of the followers, since it does not tell which keys had been removed before; in a circle each listing led to the next until the confirmations were too old. A listing that is no newer than an earlier one has no such keys. entry_replica_test has the case.

--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -251,7 +251,10 @@
         apply_removal(item, registered_until, now);
     // Keys that were removed before the listing are unknown unless the replica held them. A follower may hold one.
     forgotten_revision_ = std::max(forgotten_revision_, revision);
-    if (is_complete_) listed_generation_ = ++generation_;
+    // A listing that is no newer than an earlier one tells of no further removals. Balancers that read from each other
+    // would otherwise make each other list again and again.
+    if (is_complete_ && revision > listed_revision_) listed_generation_ = ++generation_;
+    listed_revision_ = std::max(listed_revision_, revision);
     is_complete_ = true;
     set_complete_revision(complete_until);
 }
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -209,7 +209,8 @@
     std::uint64_t  first_generation_ = 0;
     std::uint64_t  forgotten_generation_ = 0; // generation of the newest forgotten removal
     store_revision forgotten_revision_;       // up to it removals were forgotten or preceded a listing
-    std::uint64_t  listed_generation_ = 0;    // of the last listing but the first
+    std::uint64_t  listed_generation_ = 0;    // of the last listing that was newer than all before it
+    store_revision listed_revision_{};        // of that listing
     bool           is_complete_ = false;
     std::uint64_t  ignored_count_ = 0;
     ignored_record last_ignored_;
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -246,3 +246,15 @@
     store_replica.apply(backend_record(9, registration_of(1)), start);
     BOOST_TEST(store_replica.available_backends("desk").size() == 1U);
 }
+
+// Load pattern: balancers that read from each other after an outage, each of which makes the other list again.
+BOOST_AUTO_TEST_CASE(a_listing_that_is_not_newer_than_the_last_leaves_followers_at_their_position) {
+    replica store_replica = synchronized_replica();
+    store_replica.apply_listing({}, at_revision(8), start);
+    store_replica.apply_listing({}, at_revision(9), start);
+    const std::uint64_t position = store_replica.generation();
+    store_replica.apply_listing({}, at_revision(9), start);
+    BOOST_TEST(store_replica.changes_for_follower(position).has_value());
+    store_replica.apply_listing({}, at_revision(10), start);
+    BOOST_TEST(!store_replica.changes_for_follower(position).has_value());
+}
