Apply a held removal only when the store has been heard after the hold time

What callers saw: 2.7 s without any backend server on one host, and 31 resets of open flows (FLOW) while all backend servers were alive. Class: the absence of news taken for news of absence. The removal applies now when the store has confirmed the replica after the hold time, directly or through balancers; so does a registration that is held.

The new test fails without the change.

--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -297,7 +297,7 @@
     apply_held_registrations(now);
     std::size_t applied_removals = 0;
     for (auto& [key, backend] : backends_) {
-        if (!backend.held_removal_due || now < *backend.held_removal_due || !store_available_since_) continue;
+        if (!backend.held_removal_due || !is_confirmed_at(*backend.held_removal_due)) continue;
         backend.held_removal_due.reset();
         backend.removed_at = now;
         backend.revision = backend.held_removal_revision;
@@ -319,10 +319,14 @@
     return applied_removals;
 }
 
+// A balancer that has not heard from the store since cannot know what has been written there.
+bool replica::is_confirmed_at(steady_time due) const {
+    return store_available_since_ && last_confirmation_ >= due;
+}
+
 void replica::apply_held_registrations(steady_time now) {
-    if (!store_available_since_) return;
     for (auto& [key, backend] : backends_) {
-        if (!backend.held_registration || now < backend.held_registration_due) continue;
+        if (!backend.held_registration || !is_confirmed_at(backend.held_registration_due)) continue;
         const record item = *backend.held_registration;
         take_registration(item, std::get<backend_registration>(item.content), backend, now);
     }
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -11,7 +11,7 @@
 //
 // During an outage of the store, registrations may expire although their backend servers are alive. Removals seen
 // during an outage, or within the hold time after it, are therefore held: the backend server stays in use until it
-// registers again or the hold time has passed.
+// registers again, or the store has confirmed after the hold time that it has not.
 #pragma once
 
 #include "entry/model.h"
@@ -99,8 +99,8 @@
     // The store has answered, or a balancer whose replica the store has confirmed this long ago. The distance is the
     // number of balancers between the store and this one.
     void        note_store_available(steady_time now, duration confirmation_age = {}, unsigned distance = 0);
-    // Applies held removals and registrations that are due, and forgets old removals. Returns the number of removals
-    // that took effect.
+    // Applies held removals and registrations for which the store has confirmed the replica since they were due, and
+    // forgets old removals. Returns the number of removals that took effect.
     std::size_t expire(steady_time now);
 
     // Records ignored so far, and the last one of them.
@@ -177,6 +177,7 @@
     template <class IsNewer>
     std::vector<record> collect_changes(IsNewer is_newer) const;
     bool                holds_removals(steady_time now) const;
+    bool                is_confirmed_at(steady_time due) const;
     void                refresh_indexes() const;
 
     // Remembers a removal, so that an older state of the key is not applied and followers learn of the removal.
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -93,9 +93,30 @@
     store_replica.note_store_available(start + 5s);
     store_replica.apply_listing({}, at_revision(7), start + 5s);
     store_replica.expire(start + 5s + removal_hold_time);
+    BOOST_TEST(store_replica.available_backends("desk").size() == 1U); // not confirmed since
+    store_replica.note_store_available(start + 5s + removal_hold_time);
+    store_replica.expire(start + 5s + removal_hold_time);
     BOOST_TEST(store_replica.available_backends("desk").empty());
 }
 
+// After an outage a balancer's next call to the store got no answer for five seconds. It dropped all backend servers
+// when the hold time was over, although they had registered again (hunt of aik-ops, clock-step-and-lapse).
+BOOST_AUTO_TEST_CASE(backend_servers_stay_in_use_while_the_store_has_not_been_heard_after_the_hold_time) {
+    replica store_replica = synchronized_replica();
+    store_replica.apply(backend_record(3, registration_of(1)), start);
+    store_replica.note_store_unavailable();
+    store_replica.note_store_available(start + 5s);
+    store_replica.apply(removal_record(7, 1), start + 5s);
+    for (const duration later : {3s, 5s, 30s})
+        BOOST_TEST(store_replica.expire(start + 5s + later) == 0U);
+    store_replica.note_store_available(start + 40s, 33s); // through balancers, of a time within the hold
+    BOOST_TEST(store_replica.expire(start + 40s) == 0U);
+    store_replica.apply(backend_record(8, registration_of(1)), start + 41s);
+    store_replica.note_store_available(start + 41s);
+    BOOST_TEST(store_replica.expire(start + 41s) == 0U);
+    BOOST_TEST(store_replica.available_backends("desk").size() == 1U);
+}
+
 // A second outage during the hold time must not end the hold.
 BOOST_AUTO_TEST_CASE(the_hold_time_starts_again_after_a_second_outage) {
     replica store_replica = synchronized_replica();
@@ -109,6 +130,7 @@
     store_replica.note_store_available(start + 10s);
     store_replica.expire(start + 11s);
     BOOST_TEST(store_replica.available_backends("desk").size() == 1U);
+    store_replica.note_store_available(start + 10s + removal_hold_time);
     store_replica.expire(start + 10s + removal_hold_time);
     BOOST_TEST(store_replica.available_backends("desk").empty());
 }
@@ -162,6 +184,7 @@
     // The removal is reported as a change only when it takes effect.
     const std::uint64_t earlier_generation = store_replica.generation();
     store_replica.note_store_available(start + 1s);
+    store_replica.note_store_available(start + 10s);
     store_replica.expire(start + 10s);
     const auto later_changes = store_replica.changes_after(earlier_generation).value();
     BOOST_REQUIRE(later_changes.size() == 1U);
@@ -177,6 +200,7 @@
     store_replica.note_store_available(start);
     store_replica.apply(removal_record(8, 1), start);
     store_replica.apply(backend_record(6, registration_of(1)), start);
+    store_replica.note_store_available(start + 5s);
     store_replica.expire(start + 5s);
     BOOST_TEST(store_replica.find_backend(reference_of(1))->removed_at.has_value());
     BOOST_TEST((store_replica.apply(backend_record(7, registration_of(1)), start + 5s) == replica_change::none));
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -643,6 +643,7 @@
     BOOST_TEST(list().revision.number == 6U);
     BOOST_TEST(served_feed.resume(call(1), at_revision(5), now).records.empty());
     now += 5s;
+    store_replica.note_store_available(now);
     store_replica.expire(now);
     store_replica.note_store_available(now);
     const feed_answer answer = served_feed.resume(call(1), at_revision(6), now);
