--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -84,7 +84,8 @@
      "counts "
      "the balancers between the store and this one."},
     {event::record_ignored, severity::info, "record ignored",
-     "Entry balancer: a source delivered a state of `key` that differs from the known one and is older, by `revision` and "
+     "Entry balancer: a source delivered a state of `key` that differs from the known one and is older, by `revision` "
+     "and "
      "`known_revision`. `count` counts all such records since the start; lines are rate-limited."},
 
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
