--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -3,6 +3,7 @@
 
 #include "soak/balancer_process.h"
 #include "soak/flow_ends.h"
+#include "soak/store_history.h"
 #include "standins/kv_server.h"
 #include "tamarack/clock.h"
 
@@ -74,6 +75,8 @@
     void          inject_store_fault();
     void          inject_backend_fault();
     void          end_store_fault();
+    void          restore_store();
+    void          write_again();
     // Flows
     void          start_flow();
     void          step_flows();
@@ -124,6 +127,10 @@
     steady_time                                    next_readiness_check_at_{};
     steady_time                                    last_store_fault_at_{};
     std::optional<steady_time>                     store_fault_ends_at_;
+    store_history                                  store_copies_;
+    std::optional<duration>                        restored_age_; // of the copy that the store returns with
+    std::optional<steady_time>                     written_again_at_;
+    std::string                                    configuration_; // as written last
     std::uint64_t                                  configuration_version_ = 0;
     std::string                                    changing_route_service_; // current service of route 2
     steady_time                                    changing_route_changed_at_{};
@@ -176,8 +183,9 @@
     };
     std::string routes = route("fixed", 1, services[0]) + "," + route("changing", 2, service);
     if (configuration_version_ % 2 == 0) routes += "," + route("passing", 3, services[1]);
-    store_.put("op/config", "{\"version\":" + std::to_string(configuration_version_) + ",\"routes\":[" + routes +
-                                "],\"services\":[],\"limits\":{\"idle_timeout_ms\":15000}}");
+    configuration_ = "{\"version\":" + std::to_string(configuration_version_) + ",\"routes\":[" + routes +
+                     "],\"services\":[],\"limits\":{\"idle_timeout_ms\":15000}}";
+    store_.put("op/config", configuration_);
 }
 
 void soak_run::add_backend(const std::string& service, const std::optional<endpoint>& address) {
@@ -380,7 +388,7 @@
 void soak_run::inject_store_fault() {
     last_store_fault_at_ = now();
     store_fault_ends_at_ = now() + 200ms + std::chrono::milliseconds(random_below(3'000));
-    switch (random_below(6)) {
+    switch (random_below(settings_.has_restores ? 7 : 6)) {
     case 0:
         store_server_.fault = kv_fault::unavailable;
         return;
@@ -396,6 +404,10 @@
     case 4:
         store_server_.withholds_events = true;
         return store_.drop_history();
+    case 6:
+        store_server_.fault = kv_fault::unavailable;
+        restored_age_ = 500ms + std::chrono::milliseconds(random_below(6'000));
+        return;
     default: // registrations expire during an outage of the store and come back when it ends
         store_server_.fault = kv_fault::unavailable;
         for (auto& backend : backends_) {
@@ -434,6 +446,28 @@
     }
 }
 
+// The store has lost what was written since the copy, until the operator and the backend servers write it again.
+void soak_run::restore_store() {
+    const standin::kv_store* copy = store_copies_.copy_before(now() - *restored_age_);
+    restored_age_.reset();
+    if (copy == nullptr) return;
+    store_.restore(*copy);
+    written_again_at_ = now() + 100ms + std::chrono::milliseconds(random_below(1'500));
+}
+
+void soak_run::write_again() {
+    if (!written_again_at_ || now() < *written_again_at_) return;
+    written_again_at_.reset();
+    last_store_fault_at_ = now();
+    const auto configuration = store_.items().find("op/config");
+    if (configuration == store_.items().end() || configuration->second.value != configuration_)
+        store_.put("op/config", configuration_);
+    for (auto& backend : backends_) {
+        if (backend->is_alive()) register_backend(*backend);
+        if (!backend->socket) store_.remove("servers/" + backend->id); // has left, and is only in the copy
+    }
+}
+
 void soak_run::end_store_fault() {
     if (!store_fault_ends_at_ || now() < *store_fault_ends_at_) return;
     store_fault_ends_at_.reset();
@@ -441,6 +475,7 @@
     store_server_.fault = kv_fault::none;
     store_server_.loses_write_answers = false;
     store_server_.withholds_events = false;
+    if (restored_age_) return restore_store();
     for (auto& backend : backends_) {
         if (backend->is_alive() && !store_.items().contains("servers/" + backend->id)) register_backend(*backend);
     }
@@ -703,7 +738,7 @@
 
 bool soak_run::bounds_apply_to(unsigned balancer_index) const {
     const steady_time last_fault_at = std::max(last_store_fault_at_, balancers_[balancer_index]->last_fault_at);
-    return !store_fault_ends_at_ && !balancers_[balancer_index]->faults_end_at &&
+    return !store_fault_ends_at_ && !written_again_at_ && !balancers_[balancer_index]->faults_end_at &&
            now() - last_fault_at > recovery_bound;
 }
 
@@ -719,6 +754,8 @@
         store_server_.poll();
         receive_at_callers();
         step_backends();
+        store_copies_.note(store_, now());
+        write_again();
         step_balancers();
         end_store_fault();
         if (is_injecting_faults()) inject_fault();
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -19,6 +19,7 @@
     tamarack::duration fault_duration = std::chrono::seconds(6);
     tamarack::duration calm_duration = std::chrono::seconds(9); // without faults, after them
     bool               has_packet_faults = true; // false: reproduces seeds recorded before packet faults existed
+    bool               has_restores = true;      // the store is restored from copies; false: as with has_packet_faults
 };
 
 struct run_report {
