Ignore records without a revision, and begin a listing again when the epoch changes between its pages

A host that starts while the store is restored could put pages of two epochs together into its first listing (entry_store_sync_test).

--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -72,6 +72,7 @@
 }
 
 replica_change replica::apply_content(const record& item, steady_time now) {
+    if (item.revision.number == 0) return replica_change::none; // no state of a key: the store counts from 1
     if (const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&item.content))
         return apply_routing(item, *table);
     if (const auto* registration = std::get_if<backend_registration>(&item.content))
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -178,11 +178,12 @@
 // epoch lacks, and a position of the old one may already have been issued again. A source that is still in an earlier
 // epoch has not read the store since.
 std::optional<read_error> store_sync::check_epoch(const record_page& page) const {
-    if (latest_call_.kind == read_kind::find_feeders || !store_replica_.is_complete()) return std::nullopt;
-    const std::uint64_t known_epoch = store_replica_.complete_revision().epoch;
-    if (page.revision.epoch < known_epoch) return read_error::refused;
+    if (latest_call_.kind == read_kind::find_feeders) return std::nullopt;
     const bool is_later_page = latest_call_.kind == read_kind::list && !latest_call_.after_key.empty();
     if (is_later_page && page.revision.epoch != first_page_.revision.epoch) return read_error::history_dropped;
+    if (!store_replica_.is_complete()) return std::nullopt;
+    const std::uint64_t known_epoch = store_replica_.complete_revision().epoch;
+    if (page.revision.epoch < known_epoch) return read_error::refused;
     if (latest_call_.kind != read_kind::list && page.revision.epoch != known_epoch) return read_error::history_dropped;
     return std::nullopt;
 }
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -282,3 +282,17 @@
     store_replica.apply_listing({}, at_revision(10), start);
     BOOST_TEST(!store_replica.changes_for_follower(position).has_value());
 }
+
+// One malformed answer must not end the process, nor leave a backend server or feeder without an address.
+BOOST_AUTO_TEST_CASE(a_record_without_a_revision_is_ignored) {
+    replica      store_replica = synchronized_replica();
+    record       backend = backend_record(0, registration_of(1));
+    const record feeder{"feeder/north/0", {}, feeder_registration{"near", "north", 0, service_address, {}}, "raw"};
+    backend.revision = {};
+    BOOST_TEST((store_replica.apply(backend, start) == replica_change::none));
+    BOOST_TEST((store_replica.apply(feeder, start) == replica_change::none));
+    BOOST_TEST((store_replica.apply({"backend/2", {}, removed_record{}, {}}, start) == replica_change::none));
+    BOOST_TEST(store_replica.backends().empty());
+    BOOST_TEST(store_replica.feeders().empty());
+    BOOST_TEST(store_replica.records().empty());
+}
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -112,6 +112,38 @@
     BOOST_TEST(wait_for_next().after_position == 5U);
 }
 
+// The pages before and after a restore of the store are parts of two listings.
+BOOST_AUTO_TEST_CASE(a_listing_begins_again_when_the_store_is_restored_between_two_pages) {
+    look_up_feeders();
+    next();
+    answer({backend_record(2, registration_of(1))}, 5, 5, true);
+    BOOST_TEST(next().after_key == "backend/1");
+    sync.succeeded({.records = {backend_record(3, registration_of(2))},
+                    .position = 4,
+                    .revision = {2, 4},
+                    .listed_revision = {2, 4}},
+                   now);
+    BOOST_TEST(!store_replica.is_complete());
+    const read_call call = next();
+    BOOST_TEST((call.kind == read_kind::list));
+    BOOST_TEST(call.after_key.empty());
+}
+
+// Changes between the position of a watch and the end of the epoch may be missing in an answer of the next one.
+BOOST_AUTO_TEST_CASE(an_answer_of_the_next_epoch_leads_to_a_listing_and_one_of_an_earlier_epoch_is_refused) {
+    complete_listing();
+    wait_for_next();
+    sync.succeeded({.records = {}, .position = 9, .revision = {2, 9}, .listed_revision = {2, 9}}, now);
+    BOOST_TEST((next().kind == read_kind::list));
+    sync.succeeded({.records = {}, .position = 9, .revision = {2, 9}, .listed_revision = {2, 9}}, now);
+    wait_for_next();
+    const steady_time confirmed_at = store_replica.last_confirmation();
+    now += 1s;
+    answer({}, 12, 12); // of the first epoch
+    BOOST_TEST((store_replica.complete_revision() == store_revision{2, 9}));
+    BOOST_TEST((store_replica.last_confirmation() == confirmed_at));
+}
+
 BOOST_AUTO_TEST_CASE(a_dropped_history_leads_to_an_immediate_listing) {
     complete_listing();
     wait_for_next();
