--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -447,7 +447,11 @@
             {.name = "self", .failure_domain = "north", .address = self, .contacts = {}, .change_deadline = deadline},
             1};
         starting_sync.next_call(now);
-        starting_sync.succeeded({.records = {near_feeder, far_feeder}, .position = 5, .revision = 5}, now);
+        starting_sync.succeeded({.records = {near_feeder, far_feeder},
+                                 .position = 5,
+                                 .revision = at_revision(5),
+                                 .listed_revision = at_revision(5)},
+                                now);
         const steady_time        started_at = now;
         std::optional<read_call> call;
         for (;; now += 5ms) {
@@ -476,7 +480,11 @@
         for (; !call; now += 10ms)
             call = waiting_sync.next_call(now);
         if (call->kind == read_kind::find_feeders)
-            waiting_sync.succeeded({.records = std::move(feeders), .position = 5, .revision = 5}, now);
+            waiting_sync.succeeded({.records = std::move(feeders),
+                                           .position = 5,
+                                           .revision = at_revision(5),
+                                           .listed_revision = at_revision(5)},
+                                          now);
         return *call;
     };
     BOOST_TEST((look_up({}).kind == read_kind::find_feeders));
@@ -497,7 +505,8 @@
     for (; !call || call->kind == read_kind::find_feeders; now += 10ms) {
         call = waiting_sync.next_call(now);
         if (call && call->kind == read_kind::find_feeders)
-            waiting_sync.succeeded({.records = {}, .position = 5, .revision = 5}, now);
+            waiting_sync.succeeded(
+                {.records = {}, .position = 5, .revision = at_revision(5), .listed_revision = at_revision(5)}, now);
     }
     BOOST_TEST((call->kind == read_kind::list));
     BOOST_TEST((now - started_at <= 4s));
