--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -82,8 +82,8 @@
 
 // A position is only valid at the source that issued it. The store's position is the number of its revision, so that a
 // watch on the store can continue from the revision that a feeder reported, and a feeder can find the changes after a
-// revision. A
-// complete listing for each change of source would load a feeder most when many followers switch to it at once.
+// revision. A complete listing for each change of source would load a feeder most when many followers switch to it at
+// once.
 void store_sync::switch_to(const record_source& source) {
     if (source == latest_call_.source && latest_call_.kind != read_kind::find_feeders) return;
     latest_call_ = {.kind = read_kind::list, .source = source, .after_key = {}};
