--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -671,6 +671,18 @@
 
 // If a feeder stops while it holds a removal, its followers must still learn of the removal from the store or another
 // feeder.
+// Hypothesis 3 of the incident of issue 24: a revision of one epoch is no position in another, whichever is the later
+// one.
+BOOST_AUTO_TEST_CASE(a_follower_does_not_resume_at_a_balancer_in_another_epoch) {
+    store_replica.note_store_available(now);
+    load({backend_record(2, registration_of(1))});
+    BOOST_TEST((served_feed.resume(call(1), {1, 5}, now).status == feed_status::ok));
+    BOOST_TEST((served_feed.resume(call(1), {2, 5}, now).status == feed_status::not_current));
+    store_replica.apply_listing(std::vector{backend_record(2, registration_of(1))}, {2, 5}, now);
+    BOOST_TEST((served_feed.resume(call(1), {1, 5}, now).status == feed_status::history_dropped));
+    BOOST_TEST((served_feed.resume(call(1), {2, 5}, now).status == feed_status::ok));
+}
+
 BOOST_AUTO_TEST_CASE(a_held_removal_is_not_covered_by_the_revision_of_an_answer) {
     store_replica.note_store_available(now - 1min);
     load({backend_record(2, registration_of(1))});
@@ -873,6 +885,24 @@
 }
 
 // The lease may expire while the process is paused, or the key may be deleted without notice.
+// A restored store grants the numbers of lost leases again. Ending or renewing such a number would end or prolong the
+// lease of another host.
+BOOST_AUTO_TEST_CASE(a_lease_of_an_earlier_epoch_is_neither_ended_nor_renewed) {
+    become_feeder();
+    store_replica.apply_listing({}, {2, 4}, now);
+    BOOST_TEST(!claim.next_call(now, claim_permission::none, true).has_value());
+    BOOST_TEST(!claim.holds_slot());
+    wait_for<grant_lease>();
+}
+
+BOOST_AUTO_TEST_CASE(a_renewal_that_another_epoch_answers_has_renewed_another_lease) {
+    become_feeder();
+    wait_for<renew_lease>();
+    claim.succeeded({.lease = 0, .store_epoch = 2}, now);
+    BOOST_TEST(!claim.holds_slot());
+    wait_for<grant_lease>();
+}
+
 BOOST_AUTO_TEST_CASE(a_slot_whose_lease_ended_unnoticed_is_claimed_again) {
     become_feeder();
     wait_for<renew_lease>();
