Do not give up a connection to the platform's service after 100 ms

Callers saw: the first call of a host fails at once ("tcp handshaker shutdown") although the service runs; behind a link with a delay of 150 ms a host never reaches it.

Cause: GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, set to 100 ms, is no backoff but the time that gRPC allows a connection attempt to take, HTTP/2 settings included.

Change: the attempt may take 1.5 s, enough for a SYN that is lost once.

--- a/tamarack/platform_grpc.cpp
+++ b/tamarack/platform_grpc.cpp
@@ -43,6 +43,8 @@
 // With the defaults (1 s to 120 s) the platform would not be used for minutes after an outage.
 constexpr int      initial_reconnect_milliseconds = 100;
 constexpr int      max_reconnect_milliseconds = 5'000;
+// Until the service has sent its first HTTP/2 frame. Covers a lost SYN, which is retransmitted after a second.
+constexpr int      connect_timeout_milliseconds = 1'500;
 constexpr int      max_response_bytes = 16 * 1024 * 1024; // for lists of keys; values have at most 1 MB
 // The service is asked to answer a watch this long before the deadline of the call, so that "unchanged" arrives before
 // the deadline.
@@ -124,7 +126,7 @@
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_milliseconds);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_milliseconds);
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, initial_reconnect_milliseconds);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, initial_reconnect_milliseconds);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connect_timeout_milliseconds); // no backoff, despite its name
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_reconnect_milliseconds);
     arguments.SetMaxReceiveMessageSize(max_response_bytes);
     if (settings.root_certificates.empty()) {
--- a/tests/platform_grpc_test.cpp
+++ b/tests/platform_grpc_test.cpp
@@ -2,6 +2,8 @@
 // failures, which lose or repeat a change, against requests that are never answered, and against missed watch
 // notifications.
 #define BOOST_TEST_MODULE platform_grpc
+#include "loopback_endpoint.h"
+#include "soak/loopback_proxy.h"
 #include "standins/platform_service.h"
 #include "tamarack/configuration_replica.h"
 #include "tamarack/platform_grpc.h"
@@ -164,6 +166,22 @@
     BOOST_TEST((write("a", "two", 1).status == store_status::unknown_outcome));
 }
 
+// Guards against attempts to connect that are given up while the connection is being set up: a service that is far away
+// or a host that is busy would be unreachable for good. CI saw it as a failed read of the first call.
+BOOST_FIXTURE_TEST_CASE(a_connection_that_takes_some_time_to_set_up_is_not_given_up, fixture) {
+    const endpoint          proxy_address = loopback_endpoint(91, 8'170);
+    boost::asio::io_context context;
+    soak::loopback_proxy    proxy(context, proxy_address, loopback(server.port()));
+    proxy.faults().delay = milliseconds(150); // of each chunk, both ways
+    const auto  keeps_running = boost::asio::make_work_guard(context);
+    std::thread proxy_thread([&] { context.run(); });
+    adapter = std::make_unique<platform_grpc>(platform_grpc_settings{{proxy_address}, {}});
+    BOOST_TEST((read("a").status == store_status::not_found));
+    BOOST_TEST((write("a", "one", 0).status == store_status::ok));
+    context.stop();
+    proxy_thread.join();
+}
+
 // Guards against incompatible assumptions of the adapter and the replica.
 BOOST_FIXTURE_TEST_CASE(a_replica_commits_through_the_service_after_a_lost_answer, fixture) {
     system_clock     time;
