Let elected watchers poll the configuration too, so that a restored store is noticed at the version they wait after

Operators would see: a change that was accepted by members of one failure domain is never in force in another one that is cut off from its peers, until somebody makes a further change.

A watch waits for a version above the one seen last. A store that was restored from a copy and has been written since may have that version again, with another head; the watch then answers "unchanged". The poll of a failure domain once a minute was done only by members that are not elected, so by nobody where all are.

Evidence: a_restored_store_that_reaches_the_watched_version_again_is_noticed fails on: both members never learn of two changes. Passes now; configuration_replica_test as a whole passes (calls to the store still do not grow with hosts).

--- a/tamarack/configuration_watch.cpp
+++ b/tamarack/configuration_watch.cpp
@@ -3,7 +3,7 @@
 //   elected     -> watch (long poll) -> newer head -> watch ...
 //   failed call -> backoff -> read -> watch
 //   older head  -> read again; still older after 2 s -> write the current head back by compare-and-swap
-//   not elected -> infrequent polls
+//   each member -> infrequent polls: a restored store may reach the watched version again, with another head
 #include "tamarack/configuration_parts.h"
 #include "tamarack/events.h"
 
@@ -65,15 +65,16 @@
 
 void watcher::start_next_call() {
     if (must_read_head_) return read_head();
+    if (shared_.now() >= next_poll_at_) {
+        next_poll_at_ = shared_.now() + poll_interval_ / 2 + shared_.random_below(poll_interval_);
+        return read_head();
+    }
     if (shared_.is_elected_watcher) return watch_head();
     if (needs_first_read()) {
         first_read_at_ = shared_.now() + first_read_interval_ / 2 + shared_.random_below(first_read_interval_);
         first_read_interval_ = std::min(2 * first_read_interval_, poll_interval_);
-        return read_head();
+        read_head();
     }
-    if (shared_.now() < next_poll_at_) return;
-    next_poll_at_ = shared_.now() + poll_interval_ / 2 + shared_.random_below(poll_interval_);
-    read_head();
 }
 
 void watcher::read_head() {
--- a/tests/configuration_replica_test.cpp
+++ b/tests/configuration_replica_test.cpp
@@ -225,6 +225,30 @@
     }
 }
 
+// Guards against a change that is never noticed: a restored store has issued the version that the watchers wait after
+// again, for a head with other changes. The two members of the failure domain are both watchers.
+BOOST_AUTO_TEST_CASE(a_restored_store_that_reaches_the_watched_version_again_is_noticed) {
+    replica_loop loop(2, 1, seed);
+    loop.commit(0, "common", make_service("common", 1));
+    loop.run(seconds(4));
+    head longer_head = stored_head_of(loop);
+    loop.commit(0, "mine", make_service("mine", 2));
+    loop.run(seconds(4));
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        const std::string name = "theirs" + std::to_string(i);
+        longer_head =
+            append(longer_head, {name, "boris", 0, false, make_service(name, 10 + i)}, loop.time.wall_now()).value();
+    }
+    auto contents = loop.store.backup();
+    contents.at(head_key("default")).value = encode(longer_head); // under the version that "mine" had
+    loop.store.restore(contents);
+    loop.run(std::chrono::minutes(3), [&] { return loop.all_hold(4); });
+    for (const auto& item : loop.hosts) {
+        BOOST_TEST(find_service(*item.replica->current(), "theirs1") != nullptr);
+        BOOST_TEST(find_service(*item.replica->current(), "mine") != nullptr);
+    }
+}
+
 // Guards against commands that hang or report a wrong result during an outage, and against too many retries.
 BOOST_AUTO_TEST_CASE(an_outage_gives_a_clear_answer_and_few_calls) {
     replica_loop loop(64, 4, seed);
