Bound the time that a balancer waits for a lost feeder after an outage of the store

Cause: waits that grow during an outage and outlast it. A balancer whose feeder had ended during the outage waited up to 16 s for its next attempt to read the store, because another feeder answered (without a recent confirmation), 3 to 9 s if its source was no registered feeder any more, and up to 1.9 s for each call to a balancer that had not answered before. Class of fault: a wait that assumes that somebody else recovers, without a bound by the deadline that it has to meet.

Change: the wait for the store depends on whether the own feeder answers now, not when the store failed; if not, it is half of the deadline of a change at most. Balancers below followers try the store in the second half of what the deadline leaves, instead of 3 to 9 s later. Without a source, balancers that did not answer are asked after the store, and briefly.

--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -8,8 +8,12 @@
 namespace {
 
 constexpr backoff_settings store_backoff = {std::chrono::milliseconds(100), std::chrono::milliseconds(1'600)};
-// Of a balancer whose feeders answer, but without a recent confirmation: they retry the store themselves.
-constexpr backoff_settings patient_store_backoff = {std::chrono::seconds(4), std::chrono::seconds(16)};
+// Of a balancer whose feeder answers, but without a recent confirmation: the feeder retries the store itself.
+constexpr backoff_settings answering_tree_backoff = {std::chrono::seconds(4), std::chrono::seconds(16)};
+// Of a balancer whose feeder does not answer: nobody else reads the store for it. The limit is half of the deadline of
+// a change, which leaves time for a pending call to another source.
+constexpr duration         lost_tree_first_backoff = std::chrono::milliseconds(500);
+constexpr int              lost_tree_deadline_divisor = 2;
 // A feeder that failed has crashed, stopped or lost its network; another one is read in the meantime.
 constexpr backoff_settings feeder_backoff = {std::chrono::milliseconds(1'500), std::chrono::seconds(12)};
 // A balancer of the own tree that has lost the store: it may be current again as soon as one of its followers is.
@@ -33,10 +37,9 @@
 constexpr duration             least_lookup_pause = std::chrono::milliseconds(300);
 constexpr duration             most_lookup_pause = std::chrono::milliseconds(600);
 // The store may turn away all feeders and serve others. The followers of a feeder then try the store themselves, spread
-// over what the deadline of a change leaves after the loss has been noticed; balancers further down wait for them.
+// over the first half of what the deadline of a change leaves after the loss has been noticed; balancers further down,
+// which mostly find their sources current again by then, over the second half.
 constexpr duration             loss_detection_time = std::chrono::milliseconds(2'900);
-constexpr duration             least_lower_store_delay = std::chrono::seconds(3);
-constexpr duration             most_lower_store_delay = std::chrono::seconds(9);
 
 // A host whose feeders do not answer may be cut off from their failure domains, but not from the store.
 constexpr unsigned max_unanswered_feeders = 2;
@@ -165,9 +168,14 @@
     sources.insert(sources.end(), other_domains.begin(), other_domains.end());
     if (!prefers_store() && !starts_with_store(now)) sources.push_back(store);
     if (is_feeder()) add_own_followers(sources);
-    if (store_replica_.is_complete()) return sources;
-    for (const endpoint& contact : settings_.contacts)
-        sources.push_back({source_kind::contact, contact, {}});
+    if (!store_replica_.is_complete()) {
+        for (const endpoint& contact : settings_.contacts)
+            sources.push_back({source_kind::contact, contact, {}});
+    } else if (lacks_source(now)) {
+        // A call to a balancer that does not answer takes until its timeout, while the store may be back.
+        std::stable_partition(sources.begin(), sources.end(),
+                              [&](const record_source& source) { return has_answered(source); });
+    }
     return sources;
 }
 
@@ -196,13 +204,47 @@
 // The epoch for a source that may be tried immediately.
 steady_time source_choice::retry_at(const record_source& source) const {
     if (source.kind == source_kind::store) {
-        if (prefers_store() || !store_due_ || store_replica_.feeders().empty()) return store_health_.retry_at;
-        return std::max(patient_store_retry_at_, *store_due_);
+        if (prefers_store() || !store_due_ || store_replica_.feeders().empty()) return store_retry_at();
+        const auto backoff = does_own_tree_answer() ? answering_tree_backoff : lost_tree_backoff();
+        return std::max(store_retry_after(backoff), *store_due_);
     }
     const auto health = balancer_health_.find(source.address);
     return health == balancer_health_.end() ? steady_time{} : health->second.retry_at;
 }
 
+bool source_choice::has_answered(const record_source& source) const {
+    const auto health = balancer_health_.find(source.address);
+    return source.kind == source_kind::store || health == balancer_health_.end() || health->second.has_answered;
+}
+
+// Several sources have failed, and none has replaced them.
+bool source_choice::lacks_source(steady_time now) const {
+    const bool have_sources_failed =
+        store_health_.consecutive_failures > 0 || unanswered_feeders_ >= max_unanswered_feeders;
+    return have_sources_failed && !store_replica_.is_current(now);
+}
+
+bool source_choice::does_own_tree_answer() const {
+    const known_feeder* feeder = feeder_of_own_domain();
+    return feeder != nullptr && has_answered({source_kind::feeder, feeder->registration.address, {}});
+}
+
+steady_time source_choice::store_retry_at() const {
+    return store_retry_after(store_backoff);
+}
+
+// As retry_delay, with the random number of the failure.
+steady_time source_choice::store_retry_after(const backoff_settings& backoff) const {
+    if (store_health_.consecutive_failures == 0) return {};
+    const duration limit = backoff_limit(backoff, store_health_.consecutive_failures - 1);
+    return store_health_.failed_at + limit / 2 + std::chrono::duration_cast<duration>(limit / 2 * store_health_.jitter);
+}
+
+backoff_settings source_choice::lost_tree_backoff() const {
+    const duration limit = settings_.change_deadline / lost_tree_deadline_divisor;
+    return {std::min(lost_tree_first_backoff, limit), limit};
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Outcomes
 //----------------------------------------------------------------------------------------------------------------------
@@ -245,15 +287,16 @@
                            steady_time now) {
     if (source.kind == source_kind::store) {
         is_served_by_store_ = false;
-        const unsigned failures = store_health_.consecutive_failures++;
-        store_health_.retry_at = now + retry_delay(store_backoff, failures, random_);
-        patient_store_retry_at_ = now + retry_delay(patient_store_backoff, failures, random_);
+        ++store_health_.consecutive_failures;
+        store_health_.failed_at = now;
+        store_health_.jitter = std::uniform_real_distribution<double>(0.0, 1.0)(random_);
         return;
     }
     std::erase_if(balancer_health_, [&](const auto& address_and_health) {
         return now > address_and_health.second.retry_at + health_retention;
     });
-    source_health& health = balancer_health_[source.address];
+    balancer_health& health = balancer_health_[source.address];
+    health.has_answered = failure != source_failure::no_answer;
     if (failure == source_failure::full) {
         health.retry_at = now + full_source_pause;
         follow_branch(source, followers);
@@ -280,10 +323,9 @@
 }
 
 void source_choice::delay_store(const record_source& stale_source, steady_time now) {
-    const duration spread = std::max(duration::zero(), settings_.change_deadline - loss_detection_time) / 2;
+    const duration half = std::max(duration::zero(), settings_.change_deadline - loss_detection_time) / 2;
     const bool     is_below_feeder = registered_feeder(stale_source) != nullptr;
-    store_due_ = now + (is_below_feeder ? random_between(duration::zero(), spread)
-                                        : random_between(least_lower_store_delay, most_lower_store_delay));
+    store_due_ = now + (is_below_feeder ? duration::zero() : half) + random_between(duration::zero(), half);
 }
 
 const known_feeder* source_choice::registered_feeder(const record_source& source) const {
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -68,19 +68,29 @@
     // nullopt: the first listing may begin.
     std::optional<steady_time> note_feeders_looked_up(steady_time now);
     first_listing_limits       limits_of_first_listing() const;
+    // The source has answered the last call to it, if only with a refusal, or has not been called lately.
+    bool                       has_answered(const record_source& source) const;
     void                       set_holds_slot(bool holds_slot) { holds_slot_ = holds_slot; }
     // A feeder that the store turns away reads from one of its own followers that the store serves.
     void        set_own_followers(std::vector<endpoint> followers) { own_followers_ = std::move(followers); }
-    steady_time store_retry_at() const { return store_health_.retry_at; }
+    // A feeder's next attempt to read the store after a failure.
+    steady_time store_retry_at() const;
     // This balancer is the feeder of its failure domain, or was it until its restart. It prefers the store.
     bool        is_feeder() const;
     // The store serves this balancer, but not the feeder of its failure domain, whose place it may take.
     bool        may_replace_feeder() const { return is_served_by_store_ && has_feeder_lost_store(); }
 
 private:
-    struct source_health {
+    struct balancer_health {
         unsigned    consecutive_failures = 0;
         steady_time retry_at{};
+        bool        has_answered = true; // the last call, though not with records
+    };
+    // The wait after a failure depends on the other sources, which may fail or recover meanwhile.
+    struct store_health {
+        unsigned    consecutive_failures = 0;
+        steady_time failed_at{};
+        double      jitter = 0; // random, 0 to 1; drawn at the failure
     };
 
     void                       add_tree(const std::string& failure_domain, const known_feeder* feeder,
@@ -92,6 +102,10 @@
     steady_time                retry_at(const record_source& source) const;
     bool                       starts_with_store(steady_time now) const;
     bool                       prefers_store() const;
+    bool                       lacks_source(steady_time now) const;
+    bool                       does_own_tree_answer() const;
+    steady_time                store_retry_after(const backoff_settings& backoff) const;
+    backoff_settings           lost_tree_backoff() const;
     backoff_settings           backoff_of(const record_source& source, source_failure failure) const;
     void                       delay_store(const record_source& stale_source, steady_time now);
     void                       follow_branch(const record_source& source, std::span<const endpoint> followers);
@@ -101,23 +115,22 @@
     void                       note_feeder_state(const record_source& source, bool reads_store);
     duration                   random_between(duration least, duration most);
 
-    source_settings settings_;
-    const replica&  store_replica_;
-    random_source   random_;
-    std::size_t     rotation_; // start of the order of other failure domains; differs by balancer
-    bool            holds_slot_ = false;
-    source_health   store_health_;
-    steady_time     patient_store_retry_at_{}; // replaces that of store_health_ while other balancers retry the store
-    std::map<endpoint, source_health> balancer_health_; // of feeders and contacts whose last call failed, by address
-    std::vector<endpoint>             own_followers_;
-    std::string                       branch_domain_; // root of the tree that branch_ belongs to
-    std::vector<endpoint>             branch_;        // balancers of that tree to read from, best first
-    std::optional<steady_time>        store_due_;     // a balancer that is no feeder does not read the store before it
-    unsigned                          lookups_left_;  // for a first feeder
-    unsigned                          unanswered_feeders_ = 0;     // in a row
-    bool                              is_served_by_store_ = false; // the store is the source, and answered last
+    source_settings                     settings_;
+    const replica&                      store_replica_;
+    random_source                       random_;
+    std::size_t                         rotation_; // start of the order of other failure domains; differs by balancer
+    bool                                holds_slot_ = false;
+    store_health                        store_health_;
+    std::map<endpoint, balancer_health> balancer_health_; // of feeders and contacts whose last call failed, by address
+    std::vector<endpoint>               own_followers_;
+    std::string                         branch_domain_; // root of the tree that branch_ belongs to
+    std::vector<endpoint>               branch_;        // balancers of that tree to read from, best first
+    std::optional<steady_time>          store_due_;    // a balancer that is no feeder does not read the store before it
+    unsigned                            lookups_left_; // for a first feeder
+    unsigned                            unanswered_feeders_ = 0;     // in a row
+    bool                                is_served_by_store_ = false; // the store is the source, and answered last
     // Registration of the own feeder when it had lost the store; nullopt: it has not.
-    std::optional<store_revision>     lost_feeder_revision_;
+    std::optional<store_revision>       lost_feeder_revision_;
 };
 
 } // namespace tamarack::entry
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -18,6 +18,9 @@
 constexpr duration feeder_watch_grace = std::chrono::milliseconds(500);
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
+// A balancer that has not answered the last call is asked again only briefly: other sources wait meanwhile.
+constexpr duration unanswered_connect_timeout = std::chrono::milliseconds(200);
+constexpr duration unanswered_timeout = std::chrono::milliseconds(400);
 // A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
 constexpr unsigned max_timeout_doublings = 2;
 // Changes in quick succession are collected into one answer of the store; a single change is read immediately. A
@@ -124,8 +127,13 @@
         latest_call_.timeout = latest_call_.max_wait + (is_feeder_call ? feeder_watch_grace : store_watch_grace);
         return;
     }
-    const duration timeout = is_first_listing ? limits.timeout : list_timeout;
     latest_call_.max_wait = {};
+    if (is_feeder_call && !is_first_listing && !sources_.has_answered(latest_call_.source)) {
+        latest_call_.connect_timeout = unanswered_connect_timeout;
+        latest_call_.timeout = unanswered_timeout;
+        return;
+    }
+    const duration timeout = is_first_listing ? limits.timeout : list_timeout;
     latest_call_.timeout =
         timeout * (reads_store() ? 1U << std::min(consecutive_timeouts_, max_timeout_doublings) : 1U);
 }
--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -21,6 +21,12 @@
                                     .record_size = 700,
                                     .change_deadline = 6s};
 
+// For longer runs by hand.
+std::size_t number_from_environment(const char* name, std::size_t default_value) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
+}
+
 // Longest time from an answer of the store to its use one level further down, with the delays of the fleet's links.
 constexpr duration transfer_slack = 700ms;
 
@@ -45,6 +51,24 @@
     return count;
 }
 
+// Each feeder is lost with a chance of one half, at a random moment of an outage of two to fourteen seconds.
+void lose_feeders_during_an_outage(fleet& balancers) {
+    const std::chrono::milliseconds outage(2'000 + balancers.random()() % 12'000);
+    const steady_time               end = balancers.now() + outage;
+    std::vector<fleet_host*>        feeders;
+    for (const auto& host : balancers.hosts()) {
+        if (balancers.is_feeder(*host)) feeders.push_back(host.get());
+    }
+    for (fleet_host* feeder : feeders) {
+        balancers.run_for(std::chrono::milliseconds(balancers.random()() % 1'000));
+        const auto fate = balancers.random()() % 6;
+        if (fate == 0) balancers.stop(*feeder);
+        if (fate == 1) feeder->is_dark = true;
+        if (fate == 2) feeder->is_paused = true;
+    }
+    balancers.run_for(end - balancers.now());
+}
+
 } // namespace
 
 // A calm fleet: one reader of the store in each failure domain, and each change reaches all balancers.
@@ -173,6 +197,31 @@
     BOOST_TEST((balancers.feeder_of("domain-0") != nullptr && balancers.feeder_of("domain-0") != feeder));
 }
 
+// An outage of the store of random length in a small fleet, in which feeders end, pause or lose their host for good.
+// Guards against waits that grow during the outage and outlast it: a balancer that reaches the store must use it, or
+// another balancer that does, within the time after which hosts are held to their service limits again.
+BOOST_AUTO_TEST_CASE(no_balancer_waits_for_a_lost_feeder_after_an_outage_of_the_store) {
+    constexpr duration  contact_time = 4s;
+    const std::uint64_t seeds = number_from_environment("TREE_SEEDS", 200);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            fleet balancers({.failure_domains = 2, .hosts_per_domain = 3}, seed);
+            balancers.start_all();
+            balancers.run_for(10s);
+            balancers.store().is_down = true;
+            lose_feeders_during_an_outage(balancers);
+            balancers.store().is_down = false;
+            balancers.change_configuration();
+            balancers.run_for(contact_time);
+            for (const auto& host : balancers.hosts()) {
+                if (!host->runs()) continue;
+                BOOST_TEST(host->records->is_current(balancers.now()), host->name);
+                BOOST_TEST(host->records->routing()->version == 3U, host->name);
+            }
+        }
+    }
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Randomised faults
 //----------------------------------------------------------------------------------------------------------------------
@@ -303,12 +352,6 @@
     }
 }
 
-// For longer runs by hand.
-std::size_t number_from_environment(const char* name, std::size_t default_value) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 } // namespace
 
 // The invariants hold at each step, and the fleet is up to date within seconds after the last fault.
