Test that a former feeder reads the store again as soon as the store serves it

The host applied the removals of backend servers that had registered again, since it did not read the store for 3.8 to 4.7 s after the store had answered it.

Cause: the wait after failures of the store was kept in two timers, and an answer ended only one of them. A host that was still the registered feeder when the store answered used the short one; the same answer told it that its registration was gone, and from then on the long one held, up to 16 s.

--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -204,7 +204,8 @@
 // The epoch for a source that may be tried immediately.
 steady_time source_choice::retry_at(const record_source& source) const {
     if (source.kind == source_kind::store) {
-        if (prefers_store() || !store_due_ || store_replica_.feeders().empty()) return store_retry_at();
+        if (prefers_store() || is_served_by_store_ || !store_due_ || store_replica_.feeders().empty())
+            return store_retry_at();
         const auto backoff = does_own_tree_answer() ? answering_tree_backoff : lost_tree_backoff();
         return std::max(store_retry_after(backoff), *store_due_);
     }
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -392,6 +392,27 @@
         (now - refused_at <= 100ms)); // the deadline of a change is three seconds, as long as the detection takes
 }
 
+// A feeder's lease ends while the store is away. The wait after failures of the store must end with its answer: this
+// balancer would not learn what has been registered again since, and apply removals of backend servers that are back.
+BOOST_AUTO_TEST_CASE(a_former_feeder_that_the_store_serves_again_reads_it_while_its_replica_is_current) {
+    const record own_registration = feeder_record(3, "self", "north", 0, own_address);
+    for (const duration change_deadline : {duration(3s), large_fleet_fixture::deadline}) {
+        sync_fixture host(change_deadline);
+        host.complete_listing({own_registration, far_feeder});
+        int store_failures = 0;
+        for (read_call call = host.wait_for_next(); store_failures < 4 || !is_store(call);
+             call = host.wait_for_next()) {
+            store_failures += is_store(call) ? 1 : 0;
+            host.fail(read_error::refused);
+        }
+        host.answer({{own_registration.key, at_revision(6), removed_record{}, {}}}, 6, 6);
+        const steady_time served_at = host.now;
+        for (read_call call = host.wait_for_next(); !is_store(call); call = host.wait_for_next())
+            host.fail(read_error::refused);
+        BOOST_TEST((host.now - served_at < max_confirmation_age));
+    }
+}
+
 // The followers of a feeder try the store in the first half of the time that the deadline of a change leaves after the
 // loss has been noticed; balancers further down wait for them, but not beyond the deadline.
 BOOST_FIXTURE_TEST_CASE(a_balancer_below_a_follower_tries_the_store_later_but_within_the_deadline,
