--- /dev/null
+++ b/entry/replica_lookup.cpp
@@ -0,0 +1,118 @@
+// Lookups by steering, and the records that a balancer serves to its followers.
+#include "entry/replica.h"
+
+#include <algorithm>
+
+namespace tamarack::entry {
+
+// Rebuilds the indexes on the next lookup instead of on each change, since a listing brings thousands of records.
+void replica::refresh_indexes() const {
+    if (indexes_are_current_) return;
+    indexes_are_current_ = true;
+    backends_by_reference_.clear();
+    available_by_service_.clear();
+    for (const auto& [key, backend] : backends_) {
+        const known_backend*& preferred = backends_by_reference_[backend.reference];
+        // If two backend servers share a reference, one that is not removed is preferred, then the lower identity, so
+        // that all balancers agree.
+        const bool            is_preferred = preferred == nullptr || (preferred->removed_at && !backend.removed_at) ||
+                                  (preferred->removed_at.has_value() == backend.removed_at.has_value() &&
+                                   backend.registration.identity < preferred->registration.identity);
+        if (is_preferred) preferred = &backend;
+    }
+    for (const auto& [key, backend] : backends_) {
+        if (!backend.takes_new_flows() || backends_by_reference_[backend.reference] != &backend) continue;
+        available_by_service_[backend.registration.service].push_back(&backend);
+    }
+}
+
+const route* replica::find_route(const endpoint& address) const {
+    const auto found = routes_by_address_.find(address);
+    return found == routes_by_address_.end() ? nullptr : found->second;
+}
+
+const known_backend* replica::find_backend(backend_reference reference) const {
+    refresh_indexes();
+    const auto found = backends_by_reference_.find(reference);
+    return found == backends_by_reference_.end() ? nullptr : found->second;
+}
+
+std::span<const known_backend* const> replica::available_backends(std::string_view service) const {
+    refresh_indexes();
+    const auto found = available_by_service_.find(std::string(service));
+    if (found == available_by_service_.end()) return {};
+    return found->second;
+}
+
+record replica::record_of(const std::string& key, const known_backend& backend) const {
+    if (backend.removed_at)
+        return {.key = key, .revision = backend.revision, .content = removed_record{}, .raw_value = {}};
+    return {
+        .key = key, .revision = backend.revision, .content = backend.registration, .raw_value = raw_values_.at(key)};
+}
+
+std::optional<std::vector<record>> replica::changes_after(std::uint64_t generation) const {
+    if (generation < std::max(first_generation_, forgotten_generation_) || generation > generation_)
+        return std::nullopt;
+    return collect_changes([&](const store_revision& /*revision*/, std::uint64_t changed_generation) {
+        return changed_generation > generation;
+    });
+}
+
+std::optional<std::vector<record>> replica::changes_for_follower(std::uint64_t generation) const {
+    if (generation < listed_generation_) return std::nullopt;
+    return changes_after(generation);
+}
+
+std::optional<std::vector<record>> replica::changes_after_revision(const store_revision& revision) const {
+    if (revision.epoch != complete_revision_.epoch || revision < forgotten_revision_) return std::nullopt;
+    return collect_changes([&](const store_revision& record_revision, std::uint64_t /*changed_generation*/) {
+        return record_revision > revision;
+    });
+}
+
+template <class IsNewer>
+std::vector<record> replica::collect_changes(IsNewer is_newer) const {
+    std::vector<record> changes;
+    if (routing_ && is_newer(routing_revision_, routing_changed_generation_)) {
+        changes.push_back(
+            {.key = routing_key_, .revision = routing_revision_, .content = routing_, .raw_value = routing_raw_value_});
+    }
+    for (const auto& [key, backend] : backends_) {
+        if (is_newer(backend.revision, backend.changed_generation)) changes.push_back(record_of(key, backend));
+    }
+    for (const auto& [key, domain_and_slot] : feeder_slots_by_key_) {
+        const known_feeder& feeder = feeders_.at(domain_and_slot);
+        if (!is_newer(feeder.revision, feeder.changed_generation)) continue;
+        changes.push_back({.key = key,
+                           .revision = feeder.revision,
+                           .content = feeder.registration,
+                           .raw_value = raw_values_.at(key)});
+    }
+    for (const auto& [key, removal] : tombstones_) {
+        if (is_newer(removal.revision, removal.changed_generation))
+            changes.push_back({.key = key, .revision = removal.revision, .content = removed_record{}, .raw_value = {}});
+    }
+    return changes;
+}
+
+// Held removals are not shared yet. The returned revision precedes them, so that followers can still learn of them
+// from the store later.
+store_revision replica::shareable_revision() const {
+    store_revision revision = complete_revision_;
+    for (const auto& [key, backend] : backends_) {
+        if (!backend.held_removal_due) continue;
+        const bool is_same_epoch = backend.registered_until.epoch == revision.epoch;
+        revision.number = std::min(revision.number, is_same_epoch ? backend.registered_until.number : 0);
+    }
+    return revision;
+}
+
+std::vector<record> replica::records() const {
+    auto live_records = collect_changes([](const store_revision&, std::uint64_t) { return true; });
+    std::erase_if(live_records,
+                  [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
+    return live_records;
+}
+
+} // namespace tamarack::entry
