End what is held for a backend server when its record becomes unreadable

Callers would see: flows on a backend server whose registration in the store cannot be read, from a copy that the store was restored from; or a held removal applied after a later record, with the revision of the key going back.

Cause: a held removal or registration was ended by a later registration and by a later removal, not by a later record that cannot be decoded.

--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -213,9 +213,13 @@
 void replica::mark_unusable(const record& item) {
     const auto found = backends_.find(item.key);
     if (found == backends_.end() || item.revision <= found->second.revision) return;
-    found->second.is_usable = false;
-    found->second.revision = item.revision;
-    found->second.changed_generation = ++generation_;
+    known_backend& backend = found->second;
+    if (item.revision > backend.held_removal_revision) backend.held_removal_due.reset();
+    if (backend.held_registration && item.revision > backend.held_registration->revision)
+        backend.held_registration.reset();
+    backend.is_usable = false;
+    backend.revision = item.revision;
+    backend.changed_generation = ++generation_;
     raw_values_[item.key] = item.raw_value;
     indexes_are_current_ = false;
 }
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -191,6 +191,35 @@
     BOOST_TEST(std::holds_alternative<removed_record>(later_changes.front().content));
 }
 
+// What was held before an unreadable record must not apply after it: the revision of the key would go back, and a copy
+// that the store was restored from would be used again.
+BOOST_AUTO_TEST_CASE(an_unreadable_record_ends_what_was_held_before) {
+    replica store_replica = synchronized_replica();
+    store_replica.apply(backend_record(4, registration_of(1)), start);
+    store_replica.note_store_unavailable();
+    store_replica.apply(removal_record(7, 1), start + 5s);
+    store_replica.apply({"backend/1", at_revision(8), unusable_record{"not JSON"}, "x"}, start + 6s);
+    store_replica.note_store_available(start + 7s);
+    store_replica.note_store_available(start + 10s);
+    store_replica.expire(start + 10s);
+    const known_backend* backend = store_replica.find_backend(reference_of(1));
+    BOOST_REQUIRE(backend != nullptr);
+    BOOST_TEST(!backend->removed_at.has_value());
+    BOOST_TEST((backend->revision == at_revision(8)));
+
+    backend_registration newer = registration_of(2);
+    newer.report_number = 9;
+    store_replica.apply(backend_record(9, newer), start + 11s);
+    record copy = backend_record(0, registration_of(2)); // with an earlier report
+    copy.revision = {2, 5};
+    BOOST_TEST((store_replica.apply(copy, start + 12s) == replica_change::registration_held));
+    store_replica.apply({copy.key, {2, 6}, unusable_record{"not JSON"}, "x"}, start + 13s);
+    store_replica.note_store_available(start + 30s);
+    store_replica.expire(start + 30s);
+    BOOST_TEST((store_replica.find_backend(reference_of(2))->revision == store_revision{2, 6}));
+    BOOST_TEST(!store_replica.find_backend(reference_of(2))->takes_new_flows());
+}
+
 // Records from several sources arrive in any order. A held removal must not be cancelled by an older
 // registration.
 BOOST_AUTO_TEST_CASE(an_older_registration_does_not_cancel_a_held_removal) {
