--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// A feeder reads the store in a fixed rhythm, and its followers get each answer of the store when it arrives, so that
-// confirmations are equally old at all distances from the store. A follower waits a little longer than the rhythm.
+// A feeder reads the store at a fixed interval, and its followers get each answer of the store when it arrives, so that
+// confirmations are equally old at all distances from the store. A follower waits a little longer than the interval.
 constexpr duration store_watch_wait = std::chrono::milliseconds(2'000);
 constexpr duration feeder_watch_wait = std::chrono::milliseconds(2'300);
 constexpr duration min_watch_wait = std::chrono::milliseconds(100);
@@ -18,7 +18,8 @@
 constexpr duration feeder_watch_grace = std::chrono::milliseconds(500);
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
-// A balancer that has not answered the last call is asked again only briefly: other sources wait meanwhile.
+// A balancer that has not answered the last call is asked again only briefly: other sources wait meanwhile. A listing,
+// which may be large, follows only when it has answered.
 constexpr duration unanswered_connect_timeout = std::chrono::milliseconds(200);
 constexpr duration unanswered_timeout = std::chrono::milliseconds(400);
 // A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
@@ -128,7 +129,7 @@
         return;
     }
     latest_call_.max_wait = {};
-    if (is_feeder_call && !is_first_listing && !sources_.has_answered(latest_call_.source)) {
+    if (latest_call_.kind == read_kind::resume && !sources_.has_answered(latest_call_.source)) {
         latest_call_.connect_timeout = unanswered_connect_timeout;
         latest_call_.timeout = unanswered_timeout;
         return;
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -350,6 +350,23 @@
     BOOST_TEST(is_store(next()));
 }
 
+// A paused host accepts connections and does not answer. Calls to it must not use up the time in which another source
+// could be read; once it answers, its listing gets the whole timeout.
+BOOST_AUTO_TEST_CASE(a_feeder_that_did_not_answer_is_asked_only_briefly) {
+    complete_listing({near_feeder});
+    const read_call first = wait_for_next();
+    fail(read_error::timed_out);
+    for (read_call call = wait_for_next(); is_store(call); call = wait_for_next())
+        fail(read_error::refused);
+    const read_call second = sync.latest_call();
+    BOOST_TEST((second.kind == read_kind::resume));
+    BOOST_TEST((second.connect_timeout + second.timeout < first.timeout));
+    fail(read_error::history_dropped);
+    const read_call listing = next();
+    BOOST_TEST((listing.kind == read_kind::list));
+    BOOST_TEST((listing.timeout == first.timeout));
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_that_a_feeder_turns_away_reads_from_a_follower_of_it) {
     complete_listing({near_feeder, far_feeder});
     const read_call refused = wait_for_next();
