Test the return after an outage in a large fleet, and restores in a deep tree

The tests of both incidents ran with fleets of six and nine hosts, where no balancer is more than one level below a feeder.

--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -69,6 +69,24 @@
     balancers.run_for(end - balancers.now());
 }
 
+void run_outage_with_lost_feeders(const fleet_options& options, duration contact_time, std::uint64_t seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+        fleet balancers(options, seed);
+        balancers.start_all();
+        balancers.run_for(10s);
+        balancers.store().is_down = true;
+        lose_feeders_during_an_outage(balancers);
+        balancers.store().is_down = false;
+        balancers.change_configuration();
+        balancers.run_for(contact_time);
+        for (const auto& host : balancers.hosts()) {
+            if (!host->runs()) continue;
+            BOOST_TEST(host->records->is_current(balancers.now()), host->name);
+            BOOST_TEST(host->records->routing()->version == 3U, host->name);
+        }
+    }
+}
+
 } // namespace
 
 // A calm fleet: one reader of the store in each failure domain, and each change reaches all balancers.
@@ -197,29 +215,20 @@
     BOOST_TEST((balancers.feeder_of("domain-0") != nullptr && balancers.feeder_of("domain-0") != feeder));
 }
 
-// An outage of the store of random length in a small fleet, in which feeders end, pause or lose their host for good.
-// Guards against waits that grow during the outage and outlast it: a balancer that reaches the store must use it, or
-// another balancer that does, within the time after which hosts are held to their service limits again.
+// An outage of the store of random length, in which feeders end, pause or lose their host for good. Guards against
+// waits that grow during the outage and outlast it: a balancer that reaches the store must use it, or another balancer
+// that does, within the time after which hosts are held to their service limits again.
 BOOST_AUTO_TEST_CASE(no_balancer_waits_for_a_lost_feeder_after_an_outage_of_the_store) {
     constexpr duration  contact_time = 4s;
     const std::uint64_t seeds = number_from_environment("TREE_SEEDS", 200);
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed) {
-            fleet balancers({.failure_domains = 2, .hosts_per_domain = 3}, seed);
-            balancers.start_all();
-            balancers.run_for(10s);
-            balancers.store().is_down = true;
-            lose_feeders_during_an_outage(balancers);
-            balancers.store().is_down = false;
-            balancers.change_configuration();
-            balancers.run_for(contact_time);
-            for (const auto& host : balancers.hosts()) {
-                if (!host->runs()) continue;
-                BOOST_TEST(host->records->is_current(balancers.now()), host->name);
-                BOOST_TEST(host->records->routing()->version == 3U, host->name);
-            }
-        }
-    }
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        run_outage_with_lost_feeders({.failure_domains = 2, .hosts_per_domain = 3}, contact_time, seed);
+}
+
+BOOST_AUTO_TEST_CASE(no_balancer_of_a_large_fleet_waits_for_a_lost_feeder_after_an_outage_of_the_store) {
+    constexpr duration contact_time = 6s;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+        run_outage_with_lost_feeders(large_fleet, contact_time, seed);
 }
 
 //----------------------------------------------------------------------------------------------------------------------
--- a/tests/entry_store_restore_test.cpp
+++ b/tests/entry_store_restore_test.cpp
@@ -134,6 +134,31 @@
     }
 }
 
+// For longer runs by hand.
+unsigned seeds_to_run(unsigned default_count) {
+    const char* requested = std::getenv("RESTORE_SEEDS");
+    return requested != nullptr ? static_cast<unsigned>(std::stoul(requested)) : default_count;
+}
+
+void run_random_restores(const fleet_options& options, unsigned seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+        fleet                                                           balancers(options, seed);
+        std::map<const fleet_host*, std::pair<unsigned, std::uint64_t>> newest; // lifetime and version, by host
+        balancers.check = [&](fleet_host& host) {
+            if (host.records->routing() == nullptr) return;
+            auto& [lifetime, version] = newest[&host];
+            if (lifetime == host.lifetime) BOOST_REQUIRE(host.records->routing()->version >= version);
+            lifetime = host.lifetime;
+            version = host.records->routing()->version;
+        };
+        balancers.start_all();
+        balancers.run_for(8s);
+        disturb(balancers, 25s);
+        settle(balancers);
+        check_agreement(balancers);
+    }
+}
+
 } // namespace
 
 // Incident of issue 24: the store gave the change a revision that an earlier configuration had had, and every balancer
@@ -217,24 +242,14 @@
 // Restores at random moments among changes, drains, restarts, hosts without power and outages. At the end every
 // balancer has exactly what the store has, and no process has gone back to an older configuration.
 BOOST_AUTO_TEST_CASE(balancers_agree_with_the_store_after_random_restores) {
-    const char*    requested = std::getenv("RESTORE_SEEDS");
-    const unsigned seeds = requested != nullptr ? static_cast<unsigned>(std::stoul(requested)) : 40U;
-    for (unsigned seed = 1; seed <= seeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed) {
-            fleet balancers({.failure_domains = 3, .hosts_per_domain = 3, .backend_servers = 6}, seed);
-            std::map<const fleet_host*, std::pair<unsigned, std::uint64_t>> newest; // lifetime and version, by host
-            balancers.check = [&](fleet_host& host) {
-                if (host.records->routing() == nullptr) return;
-                auto& [lifetime, version] = newest[&host];
-                if (lifetime == host.lifetime) BOOST_REQUIRE(host.records->routing()->version >= version);
-                lifetime = host.lifetime;
-                version = host.records->routing()->version;
-            };
-            balancers.start_all();
-            balancers.run_for(8s);
-            disturb(balancers, 25s);
-            settle(balancers);
-            check_agreement(balancers);
-        }
-    }
+    const unsigned seeds = seeds_to_run(40);
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+        run_random_restores({.failure_domains = 3, .hosts_per_domain = 3, .backend_servers = 6}, seed);
+}
+
+// The same with balancers three levels below the store: what one of them knows of an epoch comes through two others.
+BOOST_AUTO_TEST_CASE(balancers_of_a_deep_tree_agree_with_the_store_after_random_restores) {
+    const unsigned seeds = seeds_to_run(4);
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+        run_random_restores({.failure_domains = 1, .hosts_per_domain = 30, .backend_servers = 6}, seed);
 }
