Tell followers which keys are gone although the balancer is complete only up to an early revision

Callers would see: new flows placed for good on a backend server that has left, through some balancers of a large fleet.

Cause: a balancer that has listed from a source that holds removals is complete only up to an early revision, and offered that as the revision at which all keys that it lacks were gone. A follower that knew such a key in a later state kept it, and no later change names the key.

Change: the revision of the last listing is passed on beside the one up to which the replica is complete.

--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -109,7 +109,7 @@
     return {.records = std::move(*changes),
             .position = store_replica_.generation(),
             .revision = store_replica_.shareable_revision(),
-            .listed_revision = store_replica_.complete_revision(),
+            .listed_revision = store_replica_.listed_revision(),
             .confirmation_age = now - store_replica_.last_confirmation(),
             .distance = store_replica_.store_distance() + 1,
             .followers = {}};
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -16,6 +16,7 @@
 
 #include "entry/model.h"
 
+#include <algorithm>
 #include <map>
 
 namespace tamarack::entry {
@@ -118,12 +119,15 @@
     // The replica contains every change up to this revision.
     const store_revision&                                 complete_revision() const { return complete_revision_; }
     void                                                  set_complete_revision(const store_revision& revision);
+    // Keys that the replica lacks had been removed at this revision. Later than complete_revision while the source
+    // holds removals: the keys that the source lacked are gone all the same.
+    store_revision             listed_revision() const { return std::max(listed_revision_, complete_revision_); }
     // When the store last confirmed, directly or through a feeder, that nothing newer exists.
-    steady_time                                           last_confirmation() const { return last_confirmation_; }
+    steady_time                last_confirmation() const { return last_confirmation_; }
     // Complete, and confirmed by the store within max_confirmation_age. Other balancers may rely on the replica.
-    bool                                                  is_current(steady_time now) const;
+    bool                       is_current(steady_time now) const;
     // Balancers between the store and this replica at the last confirmation; 0: the store itself confirmed it.
-    unsigned                                              store_distance() const { return store_distance_; }
+    unsigned                   store_distance() const { return store_distance_; }
     // Start of the store's current uninterrupted availability; nullopt while it is unavailable.
     std::optional<steady_time> store_available_since() const { return store_available_since_; }
 
--- a/tests/entry_store_restore_test.cpp
+++ b/tests/entry_store_restore_test.cpp
@@ -249,7 +249,10 @@
 
 // The same with balancers three levels below the store: what one of them knows of an epoch comes through two others.
 BOOST_AUTO_TEST_CASE(balancers_of_a_deep_tree_agree_with_the_store_after_random_restores) {
-    const unsigned seeds = seeds_to_run(4);
+    const unsigned      seeds = seeds_to_run(4);
+    const fleet_options deep_tree{.failure_domains = 1, .hosts_per_domain = 30, .backend_servers = 6};
     for (unsigned seed = 1; seed <= seeds; ++seed)
-        run_random_restores({.failure_domains = 1, .hosts_per_domain = 30, .backend_servers = 6}, seed);
+        run_random_restores(deep_tree, seed);
+    for (const unsigned seed : {599U, 1378U}) // a backend server that had left stayed in use
+        run_random_restores(deep_tree, seed);
 }
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -721,6 +721,26 @@
     BOOST_TEST((resume_later(6, 20min).status == feed_status::ok));
 }
 
+// This balancer has listed from a source that holds removals of an outage, so that it is complete up to an early
+// revision only. A follower that has read the store itself still knows a backend server that has left since, and no
+// later change names it: the listing must tell that it is gone.
+BOOST_AUTO_TEST_CASE(a_listing_tells_a_follower_of_the_keys_that_the_balancers_source_lacked) {
+    store_replica.note_store_available(now);
+    store_replica.apply_listing(std::vector{backend_record(2, registration_of(1))}, at_revision(28), now,
+                                at_revision(0));
+    const feed_answer listing = list();
+    BOOST_TEST(listing.revision.number == 0U);
+    BOOST_TEST(listing.listed_revision.number == 28U);
+
+    replica follower;
+    follower.note_store_available(now - 1min);
+    follower.apply_listing(std::vector{backend_record(2, registration_of(1)), backend_record(5, registration_of(3))},
+                           at_revision(27), now);
+    follower.apply_listing(listing.records, listing.listed_revision, now, listing.revision);
+    BOOST_TEST(follower.find_backend(reference_of(1))->takes_new_flows());
+    BOOST_TEST(!follower.find_backend(reference_of(3))->takes_new_flows());
+}
+
 // If a feeder stops while it holds a removal, its followers must still learn of the removal from the store or another
 // feeder.
 // Hypothesis 3 of the incident of issue 24: a revision of one epoch is no position in another, whichever is the later
