Share what is held of a restored store, so that no balancer loses a backend server that is alive

Callers would see: a backend server that is registered and serves gets no new flows through some balancers, for good, if its registration had lapsed shortly before the store was restored from a copy that contains it.

Cause: a balancer that holds a registration of the copy did not list it, and counted as complete beyond it. Followers took the key for removed, or moved on to another source without ever being told of it.

--- a/entry/replica_lookup.cpp
+++ b/entry/replica_lookup.cpp
@@ -96,22 +96,31 @@
     return changes;
 }
 
-// Held removals are not shared yet. The returned revision precedes them, so that followers can still learn of them
-// from the store later.
+// Held states are not shared yet. The returned revision precedes them, so that followers can still learn of them from
+// the store later.
 store_revision replica::shareable_revision() const {
     store_revision revision = complete_revision_;
+    const auto     precede = [&](const store_revision& held_after) {
+        revision.number = std::min(revision.number, held_after.epoch == revision.epoch ? held_after.number : 0);
+    };
     for (const auto& [key, backend] : backends_) {
-        if (!backend.held_removal_due) continue;
-        const bool is_same_epoch = backend.registered_until.epoch == revision.epoch;
-        revision.number = std::min(revision.number, is_same_epoch ? backend.registered_until.number : 0);
+        if (backend.held_removal_due) precede(backend.registered_until);
+        if (!backend.held_registration) continue;
+        const store_revision& held = backend.held_registration->revision;
+        precede({held.epoch, held.number - 1});
     }
     return revision;
 }
 
+// A key that was removed is listed with its held registration: it is in the store, and each balancer decides for
+// itself.
 std::vector<record> replica::records() const {
     auto live_records = collect_changes([](const store_revision&, std::uint64_t) { return true; });
     std::erase_if(live_records,
                   [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
+    for (const auto& [key, backend] : backends_) {
+        if (backend.removed_at && backend.held_registration) live_records.push_back(*backend.held_registration);
+    }
     return live_records;
 }
 
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -220,6 +220,26 @@
     BOOST_TEST(!store_replica.find_backend(reference_of(2))->takes_new_flows());
 }
 
+// A registration of a restored copy that this balancer holds is in the store: a follower must not take the key for
+// removed, nor skip the registration when it reads from another source later.
+BOOST_AUTO_TEST_CASE(a_held_registration_is_listed_and_precedes_the_shared_revision) {
+    replica store_replica = synchronized_replica();
+    store_replica.apply_listing(std::vector{backend_record(3, registration_of(1))}, at_revision(3), start);
+    store_replica.apply(removal_record(4, 1), start);
+    record copy = backend_record(0, registration_of(1));
+    copy.revision = {2, 3};
+    store_replica.apply_listing(std::vector{copy}, {2, 9}, start + 1s);
+    BOOST_TEST(store_replica.find_backend(reference_of(1))->removed_at.has_value());
+    const std::vector<record> listed = store_replica.records();
+    BOOST_REQUIRE(listed.size() == 1U);
+    BOOST_TEST((listed.front().revision == store_revision{2, 3}));
+    BOOST_TEST((store_replica.shareable_revision() == store_revision{2, 2}));
+    store_replica.note_store_available(start + 12s);
+    store_replica.expire(start + 12s);
+    BOOST_TEST(store_replica.find_backend(reference_of(1))->takes_new_flows());
+    BOOST_TEST((store_replica.shareable_revision() == store_revision{2, 9}));
+}
+
 // Records from several sources arrive in any order. A held removal must not be cancelled by an older
 // registration.
 BOOST_AUTO_TEST_CASE(an_older_registration_does_not_cancel_a_held_removal) {
--- a/tests/entry_store_restore_test.cpp
+++ b/tests/entry_store_restore_test.cpp
@@ -68,6 +68,8 @@
     const std::string   key = backend_record(0, registration_of(identity)).key;
     const record*       latest = balancers.latest(key);
     if (latest == nullptr) return register_again(balancers, identity);
+    if (steps(0, 2)(balancers.random()) == 0)
+        return balancers.lapse(key, std::chrono::milliseconds(steps(100, 5'000)(balancers.random())));
     const auto& registration = std::get<backend_registration>(latest->content);
     if (registration.state == backend_state::draining) return balancers.leave(key);
     balancers.write(draining_record(registration));
--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -85,6 +85,8 @@
     void run_for(duration time);
     void write(const record& item);     // the revision is set by the store
     void leave(const std::string& key); // ends a backend server and removes its registration
+    // Removes the registration of a backend server that lives on, and registers again after this time.
+    void lapse(const std::string& key, duration absence);
     void change_configuration();
     // Replaces the store's state by a copy of this age: revisions and leases are issued again. The operator and the
     // backend servers write again what the copy lacks when this time has passed; registrations that had been removed
@@ -533,6 +535,14 @@
     remove(key);
 }
 
+inline void fleet::lapse(const std::string& key, duration absence) {
+    remove(key);
+    at(now_ + absence, [this, key] {
+        const record* state = latest(key);
+        if (state != nullptr && !store_.items.contains(key)) write(record(*state));
+    });
+}
+
 inline void fleet::restore_store(duration copy_age, duration rewrite_delay) {
     const steady_time copied_at = now_ - copy_age;
     store_.revision = revision_at(copied_at);
