Ask a balancer for its later removals after its listing

Cause: a balancer knows of removals that are later than the revision up to which it is complete. Its listing lacks those keys without naming them, and a reader that knows a key in a state between the two revisions keeps it.

Change: a replica that was complete before asks for the changes after the listing's revision before it watches. If the balancer cannot tell them, it watches, since listing again would alternate for ever.

--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -2,6 +2,7 @@
 #include "entry/store_sync.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::entry {
 
@@ -91,6 +92,7 @@
 void store_sync::switch_to(const record_source& source) {
     if (source == latest_call_.source && latest_call_.kind != read_kind::find_feeders) return;
     latest_call_ = {.kind = read_kind::list, .source = source, .after_key = {}};
+    resumes_listing_ = false;
     listed_records_.clear();
     if (!store_replica_.is_complete()) return;
     probes_source_ = source.kind == source_kind::store;
@@ -226,6 +228,7 @@
     for (const record& item : page.records)
         store_replica_.apply(item, now);
     store_replica_.set_complete_revision(page.revision);
+    resumes_listing_ = false;
     latest_call_.kind = read_kind::watch;
     latest_call_.after_position = page.position;
     pause_before_call_ = pause_after(!page.records.empty(), now);
@@ -256,11 +259,14 @@
         latest_call_.after_key = page.records.back().key;
         return;
     }
+    // A balancer may know of removals that are later than the revision of its listing, which does not name them.
+    resumes_listing_ = store_replica_.is_complete() && !reads_store();
     store_replica_.apply_listing(listed_records_, first_page_.listed_revision, now, first_page_.revision);
     listed_records_.clear();
-    latest_call_.kind = read_kind::watch;
+    latest_call_.kind = resumes_listing_ ? read_kind::resume : read_kind::watch;
     latest_call_.after_key.clear();
     latest_call_.after_position = first_page_.position;
+    latest_call_.after_revision = first_page_.listed_revision;
     pause_before_call_ = pause_after(false, now);
     next_call_due_ = now + pause_before_call_;
 }
@@ -270,7 +276,7 @@
     probes_source_ = latest_call_.kind == read_kind::watch && reads_store();
     has_looked_up_feeders_ = true; // without the feeders, the listing is read from the store
     if (failure.error == read_error::history_dropped) {
-        latest_call_.kind = read_kind::list;
+        latest_call_.kind = std::exchange(resumes_listing_, false) ? read_kind::watch : read_kind::list;
         latest_call_.after_key.clear();
         repeats_call_ = true;
         return;
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -101,6 +101,7 @@
     bool                has_looked_up_feeders_ = false;
     bool                probes_source_ = false;    // the next watch does not wait: the store may not answer
     bool                repeats_call_ = false;     // the last call is made again before another source is tried
+    bool                resumes_listing_ = false;  // the next resume follows a listing of the same source
     unsigned            consecutive_failures_ = 0; // of any source, since an answer showed that the store is available
     unsigned            consecutive_timeouts_ = 0; // of calls that do not wait for a change
     steady_time         next_call_due_{};
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -314,6 +314,23 @@
     BOOST_TEST((call.kind == read_kind::list));
 }
 
+// The feeder has learned of a removal that is later than the revision of its listing. The listing does not name it, and
+// a watch from the listing's position does not either.
+BOOST_AUTO_TEST_CASE(a_listing_of_a_feeder_is_followed_by_its_later_removals) {
+    complete_listing({near_feeder});
+    wait_for_next();
+    fail(read_error::history_dropped);
+    BOOST_TEST((next().kind == read_kind::list));
+    const std::vector<record> listed{near_feeder, configuration_record(1, 1)};
+    sync.succeeded({listed, 77, at_revision(6), at_revision(9), {}, 1}, now);
+    const read_call call = next();
+    BOOST_TEST((call.kind == read_kind::resume));
+    BOOST_TEST((call.after_revision == at_revision(9)));
+    fail(read_error::history_dropped); // not again a listing: the two would alternate for ever
+    BOOST_TEST((next().kind == read_kind::watch));
+    BOOST_TEST(sync.latest_call().after_position == 77U);
+}
+
 // A crashed feeder must not delay changes: the store is read immediately, from the last revision of the replica.
 BOOST_AUTO_TEST_CASE(a_follower_reads_the_store_when_the_only_feeder_fails) {
     complete_listing({near_feeder});
