List what is held of a restored store also for backend servers in use

Cause: a balancer that had not seen the backend server removed listed the state in use, but not the registration of the copy. A reader that held the removal of the first copy never learned that the second has the key, and applied the removal.

--- a/entry/replica_lookup.cpp
+++ b/entry/replica_lookup.cpp
@@ -112,14 +112,14 @@
     return revision;
 }
 
-// A key that was removed is listed with its held registration: it is in the store, and each balancer decides for
-// itself.
+// Held registrations are listed, too, after the state in use: they are in the store, and each balancer decides for
+// itself. One that holds a removal of the key from an earlier epoch learns that the key is registered.
 std::vector<record> replica::records() const {
     auto live_records = collect_changes([](const store_revision&, std::uint64_t) { return true; });
     std::erase_if(live_records,
                   [](const record& item) { return std::holds_alternative<removed_record>(item.content); });
     for (const auto& [key, backend] : backends_) {
-        if (backend.removed_at && backend.held_registration) live_records.push_back(*backend.held_registration);
+        if (backend.held_registration) live_records.push_back(*backend.held_registration);
     }
     return live_records;
 }
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -240,6 +240,28 @@
     BOOST_TEST((store_replica.shareable_revision() == store_revision{2, 9}));
 }
 
+// This balancer has not seen that the backend server was removed in the second epoch and is in the copy of the third. A
+// follower that holds the removal must learn of the copy from its listing, or it would lose the backend server.
+BOOST_AUTO_TEST_CASE(a_registration_of_a_copy_ends_a_held_removal_of_an_earlier_epoch_at_a_follower) {
+    backend_registration registration = registration_of(1);
+    registration.report_number = 7;
+    replica store_replica = synchronized_replica();
+    store_replica.apply_listing(std::vector{backend_record(3, registration)}, at_revision(3), start);
+    record copy = backend_record(0, registration_of(1)); // with an earlier report
+    copy.revision = {3, 2};
+    store_replica.apply_listing(std::vector{copy}, {3, 9}, start);
+
+    replica follower = synchronized_replica();
+    follower.apply_listing(std::vector{backend_record(3, registration)}, at_revision(3), start);
+    follower.apply_listing({}, {2, 8}, start);
+    BOOST_TEST(follower.find_backend(reference_of(1))->held_removal_due.has_value());
+    follower.apply_listing(store_replica.records(), store_replica.listed_revision(), start,
+                           store_replica.shareable_revision());
+    follower.note_store_available(start + 5s);
+    follower.expire(start + 5s);
+    BOOST_TEST(follower.find_backend(reference_of(1))->takes_new_flows());
+}
+
 // Records from several sources arrive in any order. A held removal must not be cancelled by an older
 // registration.
 BOOST_AUTO_TEST_CASE(an_older_registration_does_not_cancel_a_held_removal) {
