Keep a held registration against earlier removals, and the position of a listing for the watch after it

Cause of the first: a removal of the new epoch that precedes the registration of the copy was compared only with the state in use, which is of an earlier epoch. Of the second: the question for later removals after a listing moved the position past a removal that the source had held and applied in between, with a revision before the listing's.

Evidence: a_removal_that_precedes_a_held_registration_is_ignored and a_listing_of_a_feeder_is_followed_by_its_later_removals fail on the commit before.

--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -121,6 +121,11 @@
     return is_older_report(registration, backend.registration);
 }
 
+// The store has a later state of the key than the record, though it is not in use yet.
+bool replica::is_before_held_registration(const record& item, const known_backend& backend) {
+    return backend.held_registration && item.revision <= backend.held_registration->revision;
+}
+
 replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
     if (was_removed_since(item)) return replica_change::none;
     // A source that holds a removal still lists the key, also to a balancer that has learned of the removal elsewhere.
@@ -128,7 +133,7 @@
     if (has_been_removed) return replica_change::none;
     known_backend& backend = backends_[item.key];
     if (item.revision <= backend.revision) return replica_change::none;
-    if (backend.held_registration && item.revision <= backend.held_registration->revision) return replica_change::none;
+    if (is_before_held_registration(item, backend)) return replica_change::none;
     if (item.revision > backend.held_removal_revision) backend.held_removal_due.reset();
     if (!is_older_copy(item, registration, backend)) return take_registration(item, registration, backend, now);
     if (backend.held_removal_due) return replica_change::none; // removed after this state
@@ -187,9 +192,8 @@
         return replica_change::none;
     }
     known_backend& backend = found->second;
-    if (backend.held_registration && item.revision > backend.held_registration->revision)
-        backend.held_registration.reset();
-    if (item.revision <= backend.revision) return replica_change::none;
+    if (item.revision <= backend.revision || is_before_held_registration(item, backend)) return replica_change::none;
+    backend.held_registration.reset();
     if (backend.removed_at) {
         backend.revision = item.revision;
         return replica_change::state_confirmed;
@@ -214,9 +218,9 @@
     const auto found = backends_.find(item.key);
     if (found == backends_.end() || item.revision <= found->second.revision) return;
     known_backend& backend = found->second;
+    if (is_before_held_registration(item, backend)) return;
     if (item.revision > backend.held_removal_revision) backend.held_removal_due.reset();
-    if (backend.held_registration && item.revision > backend.held_registration->revision)
-        backend.held_registration.reset();
+    backend.held_registration.reset();
     backend.is_usable = false;
     backend.revision = item.revision;
     backend.changed_generation = ++generation_;
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -165,6 +165,7 @@
                                      known_backend& backend, steady_time now);
     bool           is_older_copy(const record& item, const backend_registration& registration,
                                  const known_backend& backend) const;
+    static bool    is_before_held_registration(const record& item, const known_backend& backend);
     bool           is_newer_table(const record& item, const routing_table& table) const;
     void           begin_availability(steady_time now);
     void           apply_held_registrations(steady_time now);
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -228,9 +228,10 @@
     for (const record& item : page.records)
         store_replica_.apply(item, now);
     store_replica_.set_complete_revision(page.revision);
-    resumes_listing_ = false;
     latest_call_.kind = read_kind::watch;
-    latest_call_.after_position = page.position;
+    // Changes that the source has made since the listing may have earlier revisions than it: a removal that it held.
+    const bool follows_listing = std::exchange(resumes_listing_, false);
+    latest_call_.after_position = follows_listing ? first_page_.position : page.position;
     pause_before_call_ = pause_after(!page.records.empty(), now);
     next_call_due_ = now + pause_before_call_;
     if (!page.records.empty()) last_change_ = now;
--- a/tests/entry_replica_test.cpp
+++ b/tests/entry_replica_test.cpp
@@ -262,6 +262,23 @@
     BOOST_TEST(follower.find_backend(reference_of(1))->takes_new_flows());
 }
 
+// A watch on the new epoch may repeat a removal that precedes the registration of the copy, which is held.
+BOOST_AUTO_TEST_CASE(a_removal_that_precedes_a_held_registration_is_ignored) {
+    backend_registration registration = registration_of(1);
+    registration.report_number = 7;
+    replica store_replica = synchronized_replica();
+    store_replica.apply_listing(std::vector{backend_record(3, registration)}, at_revision(3), start);
+    record copy = backend_record(0, registration_of(1)); // with an earlier report
+    copy.revision = {2, 22};
+    store_replica.apply_listing(std::vector{copy}, {2, 30}, start);
+    record removal = removal_record(0, 1);
+    removal.revision = {2, 19};
+    BOOST_TEST((store_replica.apply(removal, start + 1s) == replica_change::none));
+    store_replica.note_store_available(start + 5s);
+    store_replica.expire(start + 5s);
+    BOOST_TEST(store_replica.find_backend(reference_of(1))->takes_new_flows());
+}
+
 // Records from several sources arrive in any order. A held removal must not be cancelled by an older
 // registration.
 BOOST_AUTO_TEST_CASE(an_older_registration_does_not_cancel_a_held_removal) {
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -326,9 +326,18 @@
     const read_call call = next();
     BOOST_TEST((call.kind == read_kind::resume));
     BOOST_TEST((call.after_revision == at_revision(9)));
-    fail(read_error::history_dropped); // not again a listing: the two would alternate for ever
+    // A removal of an earlier revision that the feeder held until after the listing is between the two positions.
+    sync.succeeded({{}, 80, at_revision(9), at_revision(9), {}, 1}, now);
     BOOST_TEST((next().kind == read_kind::watch));
     BOOST_TEST(sync.latest_call().after_position == 77U);
+
+    fail(read_error::history_dropped);
+    next();
+    sync.succeeded({listed, 90, at_revision(9), at_revision(9), {}, 1}, now);
+    BOOST_TEST((next().kind == read_kind::resume));
+    fail(read_error::history_dropped); // not again a listing: the two would alternate for ever
+    BOOST_TEST((next().kind == read_kind::watch));
+    BOOST_TEST(sync.latest_call().after_position == 90U);
 }
 
 // A crashed feeder must not delay changes: the store is read immediately, from the last revision of the replica.
