Ask further sources only briefly after one has failed

Cause: the feeders of two failure domains were paused at once. A follower notices the first by the timeout of its watch (2.8 s), and then gave the second feeder 1.2 s before it read the store.

Change: after a failure, a call that asks for changes has 0.2 s to connect and 0.4 s for the answer, as to a balancer that has not answered before. A change right after the pause may still need 3.2 s; what is left of that is the watch itself.

In the tests' fleet a call to a paused balancer ends by its timeout now, as in the program, not also by the time limit for connecting.

--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -19,10 +19,11 @@
 constexpr duration feeder_watch_grace = std::chrono::milliseconds(500);
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
-// A balancer that has not answered the last call is asked again only briefly: other sources wait meanwhile. A listing,
-// which may be large, follows only when it has answered.
-constexpr duration unanswered_connect_timeout = std::chrono::milliseconds(200);
-constexpr duration unanswered_timeout = std::chrono::milliseconds(400);
+// A balancer is asked only briefly for changes if it has not answered the last call, or after another source has
+// failed: other sources wait, and little is left of the deadline of a change. A listing, which may be large, follows
+// only when it has answered.
+constexpr duration brief_connect_timeout = std::chrono::milliseconds(200);
+constexpr duration brief_timeout = std::chrono::milliseconds(400);
 // A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
 constexpr unsigned max_timeout_doublings = 2;
 // Changes in quick succession are collected into one answer of the store; a single change is read immediately. A
@@ -131,9 +132,10 @@
         return;
     }
     latest_call_.max_wait = {};
-    if (latest_call_.kind == read_kind::resume && !sources_.has_answered(latest_call_.source)) {
-        latest_call_.connect_timeout = unanswered_connect_timeout;
-        latest_call_.timeout = unanswered_timeout;
+    const bool is_in_doubt = consecutive_failures_ > 0 || !sources_.has_answered(latest_call_.source);
+    if (latest_call_.kind == read_kind::resume && is_in_doubt) {
+        latest_call_.connect_timeout = brief_connect_timeout;
+        latest_call_.timeout = brief_timeout;
         return;
     }
     const duration timeout = is_first_listing ? limits.timeout : list_timeout;
--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -231,6 +231,26 @@
         run_outage_with_lost_feeders(large_fleet, contact_time, seed);
 }
 
+// Load: the feeders of two failure domains are paused at once (hunt of aik-ops, freeze-and-reuse). Their followers
+// notice it by the timeout of a watch, and the next feeder that they ask may be paused as well: a change that comes a
+// second later must still reach them in time.
+BOOST_AUTO_TEST_CASE(a_change_reaches_the_followers_of_two_paused_feeders_within_its_deadline) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            fleet balancers({.failure_domains = 3, .hosts_per_domain = 3}, seed);
+            balancers.start_all();
+            balancers.run_for(10s + std::chrono::milliseconds(balancers.random()() % 2'000));
+            for (const char* domain : {"domain-0", "domain-1"})
+                balancers.feeder_of(domain)->is_paused = true;
+            balancers.run_for(1s);
+            balancers.change_configuration();
+            balancers.run_for(fleet_options{}.change_deadline);
+            for (const auto& host : balancers.hosts())
+                BOOST_TEST((!host->runs() || host->records->routing()->version == 3U), host->name);
+        }
+    }
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Randomised faults
 //----------------------------------------------------------------------------------------------------------------------
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -376,6 +376,17 @@
     BOOST_TEST(is_store(next()));
 }
 
+// Several feeders may be paused at once. After the first has not answered, too little of a change's deadline is left to
+// give the second the usual time.
+BOOST_AUTO_TEST_CASE(the_next_feeder_is_asked_only_briefly_after_one_did_not_answer) {
+    complete_listing({near_feeder, far_feeder});
+    const read_call first = wait_for_next();
+    fail(read_error::timed_out);
+    const read_call second = next();
+    BOOST_TEST(is_sent_to(second, other_domain_feeder));
+    BOOST_TEST((second.connect_timeout + second.timeout < first.timeout));
+}
+
 // A paused host accepts connections and does not answer. Calls to it must not use up the time in which another source
 // could be read; once it answers, its listing gets the whole timeout.
 BOOST_AUTO_TEST_CASE(a_feeder_that_did_not_answer_is_asked_only_briefly) {
--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -293,7 +293,9 @@
 inline void fleet::read(fleet_host& host, const read_call& call) {
     const std::uint64_t number = ++last_call_;
     host.latest_call = number;
-    at(now_ + call.connect_timeout + call.timeout, [this, &host, number] {
+    // A balancer without power is noticed by the time limit for connecting; to a paused one the connection stands.
+    const bool is_connected = call.source.kind != source_kind::store;
+    at(now_ + (is_connected ? call.timeout : call.connect_timeout + call.timeout), [this, &host, number] {
         finish(host, number, read_failure{read_error::timed_out, {}});
     });
     if (call.source.kind == source_kind::store) {
