--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -242,7 +242,7 @@
             balancers.run_for(10s + std::chrono::milliseconds(balancers.random()() % 2'000));
             for (const char* domain : {"domain-0", "domain-1"})
                 balancers.feeder_of(domain)->is_paused = true;
-            balancers.run_for(1s);
+            balancers.run_for(500ms);
             balancers.change_configuration();
             balancers.run_for(fleet_options{}.change_deadline);
             for (const auto& host : balancers.hosts())
