Review harness: entries change only with more than the sequence, and each machine has its own address of the store

The address tells whose watch the store has answered, so that case 4 freezes the machine right after such an answer.

--- a/review/harness/deployment.hpp
+++ b/review/harness/deployment.hpp
@@ -1,4 +1,4 @@
-// A small deployment on loopback addresses: 127.N.0.1 is the store, 127.N.1.x are clients, 127.N.2.x machines,
+// A small deployment on loopback addresses: 127.N.0.x are the store, 127.N.1.x are clients, 127.N.2.x machines,
 // 127.N.3.x targets and 127.N.4.x the addresses of routes. N is drawn, so that runs beside each other do not meet.
 #pragma once
 
@@ -12,8 +12,8 @@
 
 struct deployment {
     deployment(const std::string& record_path)
-        : network(free_network()), folder(new_folder()), record(record_path),
-          platform_store(loop, {address(0, 1), store_port}), platform_routers(loop, record) {}
+        : network(free_network()), folder(new_folder()), record(record_path), platform_store(loop),
+          platform_routers(loop, record) {}
 
     ~deployment() {
         machines.clear();
@@ -24,7 +24,9 @@
     ip address(unsigned third, unsigned fourth) const { return 127U << 24 | network << 16 | third << 8 | fourth; }
 
     machine& add_machine(const std::string& zone) {
-        const auto  number = static_cast<unsigned>(machines.size()) + 1;
+        const auto     number = static_cast<unsigned>(machines.size()) + 1;
+        const endpoint store_address{address(0, number), store_port};
+        platform_store.listen(store_address);
         std::string seeds;
         for (unsigned i = 1; i <= 3; ++i)
             seeds += (i == 1 ? "" : ",") + text_of(address(2, i)) + ":8166";
@@ -33,7 +35,7 @@
                                       machine_settings{.name = "frontend-" + zone + "-" + std::to_string(number),
                                                        .zone = zone,
                                                        .address = address(2, number),
-                                                       .store = {address(0, 1), store_port},
+                                                       .store = store_address,
                                                        .seeds = seeds,
                                                        .folder = folder}));
         platform_routers.add(*machines.back());
--- a/review/harness/ends.hpp
+++ b/review/harness/ends.hpp
@@ -40,7 +40,6 @@
     }
 
 private:
-    static constexpr ms heartbeat = 1'200;
     static constexpr ms first_retransmission = 200;
     static constexpr ms longest_retransmission = 1'600;
 
@@ -153,13 +152,15 @@
             held.interval = std::min(2 * held.interval, longest_retransmission);
             ++held.retransmissions;
         }
-        if (now() < next_report_at_) return;
-        next_report_at_ = now() + heartbeat;
+        if (is_registered_) return;
+        is_registered_ = true;
+        // It reports again and again, but the entry changes only when more than the sequence does.
         store_.put("servers/" + settings_.id,
                    "{\"service\":\"" + settings_.service + "\",\"address\":\"" + settings_.address.text() +
                        "\",\"zone\":\"" + settings_.zone +
-                       "\",\"version\":\"1.0\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":" +
-                       std::to_string(++sequence_) + ",\"born\":" + std::to_string(born_) + "}");
+                       "\",\"version\":\"v1\",\"capacity\":2,\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":1,"
+                       "\"born\":" +
+                       std::to_string(born_) + "}");
     }
 
     run_record&              record_;
@@ -167,8 +168,7 @@
     attempts&                attempts_;
     settings                 settings_;
     std::int64_t             born_;
-    std::uint64_t            sequence_ = 0;
-    ms                       next_report_at_ = 0;
+    bool                     is_registered_ = false;
     std::map<endpoint, flow> flows_; // by the client's end
     udp_port                 port_;  // last: its handler uses the members above
 };
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -172,6 +172,31 @@
                       " requests were run by a service to which no configuration lets them go");
 }
 
+// Runs until the store has answered a watch of the machine, and some more time, so that its next watch waits.
+void run_until_watch_waits(deployment& world, const machine& which, ms more) {
+    const endpoint address = which.settings().store;
+    const ms       last_answer = world.platform_store.last_watch_answer_at(address);
+    const ms       give_up_at = now() + 5'000;
+    while (world.platform_store.last_watch_answer_at(address) == last_answer) {
+        if (now() >= give_up_at) cannot_run(which.settings().name + " does not watch the store");
+        world.loop.run_until(now() + 1);
+    }
+    world.loop.run_until(now() + more);
+}
+
+// FLOW (a): the client of an open flow gets a reset that the flow's target did not send, while that target lives, from
+// a machine that is in touch: any but the frozen one.
+unsigned count_flow_breaks(const deployment& world, const machine& frozen) {
+    unsigned broken = 0;
+    for (const auto& each : world.clients) {
+        for (const client::reset& seen : each->resets()) {
+            const bool counts = seen.was_open && !seen.is_from_target && !seen.target_id.empty();
+            broken += counts && seen.from_machine != frozen.settings().name;
+        }
+    }
+    return broken;
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Clients that change zones with open flows on a new route
 //----------------------------------------------------------------------------------------------------------------------
@@ -179,7 +204,6 @@
 int moved_flows(deployment& world, bool has_trouble) {
     constexpr ms freeze_earliest_at = traffic_start + 4'000;
     constexpr ms freeze_time = 4'000;
-    constexpr ms contact = 4'000; // contact_ms
     for (const char* zone : {"gebze", "tuzla"}) {
         for (int i = 0; i < 3; ++i)
             world.add_machine(zone);
@@ -195,12 +219,7 @@
     require_service(world);
     machine* feeder = world.feeder_of("tuzla");
     if (feeder == nullptr) cannot_run("tuzla has no feeder");
-    // The freeze comes as an answer of the store is on its way to the machine.
-    const ms last_answer = world.platform_store.last_watch_answer_to(feeder->settings().address);
-    while (world.platform_store.last_watch_answer_to(feeder->settings().address) == last_answer &&
-           now() < freeze_earliest_at + 5'000)
-        world.loop.run_until(now() + 1);
-    world.loop.run_until(now() + 50);
+    run_until_watch_waits(world, *feeder, 50);
     const ms frozen_at = now();
     if (has_trouble) {
         feeder->send_signal(SIGSTOP);
@@ -223,16 +242,60 @@
         world.record.line("machine " + feeder->settings().name + " wakes");
     }
     world.loop.run_until(frozen_at + freeze_time + 4'000);
-    // FLOW (a): the client of an open flow gets a reset that the flow's target did not send. The target lives, and all
-    // machines but the frozen one have been without a disruption for contact_ms and more.
-    static_assert(freeze_earliest_at > contact);
-    unsigned broken = 0;
-    for (const auto& each : world.clients) {
-        for (const client::reset& seen : each->resets()) {
-            const bool counts = seen.was_open && !seen.is_from_target && !seen.target_id.empty();
-            broken += counts && seen.from_machine != feeder->settings().name;
-        }
+    const unsigned broken = count_flow_breaks(world, *feeder);
+    return finish(world, broken > 0,
+                  std::to_string(broken) + " open flows were reset by machines in touch while their targets lived");
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Clients that change zones with open flows to a new target
+//----------------------------------------------------------------------------------------------------------------------
+
+int new_target(deployment& world, bool has_trouble) {
+    constexpr ms prepared_at = traffic_start + 6'000;
+    constexpr ms freeze_time = 2'200;
+    for (const char* zone : {"gebze", "tuzla"}) {
+        for (int i = 0; i < 3; ++i)
+            world.add_machine(zone);
+        world.add_target("hire-desk", zone);
+        for (int i = 0; i < 4; ++i)
+            world.add_client(zone);
+    }
+    world.configure(3, {{"board", "hire-desk"}});
+    world.start_machines();
+    add_traffic(world, "board", 200, prepared_at + 9'000);
+    world.loop.run_until(prepared_at);
+    require_service(world);
+    machine* feeder = world.feeder_of("tuzla");
+    if (feeder == nullptr) cannot_run("tuzla has no feeder");
+    run_until_watch_waits(world, *feeder, 300);
+    const ms frozen_at = now();
+    if (has_trouble) {
+        feeder->send_signal(SIGSTOP);
+        world.record.line("machine " + feeder->settings().name + " freezes");
+    }
+    world.loop.run_until(frozen_at + 20);
+    world.configure(5, {{"board", "hire-desk"}});
+    world.loop.run_until(frozen_at + 150);
+    world.add_target("hire-desk", "gebze");
+    world.record.line("a new target of gebze starts");
+    world.loop.run_until(frozen_at + 500);
+    for (int i = 0; i < 4; ++i) {
+        for (int flow = 0; flow < 25; ++flow)
+            world.clients[static_cast<std::size_t>(i)]->open(
+                {.route = "board", .address = world.routes_now.at("board"), .requests = 30, .pause = 150});
+    }
+    world.loop.run_until(frozen_at + 800);
+    world.record.line("clients of gebze move to tuzla");
+    for (int i = 0; i < 4; ++i)
+        world.clients[static_cast<std::size_t>(i)]->move_to("tuzla");
+    world.loop.run_until(frozen_at + freeze_time);
+    if (has_trouble) {
+        feeder->send_signal(SIGCONT);
+        world.record.line("machine " + feeder->settings().name + " wakes");
     }
+    world.loop.run_until(frozen_at + freeze_time + 5'000);
+    const unsigned broken = count_flow_breaks(world, *feeder);
     return finish(world, broken > 0,
                   std::to_string(broken) + " open flows were reset by machines in touch while their targets lived");
 }
@@ -244,7 +307,8 @@
     static const std::map<std::string, case_function> cases = {{"unreadable_entry", unreadable_entry},
                                                                {"stalled_log", stalled_log},
                                                                {"incomplete_entry", incomplete_entry},
-                                                               {"moved_flows", moved_flows}};
+                                                               {"moved_flows", moved_flows},
+                                                               {"new_target", new_target}};
     const auto                                        found = cases.find(name);
     if (found == cases.end()) cannot_run("there is no case " + name);
     if (::access("target/tamarack-entry", X_OK) != 0) cannot_run("target/tamarack-entry is not built");
--- a/review/harness/store.hpp
+++ b/review/harness/store.hpp
@@ -17,12 +17,17 @@
     static constexpr std::size_t page_bytes = 1'000'000;
     static constexpr std::size_t value_limit = 1'048'576; // bytes, value_bytes of the settings
 
-    store(event_loop& loop, const endpoint& address) : loop_(loop), listener_(open_socket(SOCK_STREAM, address)) {
-        if (::listen(listener_, 256) != 0) cannot_run("cannot listen on " + address.text());
-        loop_.watch(listener_, POLLIN, [this](short) { accept(); });
+    explicit store(event_loop& loop) : loop_(loop) {
         loop_.on_tick([this] { tick(); });
     }
 
+    // Each machine reaches the store at an address of its own, which tells whose calls they are.
+    void listen(const endpoint& address) {
+        const int listener = open_socket(SOCK_STREAM, address);
+        if (::listen(listener, 256) != 0) cannot_run("cannot listen on " + address.text());
+        loop_.watch(listener, POLLIN, [this, listener, address](short) { accept(listener, address); });
+    }
+
     // A write by the operator, a target or another writer. The returned revision is the store's ack.
     std::uint64_t put(const std::string& key, const std::string& value, std::uint64_t lease = 0) {
         if (key.size() > 200 || value.size() > value_limit) cannot_run("the store refuses " + key);
@@ -42,9 +47,9 @@
         const auto found = items_.find(key);
         return found == items_.end() ? std::nullopt : std::optional(found->second.value);
     }
-    // Time of the last answer to a watch of this host; -1: none.
-    ms last_watch_answer_to(ip host) const {
-        const auto found = watch_answers_.find(host);
+    // Time of the last answer to a watch at this address of the store; -1: none.
+    ms last_watch_answer_at(const endpoint& address) const {
+        const auto found = watch_answers_.find(address);
         return found == watch_answers_.end() ? -1 : found->second;
     }
 
@@ -73,7 +78,7 @@
     };
     struct connection {
         int                          handle = -1;
-        ip                           peer = 0;
+        endpoint                     address; // of the store
         std::string                  input;
         std::string                  output;
         ms                           output_due_at = 0;
@@ -81,15 +86,12 @@
         bool                         is_busy = false; // a call has not been answered yet
     };
 
-    void accept() {
-        sockaddr_in peer{};
-        socklen_t   size = sizeof peer;
-        const int   handle =
-            ::accept4(listener_, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    void accept(int listener, const endpoint& address) {
+        const int handle = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (handle < 0) return;
         const int on = 1;
         ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        connections_[handle] = {.handle = handle, .peer = ntohl(peer.sin_addr.s_addr)};
+        connections_[handle] = {.handle = handle, .address = address};
         loop_.watch(handle, POLLIN, [this, handle](short) { receive(handle); });
     }
 
@@ -290,7 +292,7 @@
         out.Uint64(revision_);
         out.EndObject();
         caller.watch.reset();
-        watch_answers_[caller.peer] = now();
+        watch_answers_[caller.address] = now();
         answer(caller, 200, buffer.GetString());
     }
 
@@ -387,12 +389,11 @@
     }
 
     event_loop&                    loop_;
-    int                            listener_ = -1;
     std::map<int, connection>      connections_;
     std::map<std::string, item>    items_;
     std::deque<event>              history_;
     std::map<std::uint64_t, lease> leases_;
-    std::map<ip, ms>               watch_answers_;
+    std::map<endpoint, ms>         watch_answers_;
     std::uint64_t                  revision_ = 100;
     std::uint64_t                  last_lease_ = 0;
 };
