Review harness: children have sessions of their own

When the shell that had started a run ended, the kernel continued the stopped log agents and the frozen machine, and cases 2 and 5 held once each.

--- a/review/harness/machines.hpp
+++ b/review/harness/machines.hpp
@@ -9,6 +9,13 @@
 inline constexpr std::uint16_t ready_port = 8167;
 inline constexpr std::uint16_t peer_port = 7720;
 
+// First call in a child. It ends with the harness. In a session of its own it stays stopped when the shell that started
+// the harness ends: the kernel continues the stopped processes of a process group that loses its shell.
+inline void begin_child() {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::setsid();
+}
+
 struct machine_settings {
     std::string name;
     std::string zone;
@@ -26,7 +33,7 @@
         if (::pipe2(ends, O_CLOEXEC) != 0) cannot_run("no pipe");
         pid_ = ::fork();
         if (pid_ == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            begin_child();
             const int out = ::open(file.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
             ::close(ends[1]);
             char bytes[65'536];
@@ -78,7 +85,7 @@
         const std::string home_variable = std::string("HOME=") + (home == nullptr ? "/" : home);
         pid_ = ::fork();
         if (pid_ == 0) {
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            begin_child();
             ::dup2(agent_.writing_end(), STDOUT_FILENO);
             ::dup2(agent_.writing_end(), STDERR_FILENO);
             std::string program = "target/tamarack-entry"; // the role's run command
