--- a/review/harness/machines.hpp
+++ b/review/harness/machines.hpp
@@ -31,6 +31,8 @@
     explicit log_agent(const std::string& file) {
         int ends[2];
         if (::pipe2(ends, O_CLOEXEC) != 0) cannot_run("no pipe");
+        constexpr int usual_pipe_size = 65'536; // bytes; a host with large pages would have a larger one
+        ::fcntl(ends[1], F_SETPIPE_SZ, usual_pipe_size);
         pid_ = ::fork();
         if (pid_ == 0) {
             begin_child();
