--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -197,10 +197,9 @@
     const steady_time received_at = now();
     if (outcome) {
         ++calls_by_result["ok"];
-        const std::uint64_t generation_before = store_replica.generation();
         log_store_epoch(outcome.value().revision.epoch, "ok");
         sync.succeeded(outcome.value(), received_at);
-        if (store_replica.generation() != generation_before) log.note_unusable(outcome.value().records);
+        log.note_unusable(outcome.value().records);
         log_source_change();
         log_new_changes();
         log_ignored_records();
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -181,6 +181,10 @@
     for (const record& item : records) {
         const auto* unusable = std::get_if<unusable_record>(&item.content);
         if (unusable == nullptr) continue;
+        if (!failure_budget_.take(1.0, time_.steady_now())) {
+            ++omitted_lines_;
+            continue;
+        }
         write(event::record_unusable, {{"key", item.key},
                                        {"epoch", item.revision.epoch},
                                        {"revision", item.revision.number},
