Reset a flow on an unknown route only with a proof that is later than its first packet

Cause: a later packet on a route that the replica lacks was reset as soon as the store counted as available. A follower counts it as available until it notices that its source is silent, and needs no confirmation for that.

Fix: such a packet is dropped until the store has confirmed, 0.3 s after the first packet of its flow here or later, that it has nothing newer, as it is for unknown references. The time counts per flow (unknown_flows): an address that was seen before its route existed proves nothing of later flows. A flow that this balancer has forwarded itself is reset at once, since its route was there. New flows on an unknown route keep their immediate refusal: nothing of them has run.

--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-std::uint64_t flow_tracker::key_of(const segment& packet) {
+flow_key key_of(const segment& packet) {
     std::array<std::uint8_t, 36> bytes{}; // two addresses of 16 bytes and two ports of 2 bytes
     auto                         out = std::ranges::copy(packet.source.address.bytes, bytes.begin()).out;
     out = std::ranges::copy(packet.destination.address.bytes, out).out;
@@ -56,8 +56,8 @@
 }
 
 tracked_flow* flow_tracker::start(const segment& packet, backend_reference reference, steady_time now) {
-    const std::uint64_t key = key_of(packet);
-    const auto          existing = flows_.find(key);
+    const flow_key key = key_of(packet);
+    const auto     existing = flows_.find(key);
     if (existing == flows_.end() && flows_.size() >= capacity_) return nullptr;
     tracked_flow& flow = existing == flows_.end() ? flows_[key] : existing->second;
     if (existing != flows_.end()) close(flow);
@@ -145,9 +145,9 @@
 }
 
 void flow_tracker::expire(steady_time now, duration idle_timeout) {
-    const std::size_t          buckets = flows_.bucket_count();
-    const std::size_t          buckets_to_scan = buckets / scan_divisor + 1;
-    std::vector<std::uint64_t> expired_keys;
+    const std::size_t     buckets = flows_.bucket_count();
+    const std::size_t     buckets_to_scan = buckets / scan_divisor + 1;
+    std::vector<flow_key> expired_keys;
     for (std::size_t scanned = 0; scanned < buckets_to_scan; ++scanned) {
         const std::size_t bucket = next_scan_bucket_++ % buckets;
         for (auto flow = flows_.begin(bucket); flow != flows_.end(bucket); ++flow) {
@@ -155,7 +155,7 @@
             if (now > flow->second.last_seen + limit) expired_keys.push_back(flow->first);
         }
     }
-    for (const std::uint64_t key : expired_keys) {
+    for (const flow_key key : expired_keys) {
         const auto found = flows_.find(key);
         close(found->second);
         flows_.erase(found);
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -21,6 +21,10 @@
     steady_time   first_unanswered_syn{};   // when the first of them was forwarded
 };
 
+// Hash of the caller's and the route's address. Flows with the same hash share an entry wherever it is the key.
+using flow_key = std::uint64_t;
+flow_key key_of(const segment& packet);
+
 struct tracked_flow {
     backend_reference reference = 0;                 // of the flow's backend server
     std::uint32_t     next_sequence = 0;             // sequence number after the data that the caller has sent
@@ -73,15 +77,13 @@
     void                    expire(steady_time now, duration idle_timeout);
 
 private:
-    // Hash of the caller's and the route's address. Flows with the same hash share an entry.
-    static std::uint64_t key_of(const segment& packet);
-    void                 note_response(backend_activity& activity, steady_time now);
-    void                 stop_waiting(tracked_flow& flow);
-    void                 close(tracked_flow& flow);
-    void                 expire_activity(steady_time now);
+    void note_response(backend_activity& activity, steady_time now);
+    void stop_waiting(tracked_flow& flow);
+    void close(tracked_flow& flow);
+    void expire_activity(steady_time now);
 
     std::size_t                                             capacity_; // flows
-    std::unordered_map<std::uint64_t, tracked_flow>         flows_;    // by key_of
+    std::unordered_map<flow_key, tracked_flow>              flows_;
     std::unordered_map<backend_reference, backend_activity> activity_;
     duration                                                handshake_time_ = std::chrono::milliseconds(10); // smoothed
     std::uint64_t                                           next_scan_bucket_ = 0; // where expire continues
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -201,27 +201,17 @@
 steering_decision steering::decide_later_packet(const segment& packet, steady_time now) {
     if (store_replica_.routing() == nullptr || !store_replica_.is_complete())
         return {packet_action::drop, decision_reason::not_synchronized};
-    if (store_replica_.find_route(packet.destination) == nullptr) {
-        if (packet.rst) return {packet_action::drop, decision_reason::no_route};
-        return {store_replica_.store_available_since() ? packet_action::reset : packet_action::drop,
-                decision_reason::no_route};
-    }
-    tracked_flow*     flow = flows_.find(packet);
+    tracked_flow* flow = flows_.find(packet);
+    if (store_replica_.find_route(packet.destination) == nullptr) return refuse_unrouted(packet, flow, now);
     backend_reference reference = packet.reference;
     // Two backend servers may have answered the SYN and its retransmission. The flow is pinned to the one whose answer
     // the caller acknowledged first; the reference in a later answer does not move it.
     const bool        is_pinned = flow != nullptr && flow->is_open;
     if (is_pinned) reference = flow->reference;
     const known_backend* backend = store_replica_.find_backend(reference);
-    if (backend == nullptr) {
-        const bool is_certain = is_certainly_unknown(reference, now);
-        if (packet.rst || !is_certain) return {packet_action::drop, decision_reason::unknown_reference};
-        return {packet_action::reset, decision_reason::unknown_reference};
-    }
-    if (backend->removed_at) {
-        if (packet.rst || !is_settled(now)) return {packet_action::drop, decision_reason::backend_gone};
-        return {packet_action::reset, decision_reason::backend_gone};
-    }
+    if (backend == nullptr)
+        return refuse(packet, decision_reason::unknown_reference, is_certainly_unknown(reference, now));
+    if (backend->removed_at) return refuse(packet, decision_reason::backend_gone, is_settled(now));
     if (flow == nullptr) {
         flow = flows_.start(packet, reference, now);
         if (flow != nullptr) flow->next_sequence = packet.sequence;
@@ -238,6 +228,21 @@
     return decision;
 }
 
+// A reset may break a flow that is alive, so that it takes a proof. Without it the packet is dropped, and the caller
+// retransmits it. A caller's reset is never answered.
+steering_decision steering::refuse(const segment& packet, decision_reason reason, bool is_proved) {
+    const bool resets = is_proved && !packet.rst;
+    return {resets ? packet_action::reset : packet_action::drop, reason};
+}
+
+// The route may be new, and its flows opened through balancers that know it already. A flow that is tracked was
+// forwarded by this balancer while its route existed: the route has been dropped.
+steering_decision steering::refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now) {
+    const bool was_dropped = flow != nullptr && store_replica_.store_available_since();
+    const bool is_proved = was_dropped || is_confirmed_after(unknown_flows_.first_packet(packet, now), now);
+    return refuse(packet, decision_reason::no_route, is_proved);
+}
+
 // Load pattern: a backend server that stops responding usually has many open flows. Their requests are retransmitted
 // without progress before a new flow shows the failure. A single stalled flow is enough to direct new flows elsewhere.
 bool steering::is_stalled(const tracked_flow& flow, steady_time now) {
@@ -256,12 +261,19 @@
 bool steering::is_certainly_unknown(backend_reference reference, steady_time now) {
     if (unknown_since_.size() >= max_unknown_references) unknown_since_.clear();
     const auto [first_packet, is_new] = unknown_since_.try_emplace(reference, now);
-    return is_settled(now) && store_replica_.last_confirmation() >= first_packet->second + confirmation_margin;
+    return is_confirmed_after(first_packet->second, now);
+}
+
+// The store has nothing that had been written before the packet and that the replica lacks. Not certain while a
+// restored store has not been written again.
+bool steering::is_confirmed_after(steady_time first_packet, steady_time now) const {
+    return is_settled(now) && store_replica_.last_confirmation() >= first_packet + confirmation_margin;
 }
 
 void steering::expire(steady_time now) {
     const routing_table* routing = store_replica_.routing();
     flows_.expire(now, routing == nullptr ? std::chrono::seconds(15) : routing->idle_timeout);
+    unknown_flows_.expire(now);
 }
 
 } // namespace tamarack::entry
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -233,6 +233,38 @@
     BOOST_TEST((decide(later_packet(1, 77, 5'000, 10)).action == packet_action::reset));
 }
 
+// Found by the review (case 4): a balancer that did not know a new route yet reset the open flows on it. A confirmation
+// counts for the flows whose packets came before it.
+BOOST_AUTO_TEST_CASE(an_open_flow_on_an_unknown_route_is_reset_only_after_a_later_confirmation_by_the_store) {
+    const auto action_on_unknown_route = [this](std::uint16_t port) {
+        segment packet = later_packet(port, reference_of(1), 5'000, 10);
+        packet.destination.port = 9;
+        return decide(packet).action;
+    };
+    time.advance(10s);
+    store_replica.note_store_available(time.steady_now());
+    time.advance(1s);
+    BOOST_TEST((action_on_unknown_route(1) == packet_action::drop));
+    time.advance(1s);
+    store_replica.note_store_available(time.steady_now(), 900ms); // through a feeder, and hardly later than the packet
+    BOOST_TEST((action_on_unknown_route(1) == packet_action::drop));
+    store_replica.note_store_available(time.steady_now());
+    BOOST_TEST((action_on_unknown_route(1) == packet_action::reset));
+    BOOST_TEST((action_on_unknown_route(2) == packet_action::drop));
+    store_replica.note_store_unavailable();
+    BOOST_TEST((action_on_unknown_route(1) == packet_action::drop));
+}
+
+// Its caller should not wait for its deadline.
+BOOST_AUTO_TEST_CASE(an_open_flow_on_a_dropped_route_is_reset_immediately) {
+    time.advance(10s);
+    const backend_reference reference = open_flow(1);
+    store_replica.apply(configuration_record(9, 2, {}), time.steady_now());
+    const auto ended = decide(later_packet(1, reference, 5'000, 10));
+    BOOST_TEST((ended.action == packet_action::reset));
+    BOOST_TEST((ended.reason == decision_reason::no_route));
+}
+
 // Found by the soak test (seed 27): a starting balancer read a SYN and its retransmission together, and sent them to
 // different backend servers.
 BOOST_AUTO_TEST_CASE(a_syn_and_its_retransmission_that_arrive_together_go_to_the_same_backend_server) {
