Count an answer that the store gives early as old as its call

Callers saw: a feeder was paused for 2.2 s while its watch waited, and a backend server started meanwhile.

Cause: store_sync::age_of took each watch for held by the store for its whole wait of up to 2 s. An answer that comes early because of a change, and then waits in the paused process, was counted as up to 2 s too young.

Fix: an answer with changes confirms only what the store had when it was called. The next watch waits for the rest of the two seconds, and a pause between calls ends there, so that confirmations come as often as before.

--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -123,7 +123,7 @@
     const first_listing_limits limits = sources_.limits_of_first_listing();
     latest_call_.connect_timeout = is_first_listing ? limits.connect_timeout : connect_timeout;
     if (latest_call_.kind == read_kind::watch) {
-        latest_call_.max_wait = is_feeder_call ? feeder_watch_wait : store_watch_wait - pause_before_call_;
+        latest_call_.max_wait = is_feeder_call ? feeder_watch_wait : store_watch_wait_at(now);
         if (probes_source_) latest_call_.max_wait = {};
         // A feeder that has lost the store tries it again soon: it may be read by feeders that have lost it, too.
         if (is_feeder_call && sources_.is_feeder())
@@ -143,6 +143,13 @@
         timeout * (reads_store() ? 1U << std::min(consecutive_timeouts_, max_timeout_doublings) : 1U);
 }
 
+// The store confirms nothing newer than the call of a watch that it answers early, so that the next watch waits only
+// for the rest of the interval.
+duration store_sync::store_watch_wait_at(steady_time now) const {
+    const duration age = now - store_replica_.last_confirmation();
+    return std::clamp(store_watch_wait - age, min_watch_wait, store_watch_wait);
+}
+
 std::optional<read_call> store_sync::next_call(steady_time now) {
     if (is_call_pending_ || now < next_call_due_) return std::nullopt;
     if (!repeats_call_) choose_call(now);
@@ -151,7 +158,6 @@
     is_call_pending_ = true;
     latest_call_time_ = now;
     set_timeouts(now);
-    pause_before_call_ = {};
     return latest_call_;
 }
 
@@ -210,9 +216,12 @@
 }
 
 // The time that the call and its answer travelled counts in full, so that balancers that read from each other cannot
-// make a confirmation younger. The store holds a watch for its whole wait unless there is a change.
+// make a confirmation younger. The store holds a watch for its whole wait unless there is a change. It does not tell
+// when it answered because of a change, and the answer may have waited here while this process was paused: such an
+// answer only shows what the store had when it was called.
 duration store_sync::age_of(const record_page& page, steady_time now) const {
-    const duration held = reads_store() ? latest_call_.max_wait : page.held;
+    const duration held_by_store = page.records.empty() ? latest_call_.max_wait : duration::zero();
+    const duration held = reads_store() ? held_by_store : page.held;
     return page.confirmation_age + std::max(duration::zero(), now - latest_call_time_ - held);
 }
 
@@ -234,8 +243,7 @@
     // Changes that the source has made since the listing may have earlier revisions than it: a removal that it held.
     const bool follows_listing = std::exchange(resumes_listing_, false);
     latest_call_.after_position = follows_listing ? first_page_.position : page.position;
-    pause_before_call_ = pause_after(!page.records.empty(), now);
-    next_call_due_ = now + pause_before_call_;
+    next_call_due_ = next_call_after(pause_after(!page.records.empty(), now), now);
     if (!page.records.empty()) last_change_ = now;
 }
 
@@ -249,6 +257,11 @@
     return now - last_change_ < burst_window ? burst_pause : single_change_pause;
 }
 
+// Ends the pause early if the confirmation would otherwise grow older than a watch waits.
+steady_time store_sync::next_call_after(duration pause, steady_time now) const {
+    return std::clamp(store_replica_.last_confirmation() + store_watch_wait, now, now + pause);
+}
+
 void store_sync::apply_listing_page(const record_page& page, steady_time now) {
     if (latest_call_.after_key.empty()) {
         listed_records_.clear();
@@ -270,8 +283,7 @@
     latest_call_.after_key.clear();
     latest_call_.after_position = first_page_.position;
     latest_call_.after_revision = first_page_.listed_revision;
-    pause_before_call_ = pause_after(false, now);
-    next_call_due_ = now + pause_before_call_;
+    next_call_due_ = next_call_after(pause_after(false, now), now);
 }
 
 void store_sync::failed(const read_failure& failure, steady_time now) {
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -84,6 +84,7 @@
     void                      switch_to(const record_source& source);
     void                      choose_call(steady_time now);
     void                      set_timeouts(steady_time now);
+    duration                  store_watch_wait_at(steady_time now) const;
     bool                      answers_call(const record_page& page) const;
     std::optional<read_error> check_epoch(const record_page& page) const;
     duration                  age_of(const record_page& page, steady_time now) const;
@@ -91,6 +92,7 @@
     void                      apply_listing_page(const record_page& page, steady_time now);
     void                      apply_changes(const record_page& page, steady_time now);
     duration                  pause_after(bool has_changes, steady_time now);
+    steady_time               next_call_after(duration pause, steady_time now) const;
 
     replica&            store_replica_;
     source_choice       sources_;
@@ -107,9 +109,8 @@
     steady_time         next_call_due_{};
     steady_time         latest_call_time_{};
     steady_time         last_change_{};
-    duration            pause_before_call_{}; // shortens the next watch on the store
-    std::vector<record> listed_records_;      // of the pages read so far
-    record_page         first_page_;          // position and revision of the first page
+    std::vector<record> listed_records_; // of the pages read so far
+    record_page         first_page_;     // position and revision of the first page
 };
 
 } // namespace tamarack::entry
--- a/tests/entry_moved_flows_test.cpp
+++ b/tests/entry_moved_flows_test.cpp
@@ -75,3 +75,23 @@
         BOOST_TEST(play.deliveries > 0U, "seed " << seed);
     }
 }
+
+// Found by the review (case 5): a feeder that was paused while its watch waited passed on the store's answer, which had
+// come early because of a change and had waited during the pause, as a confirmation from the time when it was read.
+BOOST_AUTO_TEST_CASE(open_flows_to_a_new_backend_server_survive_a_change_to_balancers_whose_feeder_was_paused) {
+    constexpr std::uint64_t identity = 99;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        moved_flows play(seed);
+        play.feeder->is_paused = true;
+        play.hosts.run_for(20ms);
+        play.hosts.change_configuration();
+        play.hosts.run_for(130ms);
+        play.hosts.write(backend_record(0, registration_of(identity)));
+        play.hosts.run_for(650ms);
+        play.run_with_flows(1'400ms, service_address, reference_of(identity));
+        play.feeder->is_paused = false;
+        play.run_with_flows(5s, service_address, reference_of(identity));
+        BOOST_TEST(play.resets == 0U, "seed " << seed);
+        BOOST_TEST(play.deliveries > 0U, "seed " << seed);
+    }
+}
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -90,6 +90,48 @@
     }
 };
 
+// A store that changes at an interval, and answers a watch 8 ms after a change or the end of the wait.
+struct changing_store_fixture : sync_fixture {
+    void step() {
+        constexpr duration answer_time = 8ms;
+        now += 2ms;
+        if (!watch) {
+            watch = sync.next_call(now);
+            called_at = now;
+            calls += watch ? 1U : 0U;
+        }
+        if (!watch || now < called_at + answer_time) return;
+        if (!has_changed && now < called_at + watch->max_wait + answer_time) return;
+        watch.reset();
+        std::vector<record> changes;
+        if (std::exchange(has_changed, false)) changes.push_back(backend_record(revision, registration_of(1)));
+        answer(std::move(changes), revision, revision);
+    }
+
+    void check_confirmations_during_changes(duration interval) {
+        constexpr duration time = 30s;
+        calls = 0;
+        duration    oldest{};
+        steady_time next_change = now + interval;
+        for (const steady_time end = now + time; now < end; step()) {
+            oldest = std::max(oldest, now - store_replica.last_confirmation());
+            if (now < next_change) continue;
+            has_changed = true;
+            ++revision;
+            next_change += interval;
+        }
+        BOOST_TEST((oldest <= 2'250ms), "interval " << interval / 1ms << " ms: " << oldest / 1ms << " ms");
+        // One for each change, and one every 2 s.
+        BOOST_TEST(calls <= time / interval + time / 2s + 1, "interval " << interval / 1ms << " ms: " << calls);
+    }
+
+    std::optional<read_call> watch;
+    steady_time              called_at{};
+    bool                     has_changed = false;
+    std::uint64_t            revision = 100;
+    std::int64_t             calls = 0;
+};
+
 struct large_fleet_fixture : sync_fixture {
     static constexpr duration deadline = 6s;
 
@@ -255,6 +297,28 @@
     BOOST_TEST(!store_replica.is_current(now));
 }
 
+// Found by the review (case 5): a feeder that was paused while its watch waited took the answer, which had come early
+// because of a change, for a recent confirmation.
+BOOST_AUTO_TEST_CASE(an_early_answer_of_the_store_confirms_only_what_it_had_when_it_was_called) {
+    complete_listing();
+    wait_for_next();
+    const auto called_at = now;
+    now += 2'200ms; // the answer waits while the process is paused
+    answer({backend_record(6, registration_of(2))}, 6, 6);
+    BOOST_TEST((store_replica.last_confirmation() == called_at));
+    BOOST_TEST((wait_for_next().max_wait <= 100ms)); // a watch of the full length would confirm too late
+}
+
+// Followers refuse a replica whose confirmation is older than 3.1 s, and are to be answered every 2.3 s.
+BOOST_FIXTURE_TEST_CASE(confirmations_stay_recent_while_watches_end_early, changing_store_fixture) {
+    complete_listing();
+    for (const bool is_feeder : {true, false}) {
+        sync.set_holds_slot(is_feeder);
+        for (const duration interval : {100ms, 300ms, 700ms, 1'200ms, 1'900ms, 1'990ms, 2'100ms, 3'000ms})
+            check_confirmations_during_changes(interval);
+    }
+}
+
 // Hundreds of hosts that list at the same time fill the store's link. If each gave up and began again, none would ever
 // complete its listing.
 BOOST_AUTO_TEST_CASE(the_timeout_of_a_listing_grows_after_timeouts) {
