Judge flows to removed and unknown backend servers by proofs that are later than the flow

Callers would see: a backend server that was removed registers again under its id, and a balancer that lags behind resets the open flows to it; or a balancer that has met a reference before resets later flows with it by an old confirmation.

Cause: for a removed backend server a reset needed no confirmation that is later than the flow; for an unknown reference the time of the first packet was kept per reference, for all later flows.

Fix: one rule for unknown routes, unknown references and removed backend servers, by the first packet of the flow. A flow that this balancer has forwarded before the removal is still reset at once.

--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -20,8 +20,6 @@
 // A confirmation by the store this long after a packet covers all writes that preceded the packet, also if it comes
 // through a feeder.
 constexpr duration         confirmation_margin = std::chrono::milliseconds(300);
-// References; all are forgotten when the limit is reached, which only delays resets.
-constexpr std::size_t      max_unknown_references = 4'096;
 // Callers retransmit data after 200 ms and after 400 ms more. The second retransmission rules out the loss of a single
 // packet.
 constexpr duration         stall_time = std::chrono::milliseconds(450);
@@ -210,8 +208,8 @@
     if (is_pinned) reference = flow->reference;
     const known_backend* backend = store_replica_.find_backend(reference);
     if (backend == nullptr)
-        return refuse(packet, decision_reason::unknown_reference, is_certainly_unknown(reference, now));
-    if (backend->removed_at) return refuse(packet, decision_reason::backend_gone, is_settled(now));
+        return refuse(packet, decision_reason::unknown_reference, is_confirmed_since_first_packet(packet, now));
+    if (backend->removed_at) return refuse_removed(packet, *backend, flow, now);
     if (flow == nullptr) {
         flow = flows_.start(packet, reference, now);
         if (flow != nullptr) flow->next_sequence = packet.sequence;
@@ -239,8 +237,16 @@
 // forwarded by this balancer while its route existed: the route has been dropped.
 steering_decision steering::refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now) {
     const bool was_dropped = flow != nullptr && store_replica_.store_available_since();
-    const bool is_proved = was_dropped || is_confirmed_after(unknown_flows_.first_packet(packet, now), now);
-    return refuse(packet, decision_reason::no_route, is_proved);
+    return refuse(packet, decision_reason::no_route, was_dropped || is_confirmed_since_first_packet(packet, now));
+}
+
+// The backend server may have registered again, and the flow may have opened since. A flow that was tracked before the
+// removal has ended with the earlier registration.
+steering_decision steering::refuse_removed(const segment& packet, const known_backend& backend,
+                                           const tracked_flow* flow, steady_time now) {
+    const bool precedes_removal = flow != nullptr && flow->first_syn < *backend.removed_at;
+    const bool is_proved = precedes_removal ? is_settled(now) : is_confirmed_since_first_packet(packet, now);
+    return refuse(packet, decision_reason::backend_gone, is_proved);
 }
 
 // Load pattern: a backend server that stops responding usually has many open flows. Their requests are retransmitted
@@ -255,18 +261,12 @@
     return available_since && now >= *available_since + settings_.settle_time;
 }
 
-// Load pattern: a new backend server gets flows from balancers that already know it, and their packets may arrive
-// through a balancer that does not know it yet, or that has lost the store without noticing. Therefore only a
-// confirmation by the store after the first such packet counts.
-bool steering::is_certainly_unknown(backend_reference reference, steady_time now) {
-    if (unknown_since_.size() >= max_unknown_references) unknown_since_.clear();
-    const auto [first_packet, is_new] = unknown_since_.try_emplace(reference, now);
-    return is_confirmed_after(first_packet->second, now);
-}
-
-// The store has nothing that had been written before the packet and that the replica lacks. Not certain while a
-// restored store has not been written again.
-bool steering::is_confirmed_after(steady_time first_packet, steady_time now) const {
+// Load pattern: a new backend server or route gets flows from balancers that already know it, and their packets may
+// arrive through a balancer that does not know it yet, or that has lost the store without noticing. Therefore only a
+// confirmation by the store after the flow's first packet shows that the store has nothing that the replica lacks. It
+// is not certain while a restored store has not been written again.
+bool steering::is_confirmed_since_first_packet(const segment& packet, steady_time now) {
+    const steady_time first_packet = unknown_flows_.first_packet(packet, now);
     return is_settled(now) && store_replica_.last_confirmation() >= first_packet + confirmation_margin;
 }
 
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -88,20 +88,19 @@
     duration         syn_answer_timeout() const;
     bool             is_stalled(const tracked_flow& flow, steady_time now);
     bool             is_settled(steady_time now) const;
-    bool             is_confirmed_after(steady_time first_packet, steady_time now) const;
-    // Also records when the reference was first seen, if it is new.
-    bool             is_certainly_unknown(backend_reference reference, steady_time now);
+    // Also records when the first packet of the flow arrived, if it is this one.
+    bool             is_confirmed_since_first_packet(const segment& packet, steady_time now);
     static steering_decision refuse(const segment& packet, decision_reason reason, bool is_proved);
     steering_decision        refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now);
+    steering_decision refuse_removed(const segment& packet, const known_backend& backend, const tracked_flow* flow,
+                                     steady_time now);
 
     steering_settings settings_;
     const replica&    store_replica_;
     flow_tracker      flows_;
     random_source     random_;
     std::uint64_t     tie_break_seed_; // gives each balancer its own order of equal backend servers
-    unknown_flows     unknown_flows_;  // on routes that the replica lacks
-    std::unordered_map<backend_reference, steady_time>
-        unknown_since_; // first packet with a reference that the replica does not contain
+    unknown_flows     unknown_flows_;  // whose route or backend server the replica lacks
 };
 
 } // namespace tamarack::entry
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -255,6 +255,35 @@
     BOOST_TEST((action_on_unknown_route(1) == packet_action::drop));
 }
 
+// Found while looking for the cause of the review's case 4 on other paths: a balancer that lagged behind reset flows of
+// a backend server that had registered again under its name.
+BOOST_AUTO_TEST_CASE(a_flow_that_opened_after_a_removal_is_reset_only_after_a_later_confirmation_by_the_store) {
+    time.advance(10s);
+    store_replica.apply(removal_record(9, 1), time.steady_now());
+    time.advance(5s);
+    store_replica.note_store_available(time.steady_now());
+    time.advance(1s);
+    BOOST_TEST((decide(later_packet(1, reference_of(1), 5'000, 10)).action == packet_action::drop));
+    time.advance(1s);
+    store_replica.note_store_available(time.steady_now());
+    BOOST_TEST((decide(later_packet(1, reference_of(1), 5'000, 10)).action == packet_action::reset));
+    BOOST_TEST((decide(later_packet(2, reference_of(1), 5'000, 10)).action == packet_action::drop));
+}
+
+// The same for a reference that the balancer has met before, without ever knowing its backend server.
+BOOST_AUTO_TEST_CASE(a_confirmation_of_an_unknown_reference_counts_only_for_flows_that_preceded_it) {
+    time.advance(10s);
+    decide(later_packet(1, 77, 5'000, 10));
+    time.advance(1s);
+    store_replica.note_store_available(time.steady_now());
+    BOOST_TEST((decide(later_packet(1, 77, 5'000, 10)).action == packet_action::reset));
+    time.advance(1s);
+    BOOST_TEST((decide(later_packet(2, 77, 5'000, 10)).action == packet_action::drop));
+    time.advance(1s);
+    store_replica.note_store_available(time.steady_now());
+    BOOST_TEST((decide(later_packet(2, 77, 5'000, 10)).action == packet_action::reset));
+}
+
 // Its caller should not wait for its deadline.
 BOOST_AUTO_TEST_CASE(an_open_flow_on_a_dropped_route_is_reset_immediately) {
     time.advance(10s);
