Let a listing confirm the replica only when it is applied

Callers would see: after the store has dropped its history, a balancer lists it again in several pages, and resets open flows to backend servers that are in pages which it has not read yet.

Cause: each page counted as a confirmation of the replica at the time of its call, though nothing of the listing is applied before its last page, and the later pages tell nothing of the keys of the earlier ones.

Fix: the last page confirms the replica, as of the call of the first one. Each page still shows that the store is available.

--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -157,6 +157,7 @@
     repeats_call_ = false;
     is_call_pending_ = true;
     latest_call_time_ = now;
+    if (latest_call_.kind == read_kind::list && latest_call_.after_key.empty()) listing_called_at_ = now;
     set_timeouts(now);
     return latest_call_;
 }
@@ -220,9 +221,15 @@
 // when it answered because of a change, and the answer may have waited here while this process was paused: such an
 // answer only shows what the store had when it was called.
 duration store_sync::age_of(const record_page& page, steady_time now) const {
-    const duration held_by_store = page.records.empty() ? latest_call_.max_wait : duration::zero();
-    const duration held = reads_store() ? held_by_store : page.held;
-    return page.confirmation_age + std::max(duration::zero(), now - latest_call_time_ - held);
+    const duration    held_by_store = page.records.empty() ? latest_call_.max_wait : duration::zero();
+    const duration    held = reads_store() ? held_by_store : page.held;
+    // The later pages of a listing do not tell what has changed since in the keys of the earlier ones.
+    const steady_time called_at = latest_call_.kind == read_kind::list ? listing_called_at_ : latest_call_time_;
+    return page.confirmation_age + std::max(duration::zero(), now - called_at - held);
+}
+
+bool store_sync::is_followed_by_page(const record_page& page) const {
+    return latest_call_.kind == read_kind::list && page.has_more && !page.records.empty();
 }
 
 // A contact or a feeder may be cut off from the store like this balancer. Only a recent confirmation by the store shows
@@ -232,7 +239,8 @@
     if (page.distance >= max_store_distance) return;
     consecutive_failures_ = 0;
     is_store_available_ = true;
-    store_replica_.note_store_available(now, age_of(page, now), page.distance);
+    // A listing is applied with its last page, until which the replica lacks its records.
+    if (!is_followed_by_page(page)) store_replica_.note_store_available(now, age_of(page, now), page.distance);
 }
 
 void store_sync::apply_changes(const record_page& page, steady_time now) {
@@ -271,7 +279,7 @@
                        .listed_revision = page.listed_revision};
     }
     listed_records_.insert(listed_records_.end(), page.records.begin(), page.records.end());
-    if (page.has_more && !page.records.empty()) {
+    if (is_followed_by_page(page)) {
         latest_call_.after_key = page.records.back().key;
         return;
     }
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -88,6 +88,7 @@
     bool                      answers_call(const record_page& page) const;
     std::optional<read_error> check_epoch(const record_page& page) const;
     duration                  age_of(const record_page& page, steady_time now) const;
+    bool                      is_followed_by_page(const record_page& page) const;
     void                      note_confirmation(const record_page& page, steady_time now);
     void                      apply_listing_page(const record_page& page, steady_time now);
     void                      apply_changes(const record_page& page, steady_time now);
@@ -108,6 +109,7 @@
     unsigned            consecutive_timeouts_ = 0; // of calls that do not wait for a change
     steady_time         next_call_due_{};
     steady_time         latest_call_time_{};
+    steady_time         listing_called_at_{}; // the first page
     steady_time         last_change_{};
     std::vector<record> listed_records_; // of the pages read so far
     record_page         first_page_;     // position and revision of the first page
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -309,6 +309,25 @@
     BOOST_TEST((wait_for_next().max_wait <= 100ms)); // a watch of the full length would confirm too late
 }
 
+// Found while looking for the cause of the review's case 5 on other paths: the first page of a listing counted as a
+// confirmation of a replica that does not contain it yet.
+BOOST_AUTO_TEST_CASE(a_listing_of_several_pages_confirms_the_replica_only_when_it_is_applied) {
+    complete_listing();
+    wait_for_next();
+    const auto confirmed_at = store_replica.last_confirmation();
+    now += 1s;
+    fail(read_error::history_dropped);
+    BOOST_TEST((next().kind == read_kind::list));
+    const auto listing_called_at = now;
+    now += 500ms;
+    answer({backend_record(50, registration_of(7))}, 50, 50, true);
+    BOOST_TEST((store_replica.last_confirmation() == confirmed_at));
+    next();
+    now += 500ms;
+    answer({configuration_record(1, 1)}, 60, 60);
+    BOOST_TEST((store_replica.last_confirmation() == listing_called_at));
+}
+
 // Followers refuse a replica whose confirmation is older than 3.1 s, and are to be answered every 2.3 s.
 BOOST_FIXTURE_TEST_CASE(confirmations_stay_recent_while_watches_end_early, changing_store_fixture) {
     complete_listing();
