--- a/tests/platform_odd_entry_test.cpp
+++ b/tests/platform_odd_entry_test.cpp
@@ -140,3 +140,21 @@
                                                      R"("born":9223372036854775807,"sequence":18446744073709551615)"));
     BOOST_TEST(std::holds_alternative<backend_registration>(decoded.content));
 }
+
+// Found while looking for the cause of the review's case 1 on other paths: two keys with the registration of one feeder
+// ended the balancer by an exception when one of them was removed.
+BOOST_AUTO_TEST_CASE(a_feeder_registration_under_another_key_does_not_end_the_balancer) {
+    const std::string registration = R"({"name":"a","failure_domain":"north","slot":0,"address":"10.1.0.1:7720",)"
+                                     R"("key":"00112233445566778899aabbccddeeff"})";
+    const std::string copy_key = "tamarack/feeders/south/0";
+    replica           records;
+    const steady_time now{std::chrono::hours(1)};
+    records.note_store_available(now);
+    records.apply_listing({}, {1, 1}, now);
+    records.apply(decode_record("tamarack/feeders/north/0", {1, 2}, registration), now);
+    records.apply(decode_record(copy_key, {1, 3}, registration), now);
+    BOOST_TEST(records.feeders().size() == 1U);
+    records.apply(make_removed_record(copy_key, {1, 4}), now);
+    BOOST_TEST(records.feeders().size() == 1U);
+    BOOST_CHECK_NO_THROW(records.records());
+}
