--- a/tests/platform_odd_entry_test.cpp
+++ b/tests/platform_odd_entry_test.cpp
@@ -158,3 +158,13 @@
     BOOST_TEST(records.feeders().size() == 1U);
     BOOST_CHECK_NO_THROW(records.records());
 }
+
+// A value of a megabyte that was quoted in full would push the other lines out of the log's buffer.
+BOOST_AUTO_TEST_CASE(the_reason_of_an_unusable_entry_quotes_little_of_it) {
+    const std::string value =
+        R"({"service":"desk","address":"10.128.0.10:8080","state":")" + repeated("asleep ", 100'000) + "\"}";
+    const auto  decoded = decode_record("servers/i-1", {1, 1}, value);
+    const auto* unusable = std::get_if<unusable_record>(&decoded.content);
+    BOOST_REQUIRE(unusable != nullptr);
+    BOOST_TEST(unusable->reason.size() <= 100U);
+}
