--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -1,8 +1,9 @@
 // Decides which read call to make next, so that the replica stays current with few calls to the store.
 //
 // One call is pending at a time: first the feeders that the store knows, then a paged listing, then watches from the
-// position of the listing. A watch that ends without an event confirms that nothing newer exists. A watch without an
-// answer ends by its timeout, since an open connection may have stopped delivering data without being closed.
+// position of the listing. A watch that ends without an event confirms that nothing newer exists; one that ends early
+// because of an event only shows what the store had when it was called. A watch without an answer ends by its timeout,
+// since an open connection may have stopped delivering data without being closed.
 #pragma once
 
 #include "entry/source_choice.h"
