--- /dev/null
+++ b/tests/entry_process_ends_test.cpp
@@ -0,0 +1,286 @@
+// tamarack-entry as a real process, under what made it end, refuse to start or waste a core (issue 34).
+#define BOOST_TEST_MODULE entry_process_ends
+#include "entry_program.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+constexpr duration ready_bound = 5s;  // from a start to readiness; a start takes some tens of milliseconds
+constexpr duration end_bound = 5s;    // from SIGTERM to the end; a stop without packets takes 1.1 s
+constexpr duration staying_time = 1s; // a process that is still alive after it did not end because of its start
+
+// One host with its settings file, and the store. Each test case has hosts of its own, so that nothing of an earlier
+// one is in the way.
+struct host_fixture {
+    static std::uint8_t next_network() {
+        static std::uint8_t last_network = 29;
+        return ++last_network;
+    }
+
+    temporary_folder folder;
+    endpoint         host = loopback_endpoint(next_network(), 0);
+    endpoint         store_address = loopback_endpoint(next_network(), 8'169);
+    store_thread     store{store_address};
+    std::string      settings_path = folder.file("one.ini");
+    std::string      log_path = folder.file("one.log");
+    entry_program    program{settings_path, log_path};
+
+    host_fixture() { write_settings(settings_text("one", host, store_address)); }
+
+    void write_settings(const std::string& text) const { std::ofstream(settings_path, std::ios::trunc) << text; }
+    bool becomes_ready() const {
+        return wait_until(ready_bound, [&] { return is_ready(host); });
+    }
+    bool stays_alive() { return !program.wait_for_end(staying_time).has_value(); }
+    bool stops_gracefully() {
+        program.send_signal(SIGTERM);
+        const auto status = program.wait_for_end(end_bound);
+        return status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+    }
+    bool log_contains(std::string_view text) const { return program.log().find(text) != std::string::npos; }
+};
+
+// Without SO_REUSEADDR, as another program would hold the port.
+int hold_port(const endpoint& address, int type) {
+    constexpr std::size_t v4_offset = 12;
+    const int             handle = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in           name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    std::memcpy(&name.sin_addr, address.address.bytes.data() + v4_offset, sizeof name.sin_addr);
+    BOOST_REQUIRE(::bind(handle, reinterpret_cast<const sockaddr*>(&name), sizeof name) == 0);
+    if (type == SOCK_STREAM) BOOST_REQUIRE(::listen(handle, 1) == 0);
+    return handle;
+}
+
+// Answers each connection with a fixed text, as a store that is broken.
+class fixed_answer_server {
+public:
+    fixed_answer_server(const endpoint& address, std::string answer)
+        : handle_(hold_port(address, SOCK_STREAM)), answer_(std::move(answer)), thread_([this] { serve(); }) {}
+    ~fixed_answer_server() {
+        ::shutdown(handle_, SHUT_RDWR);
+        thread_.join();
+        ::close(handle_);
+    }
+    fixed_answer_server(const fixed_answer_server&) = delete;
+    fixed_answer_server& operator=(const fixed_answer_server&) = delete;
+
+    unsigned answers() const { return answers_; }
+
+private:
+    void serve() {
+        for (;;) {
+            const int connection = ::accept(handle_, nullptr, nullptr);
+            if (connection < 0) return;
+            std::array<char, 4096> request{};
+            (void)::recv(connection, request.data(), request.size(), 0);
+            (void)::send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+            ++answers_;
+            std::this_thread::sleep_for(50ms);
+            ::close(connection);
+        }
+    }
+
+    int                   handle_;
+    std::string           answer_;
+    std::atomic<unsigned> answers_ = 0;
+    std::thread           thread_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(process_ends, host_fixture)
+
+//----------------------------------------------------------------------------------------------------------------------
+// What a start finds missing
+//----------------------------------------------------------------------------------------------------------------------
+
+// The second host of a machine ended at each start, since both have the same status address.
+BOOST_AUTO_TEST_CASE(two_hosts_of_one_machine_both_serve) {
+    const endpoint    second_host = loopback_endpoint(next_network(), 0);
+    const std::string second_settings = folder.file("two.ini");
+    std::ofstream(second_settings) << settings_text("two", second_host, store_address);
+    entry_program second(second_settings, folder.file("two.log"));
+    program.start();
+    BOOST_TEST(becomes_ready());
+    second.start();
+    BOOST_TEST(wait_until(ready_bound, [&] { return is_ready(second_host); }));
+    BOOST_TEST(second.is_running());
+}
+
+// A port that only operators or collectors use kept a host from serving.
+BOOST_AUTO_TEST_CASE(a_host_without_its_metrics_port_serves) {
+    const int holder = hold_port(with_port(host, metrics_port), SOCK_STREAM);
+    program.start();
+    BOOST_TEST(becomes_ready());
+    BOOST_TEST(log_contains("T1006"));
+    ::close(holder);
+    BOOST_TEST(wait_until(
+        ready_bound, [&] { return http_get(with_port(host, metrics_port), "/metrics").starts_with("HTTP/1.1 200"); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_waits_for_the_ports_that_a_predecessor_still_holds) {
+    for (const auto& [port, type] : {std::pair(packets_port, SOCK_DGRAM), std::pair(readiness_port, SOCK_STREAM),
+                                     std::pair(peers_port, SOCK_STREAM)}) {
+        BOOST_TEST_CONTEXT("port " << port) {
+            const int holder = hold_port(with_port(host, port), type);
+            program.start();
+            BOOST_TEST(stays_alive());
+            BOOST_TEST(log_contains("T1006"));
+            ::close(holder);
+            BOOST_TEST(becomes_ready());
+            BOOST_TEST(stops_gracefully());
+            std::filesystem::remove(log_path);
+        }
+    }
+}
+
+// A restart overlaps the graceful stop of the process before.
+BOOST_AUTO_TEST_CASE(a_process_that_starts_while_its_predecessor_stops_takes_over) {
+    program.start();
+    BOOST_REQUIRE(becomes_ready());
+    entry_program successor(settings_path, folder.file("successor.log"));
+    program.send_signal(SIGTERM);
+    successor.start();
+    BOOST_TEST(program.wait_for_end(end_bound).has_value());
+    BOOST_TEST(becomes_ready());
+    BOOST_TEST(successor.is_running());
+}
+
+BOOST_AUTO_TEST_CASE(a_start_waits_for_the_address_of_its_host) {
+    host = {ip_address::v4(0xc6336401), 0}; // 198.51.100.1, which no machine has
+    write_settings(settings_text("one", host, store_address));
+    program.start();
+    BOOST_TEST(stays_alive());
+    BOOST_TEST(program.processor_time() < 200ms);
+    BOOST_TEST(stops_gracefully());
+}
+
+BOOST_AUTO_TEST_CASE(a_start_waits_for_a_settings_file_that_is_being_written) {
+    const std::string complete = settings_text("one", host, store_address);
+    for (const std::string& incomplete : {std::string(), complete.substr(0, complete.size() / 2)}) {
+        BOOST_TEST_CONTEXT("size " << incomplete.size()) {
+            write_settings(incomplete);
+            program.start();
+            BOOST_TEST(stays_alive());
+            BOOST_TEST(log_contains("T2001"));
+            write_settings(complete);
+            BOOST_TEST(becomes_ready());
+            BOOST_TEST(stops_gracefully());
+            std::filesystem::remove(log_path);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_ends_the_wait_for_settings) {
+    std::filesystem::remove(settings_path);
+    program.start();
+    BOOST_TEST(stays_alive());
+    BOOST_TEST(stops_gracefully());
+}
+
+// A key that is not needed to serve, with a value that this version does not accept or does not know.
+BOOST_AUTO_TEST_CASE(a_setting_that_is_not_needed_does_not_keep_a_host_from_starting) {
+    write_settings(settings_text("one", host, store_address) +
+                   "later_setting = 1\n[stop]\ngrace_seconds = soon\n[later_section]\nkey = value\n");
+    program.start();
+    BOOST_TEST(becomes_ready());
+    BOOST_TEST(log_contains("T2001"));
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Signals
+//----------------------------------------------------------------------------------------------------------------------
+
+// The starting program blocks SIGHUP, the one thing that it can do for the time before main.
+BOOST_AUTO_TEST_CASE(a_sighup_at_the_start_does_not_end_the_process) {
+    program.start({.blocked_signal = SIGHUP});
+    BOOST_TEST(becomes_ready());
+    program.send_signal(SIGHUP);
+    BOOST_TEST(wait_until(ready_bound, [&] { return log_contains("T2002"); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_that_is_requested_at_the_start_is_carried_out) {
+    program.start({.blocked_signal = SIGTERM});
+    const auto status = program.wait_for_end(end_bound);
+    BOOST_REQUIRE(status.has_value());
+    BOOST_TEST((WIFEXITED(*status) && WEXITSTATUS(*status) == 0));
+}
+
+// Tools that rotate logs and terminals send these.
+BOOST_AUTO_TEST_CASE(signals_without_a_meaning_for_the_program_do_not_end_it) {
+    program.start();
+    BOOST_REQUIRE(becomes_ready());
+    for (const int signal : {SIGPIPE, SIGUSR1, SIGUSR2, SIGXFSZ, SIGALRM, SIGTTOU, SIGTTIN}) {
+        BOOST_TEST_CONTEXT("signal " << signal) {
+            program.send_signal(signal);
+            BOOST_TEST(!program.wait_for_end(100ms).has_value());
+            BOOST_TEST(is_ready(host));
+        }
+    }
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Resources
+//----------------------------------------------------------------------------------------------------------------------
+
+BOOST_AUTO_TEST_CASE(a_log_file_at_the_limit_of_file_size_does_not_end_the_process) {
+    program.start({.file_size_limit = 200});
+    BOOST_TEST(becomes_ready());
+    BOOST_TEST(stays_alive());
+    BOOST_TEST(stops_gracefully());
+}
+
+// Log lines went to descriptors 1 and 2, which were sockets and the event loop's.
+BOOST_AUTO_TEST_CASE(closed_standard_files_are_not_taken_for_other_purposes) {
+    program.start({.has_standard_files = false});
+    BOOST_REQUIRE(becomes_ready());
+    for (int handle = STDIN_FILENO; handle <= STDERR_FILENO; ++handle) {
+        std::error_code   error;
+        const std::string link = "/proc/" + std::to_string(program.pid()) + "/fd/" + std::to_string(handle);
+        BOOST_TEST(std::filesystem::read_symlink(link, error).string() == "/dev/null");
+    }
+}
+
+// A failed accept was repeated at once, so that a core was busy for as long as descriptors lacked.
+BOOST_AUTO_TEST_CASE(idle_connections_beyond_the_descriptors_do_not_keep_a_core_busy) {
+    program.start({.descriptor_limit = 24});
+    BOOST_REQUIRE(becomes_ready());
+    std::vector<tcp_connection> idle;
+    for (int i = 0; i < 60; ++i)
+        idle.emplace_back(with_port(host, i % 2 == 0 ? readiness_port : metrics_port));
+    const duration before = program.processor_time();
+    BOOST_TEST(!program.wait_for_end(2s).has_value());
+    BOOST_TEST(program.processor_time() - before < 200ms);
+    idle.clear();
+    BOOST_TEST(becomes_ready());
+}
+
+BOOST_AUTO_TEST_CASE(a_start_with_too_few_descriptors_waits_and_says_so) {
+    for (const rlim_t limit : {rlim_t{6}, rlim_t{8}, rlim_t{10}, rlim_t{12}}) {
+        BOOST_TEST_CONTEXT("descriptors " << limit) {
+            program.start({.descriptor_limit = limit});
+            BOOST_TEST(stays_alive());
+            BOOST_TEST(log_contains("Too many open files"));
+            BOOST_TEST(program.processor_time() < 200ms);
+            BOOST_TEST(stops_gracefully());
+            std::filesystem::remove(log_path);
+        }
+    }
+}
+
+// The announced size was allocated before any limit was looked at.
+BOOST_AUTO_TEST_CASE(a_huge_announced_body_does_not_end_the_process) {
+    const endpoint            broken_store = loopback_endpoint(next_network(), 8'169);
+    const fixed_answer_server server(broken_store, "HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\nx");
+    write_settings(settings_text("one", host, broken_store));
+    program.start();
+    BOOST_TEST(wait_until(ready_bound, [&] { return server.answers() >= 3; }));
+    BOOST_TEST(stays_alive());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
