Test of the ends of processes: lack of memory in a step, and a flood of packets

The first fails on (std::bad_alloc, signal 6). The second is a guard, which passed there. A port is held by the test as another program would, with SO_REUSEADDR, since closed connections of an earlier process kept the test itself from it.

--- a/tests/entry_process_ends_test.cpp
+++ b/tests/entry_process_ends_test.cpp
@@ -1,6 +1,7 @@
 // tamarack-entry as a real process, under what made it end, refuse to start or waste a core (issue 34).
 #define BOOST_TEST_MODULE entry_process_ends
 #include "entry_program.h"
+#include "tamarack/udp_socket.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -43,11 +44,13 @@
     bool log_contains(std::string_view text) const { return program.log().find(text) != std::string::npos; }
 };
 
-// Without SO_REUSEADDR, as another program would hold the port.
+// Listens as another program would.
 int hold_port(const endpoint& address, int type) {
     constexpr std::size_t v4_offset = 12;
     const int             handle = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
     sockaddr_in           name{};
+    constexpr int         reuse = 1; // the address may have closed connections of an earlier process
+    if (type == SOCK_STREAM) BOOST_REQUIRE(::setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse) == 0);
     name.sin_family = AF_INET;
     name.sin_port = htons(address.port);
     std::memcpy(&name.sin_addr, address.address.bytes.data() + v4_offset, sizeof name.sin_addr);
@@ -91,6 +94,58 @@
     std::thread           thread_;
 };
 
+// Sends SYNs of new flows as fast as several threads can.
+class packet_flood {
+public:
+    explicit packet_flood(const endpoint& destination) {
+        for (unsigned i = 0; i < thread_count; ++i)
+            threads_.emplace_back([this, destination, i] { send(destination, i); });
+    }
+    ~packet_flood() {
+        is_stopping_ = true;
+        for (std::thread& thread : threads_)
+            thread.join();
+    }
+    packet_flood(const packet_flood&) = delete;
+    packet_flood& operator=(const packet_flood&) = delete;
+
+    std::uint64_t sent() const { return sent_; }
+
+private:
+    static constexpr unsigned thread_count = 3;
+
+    // A SYN from 100.64.0.7 to 198.18.0.1:443, as the platform's pages show it.
+    static std::array<std::byte, 36> syn_from(std::uint32_t port) {
+        constexpr std::array<unsigned char, 36> pattern = {
+            0x11, 0x22, 0x33, 0x44, 0,    0,    0,    0,    0,    0,    0,    0,    0x9c, 0x41, 0x64, 0x40, 0x00, 0x07,
+            0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0xa1, 0xb2, 0xc3, 0xd5, 0x00, 0x00, 0x80, 0x00, 0,    0,    0,    0};
+        std::array<std::byte, 36> bytes{};
+        std::memcpy(bytes.data(), pattern.data(), pattern.size());
+        bytes[12] = std::byte(port >> 8U);
+        bytes[13] = std::byte(port);
+        bytes[17] = std::byte(port >> 16U);
+        bytes[30] = std::byte{128};
+        return bytes;
+    }
+    void send(const endpoint& destination, unsigned first) {
+        const auto                             socket = udp_socket::open({destination.address, 0}).value();
+        std::vector<std::array<std::byte, 36>> packets(64);
+        std::vector<outgoing_datagram>         datagrams;
+        for (std::uint32_t port = first; !is_stopping_;) {
+            datagrams.clear();
+            for (auto& packet : packets) {
+                packet = syn_from(port += thread_count);
+                datagrams.push_back({destination, packet});
+            }
+            sent_ += datagrams.size() - socket.send(datagrams);
+        }
+    }
+
+    std::atomic<bool>          is_stopping_ = false;
+    std::atomic<std::uint64_t> sent_ = 0;
+    std::vector<std::thread>   threads_;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(process_ends, host_fixture)
@@ -283,4 +338,44 @@
     BOOST_TEST(stays_alive());
 }
 
+// An exception in a handler of the event loop ended the process: here std::bad_alloc, for a listing of several
+// megabytes.
+BOOST_AUTO_TEST_CASE(a_step_without_memory_does_not_end_the_process) {
+    constexpr rlim_t address_space = 40U << 20U; // bytes; a process without such a listing takes less
+    const endpoint   large_store = loopback_endpoint(next_network(), 8'169);
+    std::string      items;
+    for (int i = 0; i < 10; ++i) {
+        items += (i == 0 ? "" : ",") +
+                 ("{\"key\":\"servers/i-" + std::to_string(i) + "\",\"revision\":5,\"value\":\"") +
+                 std::string(1'398'100, 'A') + "\"}";
+    }
+    const std::string         body = "{\"items\":[" + items + "],\"has_more\":false,\"current_rev\":5}";
+    const fixed_answer_server server(large_store, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                                      "\r\n\r\n" + body);
+    write_settings(settings_text("one", host, large_store));
+    program.start({.address_space_limit = address_space});
+    BOOST_TEST(wait_until(2 * ready_bound, [&] { return server.answers() >= 3; }));
+    BOOST_TEST(stays_alive());
+    BOOST_TEST(stops_gracefully());
+}
+
+//----------------------------------------------------------------------------------------------------------------------
+// Load
+//----------------------------------------------------------------------------------------------------------------------
+
+// While packets came faster than they were handled, the event loop did nothing else.
+BOOST_AUTO_TEST_CASE(a_flood_of_packets_does_not_keep_a_host_from_its_readiness_checks) {
+    program.start();
+    BOOST_REQUIRE(becomes_ready());
+    const packet_flood flood(with_port(host, packets_port));
+    std::this_thread::sleep_for(500ms);
+    for (int check = 0; check < 5; ++check) {
+        const auto called_at = std::chrono::steady_clock::now();
+        BOOST_TEST(is_ready(host));
+        BOOST_TEST((std::chrono::steady_clock::now() - called_at < 500ms)); // the interval of the checks
+    }
+    BOOST_TEST(flood.sent() > 10'000U);
+    BOOST_TEST(program.is_running());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
