--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -1,6 +1,8 @@
 // Assigns the counters and distributions to the names of the metrics.
 #include "daemons/entry/entry_metrics.h"
 
+#include <sys/resource.h>
+
 namespace tamarack::entry {
 
 namespace {
@@ -14,6 +16,14 @@
     }
 }
 
+// Bytes of physical memory that the process has used at most; nullopt if the host does not tell.
+std::optional<std::uint64_t> peak_memory() {
+    constexpr std::uint64_t bytes_per_kilobyte = 1'024;
+    rusage                  usage{};
+    if (::getrusage(RUSAGE_SELF, &usage) != 0) return std::nullopt;
+    return static_cast<std::uint64_t>(usage.ru_maxrss) * bytes_per_kilobyte;
+}
+
 } // namespace
 
 std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
@@ -31,6 +41,10 @@
     metrics["entry_followers"] = status.follower_count;
     metrics["entry_flows"] = status.flow_count;
     metrics["entry_follower_calls_rejected"] = status.rejected_requests;
+    metrics["entry_steps_failed"] = status.failed_steps;
+    metrics["entry_log_lines_omitted"] = status.omitted_log_lines;
+    metrics["entry_listeners_missing"] = status.missing_listeners;
+    if (const auto bytes = peak_memory()) metrics["entry_memory_peak_bytes"] = *bytes;
     metrics["entry_configuration_version"] = store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
     metrics["entry_store_revision"] = store_replica.complete_revision().number;
     metrics["entry_store_epoch"] = store_replica.complete_revision().epoch;
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <ctime>
 #include <unistd.h>
+#include <utility>
 
 namespace tamarack::entry {
 
@@ -81,8 +82,9 @@
     const steady_time now = time_.steady_now();
     if (omitted_lines_ > 0 && now >= summary_due_) {
         summary_due_ = now + summary_interval;
-        write(event::lines_left_out, {{"count", omitted_lines_}});
-        omitted_lines_ = 0;
+        const std::uint64_t count = std::exchange(omitted_lines_, 0);
+        total_omitted_lines_ += count;
+        write(event::lines_left_out, {{"count", count}});
     }
     while (!unwritten_.empty()) {
         const ssize_t written = ::write(STDOUT_FILENO, unwritten_.data(), unwritten_.size());
@@ -124,12 +126,32 @@
         write(event::setting_needs_restart, {{"key", key}});
 }
 
-void event_log::note_invalid_settings(const findings& problems) {
+void event_log::note_settings_problems(const findings& problems) {
     for (const finding& problem : problems)
         write(event::settings_problem, {{"problem", problem.to_string()}});
+}
+
+void event_log::note_invalid_settings(const findings& problems) {
+    note_settings_problems(problems);
     write(event::settings_kept, {});
 }
 
+void event_log::note_socket_failed(std::string_view reason) {
+    write(event::socket_failed, {{"reason", reason}});
+}
+
+void event_log::note_listening(const endpoint& address) {
+    write(event::listening, {{"address", address.to_string()}});
+}
+
+void event_log::note_step_failed(std::string_view step, std::string_view reason) {
+    if (!failure_budget_.take(1.0, time_.steady_now())) {
+        ++omitted_lines_;
+        return;
+    }
+    write(event::step_failed, {{"step", step}, {"reason", reason}});
+}
+
 void event_log::note_store_state(bool is_available, std::string_view error) {
     if (is_available) return write(event::store_available, {});
     write(event::store_unavailable, {{"error", error}});
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -22,7 +22,11 @@
     void note_stop_requested();
     void note_stopped();
     void note_reload(const settings_difference& difference);
-    void note_invalid_settings(const findings& problems);
+    void note_settings_problems(const findings& problems);
+    void note_invalid_settings(const findings& problems); // the settings in force are kept
+    void note_socket_failed(std::string_view reason);
+    void note_listening(const endpoint& address); // after a failure
+    void note_step_failed(std::string_view step, std::string_view reason);
     void note_store_state(bool is_available, std::string_view error);
     void note_feeder_state(bool is_feeder);
     void note_source(const record_source& source, unsigned distance); // has answered, unlike the source before it
@@ -43,17 +47,20 @@
     // Writes buffered lines as far as the pipe accepts them, and the summary of omitted lines when it is due.
     void flush();
 
+    std::uint64_t omitted_lines() const { return total_omitted_lines_ + omitted_lines_; } // since the start
+
 private:
     token_bucket* budget_of(const segment& packet, const steering_decision& decision);
     void          write(event number, std::initializer_list<event_field> fields);
 
     const clock&  time_;
     std::string   balancer_;
-    std::string   unwritten_;         // buffered lines
-    token_bucket  failure_budget_;    // lines about packets not delivered, or not to the usual backend server
-    token_bucket  placement_budget_;  // lines about placed flows
-    token_bucket  request_budget_;    // lines about requests on open flows
-    std::uint64_t omitted_lines_ = 0; // since the last summary
+    std::string   unwritten_;               // buffered lines
+    token_bucket  failure_budget_;          // lines about packets not delivered, or not to the usual backend server
+    token_bucket  placement_budget_;        // lines about placed flows
+    token_bucket  request_budget_;          // lines about requests on open flows
+    std::uint64_t omitted_lines_ = 0;       // since the last summary
+    std::uint64_t total_omitted_lines_ = 0; // until the last summary
     steady_time   summary_due_;
 };
 
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::array descriptions = std::to_array<event_description>({
     {event::starting, severity::info, "starting", "The daemon has read its settings."},
-    {event::listening, severity::info, "listening", "A port is open. `port`: fabric, relay, control or admin."},
+    {event::listening, severity::info, "listening",
+     "A port is open. `port`: fabric, relay, control or admin. Entry balancer: only if it could not be opened before."},
     {event::stop_requested, severity::info, "stop requested",
      "A graceful stop begins: the balancer announces that it is leaving and waits until others hold its flows. `by`: a "
      "signal or an operator. A second signal ends the wait."},
@@ -21,11 +22,18 @@
      "Look for an overloaded or suspended host."},
     {event::start_failed, severity::error, "start failed", "The daemon ends, see `reason`."},
     {event::socket_failed, severity::error, "socket failed",
-     "A socket could not be opened or used, see `reason`. At the start the daemon ends."},
+     "A socket could not be opened or used, see `reason`. tamarackd ends at the start; the entry balancer tries again, "
+     "and serves meanwhile if it can do without the socket."},
     {event::thread_failed, severity::error, "thread failed", "A thread ended by an exception; the daemon ends."},
+    {event::step_failed, severity::error, "step failed",
+     "Entry balancer: a step of the event loop ended by an exception, see `step` and `reason`. The balancer goes on; "
+     "lack of memory is the usual reason. Anything else is a fault of the program: report it with the surrounding log "
+     "lines."},
 
     {event::settings_problem, severity::error, "settings problem",
-     "One problem of the settings file. All of them are logged."},
+     "One problem of the settings file. All of them are logged. At its start the entry balancer waits if a required "
+     "key "
+     "is missing or not accepted, and uses the default of other keys."},
     {event::settings_reread, severity::info, "settings reread",
      "SIGHUP: the file was read; `in_force` lists the keys that changed and took effect."},
     {event::setting_needs_restart, severity::warning, "setting needs a restart",
