Give the entry balancer's process defined signals and standard files from the first line of main

Also SIGUSR1, SIGUSR2 and SIGALRM ended it, SIGTTIN and SIGTTOU stopped it, and a SIGTERM or SIGHUP that the starting program had blocked was never delivered. Cause: what a process inherits was taken as given. Now signals without a meaning are ignored, those with one are unblocked, closed standard files become /dev/null, and a signal after the event loop's end does not change the exit status.

--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,8 +1,8 @@
 // tamarack-entry: runs one entry balancer with the settings of a file.
 #include "daemons/entry/entry_process.h"
+#include "daemons/entry/process_environment.h"
 #include "tamarack/clock.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -45,14 +45,14 @@
         return exit_start;
     }
     process.value()->run();
+    entry::block_signals(); // the event loop handles them no longer
     return exit_ok;
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
-    (void)std::signal(SIGPIPE, SIG_IGN); // the process must survive a closed reader of its log
-    (void)std::signal(SIGHUP, SIG_IGN);  // until the event loop handles it; the settings are read later than this
+    entry::prepare_environment();
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
