Let a start of the entry balancer wait for what it needs, and do without what it does not need

Cause: everything that a start found missing ended the process, whether it was needed or not, and whether it could come by itself or not. Now the start waits for its settings (required keys), the sockets of packets and readiness checks, and descriptors; a stop ends the wait with status 0. Status page, metrics and the balancers' port are opened when they can be; a host that other balancers cannot reach claims no feeder slot. Keys that are not required keep their defaults if their values are not accepted. A file that may be cut (no line break at its end, or problems) is used when it has not changed for a second.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -4,7 +4,9 @@
 
 #include "daemons/entry/entry_metrics.h"
 #include "daemons/entry/feed_server.h"
+#include "daemons/entry/listeners.h"
 #include "daemons/entry/packet_handler.h"
+#include "daemons/entry/process_environment.h"
 #include "daemons/entry/status_page.h"
 #include "entry/lifecycle.h"
 #include "platform/http_status.h"
@@ -102,25 +104,29 @@
 struct entry_process::impl {
     impl(const settings& initial_settings, std::string path, const clock& time_source, udp_socket socket);
 
-    void             start();
-    void             read_store();
-    void             count_read(const read_call& call);
-    void             handle_read_outcome(const result<record_page, read_failure>& outcome);
-    void             log_new_changes();
-    void             log_source_change();
-    void             log_store_epoch(std::uint64_t epoch, std::string_view call_result);
-    void             log_ignored_records();
-    claim_permission permission_to_claim() const;
-    void             update_feeder_slot();
-    void             schedule_tick();
-    void             tick();
-    void             wait_for_signal();
-    void             count_rejected_request(std::string_view caller);
-    void             respond_to_readiness_check(const http_server::response_callback& respond) const;
-    void             respond_with_metrics(const http_server::response_callback& respond) const;
-    void             respond_with_status(std::string_view target, const http_server::response_callback& respond) const;
-    void             reload_settings();
-    void             check_settings_file_for_changes();
+    std::optional<std::string> open_listeners(); // the reason if a required one cannot be opened
+    void                       start();
+    void                       read_store();
+    void                       count_read(const read_call& call);
+    void                       handle_read_outcome(const result<record_page, read_failure>& outcome);
+    void                       handle_claim_outcome(const result<claim_answer, claim_error>& outcome);
+    void                       log_new_changes();
+    void                       log_source_change();
+    void                       log_store_epoch(std::uint64_t epoch, std::string_view call_result);
+    void                       log_ignored_records();
+    claim_permission           permission_to_claim() const;
+    void                       update_feeder_slot();
+    void                       schedule_tick();
+    void                       tick();
+    void                       run_periodic_work();
+    void                       request_stop();
+    void                       wait_for_signal();
+    void                       count_rejected_request(std::string_view caller);
+    void                       respond_to_readiness_check(const http_server::response_callback& respond) const;
+    void                       respond_with_metrics(const http_server::response_callback& respond) const;
+    void respond_with_status(std::string_view target, const http_server::response_callback& respond) const;
+    void reload_settings();
+    void check_settings_file_for_changes();
 
     steady_time now() const { return time.steady_now(); }
 
@@ -146,7 +152,7 @@
     platform::store_client               store;
     asio::steady_timer                   tick_timer;
     asio::signal_set                     signals;
-    std::vector<http_server>             http_servers;
+    listeners                            http_listeners;
     steady_time                          started_at;
     std::filesystem::file_time_type      settings_modified_at; // of the settings file when it was last read
     steady_time                          next_settings_check{};
@@ -169,13 +175,17 @@
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
       follower_feed(feed(store_replica, make_feed_settings(initial_settings, own_feed_key), time_source.steady_now())),
-      store(context, initial_settings.store_address), tick_timer(context), signals(context, SIGTERM, SIGINT, SIGHUP),
-      started_at(time_source.steady_now()), settings_modified_at(initial_settings.modified_at) {}
+      store(context, initial_settings.store_address), tick_timer(context), signals(context),
+      http_listeners(context, log, descriptor_limit()), started_at(time_source.steady_now()),
+      settings_modified_at(initial_settings.modified_at) {}
 
 void entry_process::impl::start() {
-    read_store();
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+        signals.add(signal);
     schedule_tick();
     wait_for_signal();
+    if (is_stop_requested()) request_stop(); // it arrived before the event loop handled signals
+    read_store();
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -255,6 +265,7 @@
 
 claim_permission entry_process::impl::permission_to_claim() const {
     if (!store_replica.is_current(now()) || !process_lifecycle.is_ready()) return claim_permission::none;
+    if (!http_listeners.is_open(current_settings.peer_address)) return claim_permission::none; // nobody could read
     return sync.may_replace_feeder() ? claim_permission::if_vacant_or_lost : claim_permission::if_vacant;
 }
 
@@ -269,15 +280,18 @@
     }
     if (!next_claim) return;
     ++calls_by_kind["store_" + std::string(to_string(*next_claim))];
-    store.claim(*next_claim, [this](const result<claim_answer, claim_error>& outcome) {
-        ++calls_by_result[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
-        if (outcome) {
-            slot_claim.succeeded(outcome.value(), now());
-        } else {
-            slot_claim.failed(outcome.error(), now());
-        }
-        update_feeder_slot();
-    });
+    store.claim(*next_claim,
+                [this](const result<claim_answer, claim_error>& outcome) { handle_claim_outcome(outcome); });
+}
+
+void entry_process::impl::handle_claim_outcome(const result<claim_answer, claim_error>& outcome) {
+    ++calls_by_result[outcome ? "claim_ok" : "claim_" + std::string(to_string(outcome.error()))];
+    if (outcome) {
+        slot_claim.succeeded(outcome.value(), now());
+    } else {
+        slot_claim.failed(outcome.error(), now());
+    }
+    update_feeder_slot();
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -292,6 +306,15 @@
 }
 
 void entry_process::impl::tick() {
+    run_periodic_work();
+    if (process_lifecycle.may_exit(now())) {
+        context.stop();
+        return;
+    }
+    schedule_tick();
+}
+
+void entry_process::impl::run_periodic_work() {
     packets.check_for_pause();
     const steady_time current_time = now();
     store_replica.expire(current_time);
@@ -301,31 +324,31 @@
     read_store();
     update_feeder_slot();
     follower_feed.poll(current_time);
+    http_listeners.retry(current_time);
     check_settings_file_for_changes();
     log.flush();
     if (current_time - started_at >= max_first_sync_wait) packets.start();
     process_lifecycle.note_packet(packets.last_packet_at());
-    if (process_lifecycle.may_exit(current_time)) {
-        context.stop();
-        return;
-    }
-    schedule_tick();
 }
 
 void entry_process::impl::wait_for_signal() {
     signals.async_wait([this](const boost::system::error_code& error, int signal_number) {
         if (error) return;
+        wait_for_signal();
         if (signal_number == SIGHUP) {
             reload_settings();
         } else {
-            log.note_stop_requested();
-            process_lifecycle.request_stop(now());
-            update_feeder_slot();
+            request_stop();
         }
-        wait_for_signal();
     });
 }
 
+void entry_process::impl::request_stop() {
+    process_lifecycle.request_stop(now());
+    log.note_stop_requested();
+    update_feeder_slot();
+}
+
 void entry_process::impl::reload_settings() {
     settings_modified_at = modification_time(settings_path);
     const auto new_settings = read_settings_file(settings_path);
@@ -350,6 +373,41 @@
 // HTTP
 //----------------------------------------------------------------------------------------------------------------------
 
+// The fabric sends packets only to a host that answers its readiness checks. All else can be done without: a host that
+// other balancers cannot reach does not become a feeder.
+std::optional<std::string> entry_process::impl::open_listeners() {
+    auto reason =
+        http_listeners.open_required(current_settings.readiness_address,
+                                     [this](const server_request&, const http_server::response_callback& respond) {
+                                         respond_to_readiness_check(respond);
+                                     });
+    if (reason) return reason;
+    http_listeners.open_optional(
+        current_settings.peer_address,
+        [this](const server_request& request, http_server::response_callback respond) {
+            const bool is_admitted = follower_feed.handle(request.target, request.caller, now(), std::move(respond));
+            if (!is_admitted) count_rejected_request(request.caller);
+        },
+        now());
+    if (current_settings.metrics_address) {
+        http_listeners.open_optional(
+            *current_settings.metrics_address,
+            [this](const server_request&, const http_server::response_callback& respond) {
+                respond_with_metrics(respond);
+            },
+            now());
+    }
+    if (current_settings.status_address) {
+        http_listeners.open_optional(
+            *current_settings.status_address,
+            [this](const server_request& request, const http_server::response_callback& respond) {
+                respond_with_status(request.target, respond);
+            },
+            now());
+    }
+    return std::nullopt;
+}
+
 void entry_process::impl::count_rejected_request(std::string_view caller) {
     ++rejected_requests;
     log.note_rejected_follower(caller);
@@ -367,6 +425,8 @@
                                  .follower_count = follower_feed.followers(now()).size(),
                                  .flow_count = flow_steering.flows().flow_count(),
                                  .rejected_requests = rejected_requests,
+                                 .omitted_log_lines = log.omitted_lines(),
+                                 .missing_listeners = http_listeners.missing(),
                                  .calls_by_result = calls_by_result,
                                  .calls_by_kind = calls_by_kind};
     respond({.body = format_metrics(packets.counters(), process, store_replica, now()),
@@ -392,43 +452,15 @@
                                                                         std::string settings_path, const clock& time) {
     auto socket = udp_socket::open(initial_settings.packets_address, {.receive_buffer = receive_buffer_size});
     if (!socket) return socket.error();
-    auto implementation =
-        std::make_unique<impl>(initial_settings, std::move(settings_path), time, std::move(socket).value());
-    impl* process = implementation.get();
-    struct listener_definition {
-        endpoint                     address;
-        http_server::request_handler handler;
-    };
-    std::vector<listener_definition> listeners = {
-        {initial_settings.readiness_address,
-         [process](const server_request&, const http_server::response_callback& respond) {
-             process->respond_to_readiness_check(respond);
-         }},
-        {initial_settings.peer_address,
-         [process](const server_request& request, http_server::response_callback respond) {
-             const bool is_admitted =
-                 process->follower_feed.handle(request.target, request.caller, process->now(), std::move(respond));
-             if (!is_admitted) process->count_rejected_request(request.caller);
-         }},
-    };
-    if (initial_settings.metrics_address) {
-        listeners.push_back({*initial_settings.metrics_address,
-                             [process](const server_request&, const http_server::response_callback& respond) {
-                                 process->respond_with_metrics(respond);
-                             }});
-    }
-    if (initial_settings.status_address) {
-        listeners.push_back({*initial_settings.status_address,
-                             [process](const server_request& request, const http_server::response_callback& respond) {
-                                 process->respond_with_status(request.target, respond);
-                             }});
-    }
-    for (listener_definition& definition : listeners) {
-        auto server = http_server::open(process->context, definition.address, std::move(definition.handler));
-        if (!server) return server.error();
-        implementation->http_servers.push_back(std::move(server).value());
+    // The event loop and its parts need descriptors of their own.
+    try {
+        auto implementation =
+            std::make_unique<impl>(initial_settings, std::move(settings_path), time, std::move(socket).value());
+        if (auto reason = implementation->open_listeners()) return std::move(*reason);
+        return std::unique_ptr<entry_process>(new entry_process(std::move(implementation)));
+    } catch (const std::exception& error) {
+        return std::string("the event loop cannot be opened: ") + error.what();
     }
-    return std::unique_ptr<entry_process>(new entry_process(std::move(implementation)));
 }
 
 void entry_process::run() {
--- /dev/null
+++ b/daemons/entry/listeners.h
@@ -0,0 +1,42 @@
+// The HTTP servers of the balancer. Callers are served without those that are optional, such as the metrics: one that
+// cannot be opened, for example because another program holds its port, is tried again until it is open.
+#pragma once
+
+#include "daemons/entry/http_server.h"
+#include "entry/event_log.h"
+
+namespace tamarack::entry {
+
+class listeners {
+public:
+    // Descriptors: how many the process may have open. Connections leave some of them to the store and to new files.
+    listeners(boost::asio::io_context& context, event_log& log, std::size_t descriptors);
+
+    // Returns the reason if the server cannot be opened.
+    std::optional<std::string> open_required(const endpoint& address, http_server::request_handler handler);
+    void        open_optional(const endpoint& address, http_server::request_handler handler, steady_time now);
+    // Tries to open the servers that are not open, when it is time to. Must be called at every tick.
+    void        retry(steady_time now);
+    bool        is_open(const endpoint& address) const;
+    std::size_t missing() const { return waiting_.size(); } // servers that are not open
+
+private:
+    struct waiting_listener {
+        endpoint                     address;
+        http_server::request_handler handler;
+        std::string                  reason;       // why it is not open, as logged
+        steady_time                  report_due{}; // when the same reason is logged again
+    };
+
+    std::optional<std::string> open(const endpoint& address, const http_server::request_handler& handler);
+    void                       report(waiting_listener& listener, const std::string& reason, steady_time now);
+
+    boost::asio::io_context&        context_;
+    event_log&                      log_;
+    std::size_t                     max_sessions_; // of each server
+    std::map<endpoint, http_server> open_;
+    std::vector<waiting_listener>   waiting_;
+    steady_time                     next_retry_{};
+};
+
+} // namespace tamarack::entry
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,6 +1,6 @@
 // tamarack-entry: runs one entry balancer with the settings of a file.
-#include "daemons/entry/entry_process.h"
 #include "daemons/entry/process_environment.h"
+#include "daemons/entry/startup.h"
 #include "tamarack/clock.h"
 
 #include <cstdlib>
@@ -20,8 +20,9 @@
 
 constexpr const char* usage =
     "Layer-4 entry balancer that steers flows by the reference in their packets.\n\n"
-    "SIGTERM or SIGINT stops gracefully. SIGHUP reads the settings file again.\n"
-    "Exit codes: 0 stopped or checked, 1 problems of the command line or the settings, 2 could not start.\n";
+    "SIGTERM or SIGINT stops gracefully. SIGHUP reads the settings file again. A start waits for a usable settings\n"
+    "file and for the addresses in it; the log tells what is missing.\n"
+    "Exit codes: 0 stopped or checked, 1 problems of the command line or of the checked settings, 2 could not start.\n";
 
 constexpr const char* settings_variable = "TAMARACKSHORE_CONFIG"; // path of the settings file
 
@@ -33,18 +34,23 @@
     return variable_value == nullptr ? "" : variable_value;
 }
 
-int run(const entry::settings& loaded_settings, const std::string& file) {
+// Prints the problems of the file.
+int check(const std::string& file) {
+    const auto loaded_settings = entry::read_settings_file(file);
+    if (loaded_settings) return exit_ok;
+    for (const finding& problem : loaded_settings.error())
+        std::cerr << problem.to_string() << "\n";
+    return exit_settings;
+}
+
+int run(const std::string& file) {
     if (::sodium_init() < 0) {
         std::cerr << "libsodium cannot be initialised\n";
         return exit_start;
     }
     const suspend_aware_clock time;
-    const auto                process = entry::entry_process::open(loaded_settings, file, time);
-    if (!process) {
-        std::cerr << process.error() << "\n";
-        return exit_start;
-    }
-    process.value()->run();
+    const auto                process = entry::startup(file, time).open_process();
+    if (process) process->run();
     entry::block_signals(); // the event loop handles them no longer
     return exit_ok;
 }
@@ -74,12 +80,5 @@
         std::cerr << "no settings file: set --config or " << settings_variable << "\n";
         return exit_settings;
     }
-    const auto loaded_settings = entry::read_settings_file(file);
-    if (!loaded_settings) {
-        for (const finding& problem : loaded_settings.error())
-            std::cerr << problem.to_string() << "\n";
-        return exit_settings;
-    }
-    if (FLAGS_check) return exit_ok;
-    return run(loaded_settings.value(), file);
+    return FLAGS_check ? check(file) : run(file);
 }
--- /dev/null
+++ b/daemons/entry/startup.cpp
@@ -0,0 +1,69 @@
+// Repeats the start until everything that it needs is there.
+#include "daemons/entry/startup.h"
+
+#include "daemons/entry/process_environment.h"
+
+#include <thread>
+
+namespace tamarack::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds retry_interval(100);
+constexpr duration                  report_interval = std::chrono::seconds(10); // of the same reason for waiting
+// A settings file that may be incomplete is used when it has not changed for this long.
+constexpr duration                  settle_time = std::chrono::seconds(1);
+
+std::string text_of(const findings& problems) {
+    std::string text;
+    for (const finding& problem : problems)
+        text += problem.to_string() + "\n";
+    return text;
+}
+
+} // namespace
+
+std::unique_ptr<entry_process> startup::open_process() {
+    while (!is_stop_requested()) {
+        auto process = try_to_open();
+        log_.flush();
+        if (process) return process;
+        std::this_thread::sleep_for(retry_interval);
+    }
+    return nullptr;
+}
+
+std::unique_ptr<entry_process> startup::try_to_open() {
+    const start_settings read = read_start_settings(settings_path_);
+    if (!read.values || !is_settled(read)) {
+        if (is_report_due(text_of(read.problems))) log_.note_settings_problems(read.problems);
+        return nullptr;
+    }
+    auto process = entry_process::open(*read.values, settings_path_, time_);
+    if (!process) {
+        if (is_report_due(process.error())) log_.note_socket_failed(process.error());
+        return nullptr;
+    }
+    if (!read.problems.empty()) log_.note_settings_problems(read.problems);
+    return std::move(process).value();
+}
+
+// A file that is just being written may end anywhere.
+bool startup::is_settled(const start_settings& read) {
+    if (read.text != latest_text_) {
+        latest_text_ = read.text;
+        text_changed_at_ = time_.steady_now();
+    }
+    const bool is_complete = read.problems.empty() && read.text.ends_with('\n');
+    return is_complete || time_.steady_now() - text_changed_at_ >= settle_time;
+}
+
+bool startup::is_report_due(const std::string& reason) {
+    const steady_time now = time_.steady_now();
+    if (reason == latest_reason_ && now < report_due_) return false;
+    latest_reason_ = reason;
+    report_due_ = now + report_interval;
+    return true;
+}
+
+} // namespace tamarack::entry
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -173,6 +173,7 @@
     settings              values;
     findings              problems;
     std::set<std::string> keys_seen; // "[section] key"
+    bool                  lacks_required_key = false;
 };
 
 std::string location_of(const std::string& file_name, const std::string& section, const std::string& key) {
@@ -196,28 +197,48 @@
     }
     state.values.raw_values[id] = value;
     const bool is_omitted = !row->is_required && *value == '\0';
-    if (!is_omitted && !row->parse(value, state.values)) {
-        state.problems.push_back({location_of(state.file_name, section, key),
-                                  "'" + std::string(value) + "' is not accepted", row->accepted_values});
+    settings   changed_values = state.values;
+    if (is_omitted) return 1;
+    if (row->parse(value, changed_values)) {
+        state.values = std::move(changed_values);
+        return 1;
     }
+    state.lacks_required_key = state.lacks_required_key || row->is_required;
+    state.problems.push_back({location_of(state.file_name, section, key),
+                              "'" + std::string(value) + "' is not accepted", row->accepted_values});
     return 1;
 }
 
-} // namespace
-
-result<settings, findings> read_settings(std::string_view text, const std::string& file_name) {
-    parse_state       state{.file_name = file_name, .values = {}, .problems = {}, .keys_seen = {}};
-    const std::string terminated(text);
-    const int         invalid_line = ini_parse_string(terminated.c_str(), handle_key, &state);
+parse_state parse_settings(const std::string& text, const std::string& file_name) {
+    parse_state state{.file_name = file_name, .values = {}, .problems = {}, .keys_seen = {}};
+    const int   invalid_line = ini_parse_string(text.c_str(), handle_key, &state);
     if (invalid_line != 0) {
         state.problems.push_back({file_name + ":" + std::to_string(invalid_line), "the line is not valid INI",
                                   "[section], key = value, or a comment"});
     }
     for (const setting_row& row : setting_table()) {
         if (!row.is_required || state.keys_seen.contains(std::string("[") + row.section + "] " + row.key)) continue;
+        state.lacks_required_key = true;
         state.problems.push_back(
             {location_of(file_name, row.section, row.key), "the key is missing", row.accepted_values});
     }
+    return state;
+}
+
+result<std::string, findings> read_text(const std::string& file_name) {
+    std::ifstream file(file_name, std::ios::binary);
+    if (!file) return findings{{file_name, "the file cannot be opened", ""}};
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (text.view().size() > max_file_size)
+        return findings{{file_name, "the file is too large", "at most 65536 bytes"}};
+    return std::move(text).str();
+}
+
+} // namespace
+
+result<settings, findings> read_settings(std::string_view text, const std::string& file_name) {
+    parse_state state = parse_settings(std::string(text), file_name);
     if (!state.problems.empty()) return std::move(state.problems);
     return std::move(state.values);
 }
@@ -229,18 +250,25 @@
 }
 
 result<settings, findings> read_settings_file(const std::string& file_name) {
-    const auto    modified_at = modification_time(file_name);
-    std::ifstream file(file_name, std::ios::binary);
-    if (!file) return findings{{file_name, "the file cannot be opened", ""}};
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (text.view().size() > max_file_size)
-        return findings{{file_name, "the file is too large", "at most 65536 bytes"}};
-    auto values = read_settings(text.view(), file_name);
+    const auto modified_at = modification_time(file_name);
+    const auto text = read_text(file_name);
+    if (!text) return text.error();
+    auto values = read_settings(text.value(), file_name);
     if (values) values.value().modified_at = modified_at;
     return values;
 }
 
+start_settings read_start_settings(const std::string& file_name) {
+    const auto modified_at = modification_time(file_name);
+    auto       text = read_text(file_name);
+    if (!text) return {.values = {}, .problems = text.error(), .text = {}};
+    parse_state state = parse_settings(text.value(), file_name);
+    state.values.modified_at = modified_at;
+    start_settings read{.values = {}, .problems = std::move(state.problems), .text = std::move(text).value()};
+    if (!state.lacks_required_key) read.values = std::move(state.values);
+    return read;
+}
+
 settings_difference compare_settings(const settings& current, const settings& next) {
     settings_difference difference;
     for (const setting_row& row : setting_table()) {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -29,8 +29,18 @@
     std::filesystem::file_time_type    modified_at{}; // modification time of the file, taken before it was read
 };
 
-result<settings, findings>      read_settings(std::string_view text, const std::string& file_name);
-result<settings, findings>      read_settings_file(const std::string& file_name);
+result<settings, findings> read_settings(std::string_view text, const std::string& file_name);
+result<settings, findings> read_settings_file(const std::string& file_name);
+
+// Settings for a start, which needs the required keys only: a key that is unknown, or that is not required and has a
+// value that is not accepted, is reported and left at its default.
+struct start_settings {
+    std::optional<settings> values; // nullopt: a required key is missing or its value is not accepted
+    findings                problems;
+    std::string             text; // of the file
+};
+start_settings read_start_settings(const std::string& file_name);
+
 // The epoch if the time cannot be read; read_settings_file then reports why.
 std::filesystem::file_time_type modification_time(const std::string& file_name);
 
