Keep the event loop of the entry balancer running after an exception

Cause: nothing between a handler and main caught exceptions. Now an exception ends the step that raised it.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -106,27 +106,31 @@
 
     std::optional<std::string> open_listeners(); // the reason if a required one cannot be opened
     void                       start();
-    void                       read_store();
-    void                       count_read(const read_call& call);
-    void                       handle_read_outcome(const result<record_page, read_failure>& outcome);
-    void                       handle_claim_outcome(const result<claim_answer, claim_error>& outcome);
-    void                       log_new_changes();
-    void                       log_source_change();
-    void                       log_store_epoch(std::uint64_t epoch, std::string_view call_result);
-    void                       log_ignored_records();
-    claim_permission           permission_to_claim() const;
-    void                       update_feeder_slot();
-    void                       schedule_tick();
-    void                       tick();
-    void                       run_periodic_work();
-    void                       request_stop();
-    void                       wait_for_signal();
-    void                       count_rejected_request(std::string_view caller);
-    void                       respond_to_readiness_check(const http_server::response_callback& respond) const;
-    void                       respond_with_metrics(const http_server::response_callback& respond) const;
-    void respond_with_status(std::string_view target, const http_server::response_callback& respond) const;
-    void reload_settings();
-    void check_settings_file_for_changes();
+    void                       run_event_loop();
+    template <class Step>
+    bool             attempt(std::string_view name, Step step);
+    void             note_failed_step(std::string_view name, std::string_view reason);
+    void             read_store();
+    void             count_read(const read_call& call);
+    void             handle_read_outcome(const result<record_page, read_failure>& outcome);
+    void             handle_claim_outcome(const result<claim_answer, claim_error>& outcome);
+    void             log_new_changes();
+    void             log_source_change();
+    void             log_store_epoch(std::uint64_t epoch, std::string_view call_result);
+    void             log_ignored_records();
+    claim_permission permission_to_claim() const;
+    void             update_feeder_slot();
+    void             schedule_tick();
+    void             tick();
+    void             run_periodic_work();
+    void             request_stop();
+    void             wait_for_signal();
+    void             count_rejected_request(std::string_view caller);
+    void             respond_to_readiness_check(const http_server::response_callback& respond) const;
+    void             respond_with_metrics(const http_server::response_callback& respond) const;
+    void             respond_with_status(std::string_view target, const http_server::response_callback& respond) const;
+    void             reload_settings();
+    void             check_settings_file_for_changes();
 
     steady_time now() const { return time.steady_now(); }
 
@@ -161,6 +165,7 @@
     std::map<std::string, std::uint64_t> calls_by_result;
     std::map<std::string, std::uint64_t> calls_by_kind;
     std::uint64_t                        rejected_requests = 0; // of followers without the feeder's key
+    std::uint64_t                        failed_steps = 0;      // of the event loop, that ended by an exception
 };
 
 entry_process::impl::impl(const settings& initial_settings, std::string path, const clock& time_source,
@@ -182,12 +187,45 @@
 void entry_process::impl::start() {
     for (const int signal : {SIGTERM, SIGINT, SIGHUP})
         signals.add(signal);
-    schedule_tick();
     wait_for_signal();
     if (is_stop_requested()) request_stop(); // it arrived before the event loop handled signals
     read_store();
 }
 
+// An exception ends only the step that raised it: a host whose balancer ends loses its callers' packets, while the next
+// step mostly succeeds. Every step that others depend on is repeated by a later one.
+void entry_process::impl::run_event_loop() {
+    for (;;) {
+        try {
+            schedule_tick(); // replaces a pending one
+            context.run();
+            return;
+        } catch (const std::exception& error) {
+            note_failed_step("event loop", error.what());
+        }
+    }
+}
+
+template <class Step>
+bool entry_process::impl::attempt(std::string_view name, Step step) {
+    try {
+        step();
+        return true;
+    } catch (const std::exception& error) {
+        note_failed_step(name, error.what());
+        return false;
+    }
+}
+
+void entry_process::impl::note_failed_step(std::string_view name, std::string_view reason) {
+    ++failed_steps;
+    try {
+        log.note_step_failed(name, reason);
+    } catch (const std::bad_alloc&) {
+        return; // without memory for the line, the counter alone tells of the failure
+    }
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Store
 //----------------------------------------------------------------------------------------------------------------------
@@ -196,7 +234,9 @@
     const auto next_read = sync.next_call(now());
     if (!next_read) return;
     count_read(*next_read);
-    store.read(*next_read, [this](const result<record_page, read_failure>& outcome) { handle_read_outcome(outcome); });
+    store.read(*next_read, [this](const result<record_page, read_failure>& outcome) {
+        if (!attempt("read", [&] { handle_read_outcome(outcome); })) sync.failed({read_error::unreadable, {}}, now());
+    });
 }
 
 void entry_process::impl::count_read(const read_call& call) {
@@ -280,8 +320,10 @@
     }
     if (!next_claim) return;
     ++calls_by_kind["store_" + std::string(to_string(*next_claim))];
-    store.claim(*next_claim,
-                [this](const result<claim_answer, claim_error>& outcome) { handle_claim_outcome(outcome); });
+    store.claim(*next_claim, [this](const result<claim_answer, claim_error>& outcome) {
+        if (!attempt("claim", [&] { handle_claim_outcome(outcome); }))
+            slot_claim.failed(claim_error::unavailable, now());
+    });
 }
 
 void entry_process::impl::handle_claim_outcome(const result<claim_answer, claim_error>& outcome) {
@@ -306,7 +348,7 @@
 }
 
 void entry_process::impl::tick() {
-    run_periodic_work();
+    attempt("tick", [this] { run_periodic_work(); });
     if (process_lifecycle.may_exit(now())) {
         context.stop();
         return;
@@ -425,6 +467,7 @@
                                  .follower_count = follower_feed.followers(now()).size(),
                                  .flow_count = flow_steering.flows().flow_count(),
                                  .rejected_requests = rejected_requests,
+                                 .failed_steps = failed_steps,
                                  .omitted_log_lines = log.omitted_lines(),
                                  .missing_listeners = http_listeners.missing(),
                                  .calls_by_result = calls_by_result,
@@ -466,7 +509,7 @@
 void entry_process::run() {
     impl_->log.note_start();
     impl_->start();
-    impl_->context.run();
+    impl_->run_event_loop();
     impl_->log.note_stopped();
     impl_->log.flush();
 }
--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -11,7 +11,6 @@
 constexpr duration stale_packet_window = std::chrono::milliseconds(20);
 // A SYN that waited longer than this for the first synchronization may have been repeated by its caller already.
 constexpr duration max_startup_wait = std::chrono::milliseconds(190);
-
 } // namespace
 
 packet_handler::packet_handler(boost::asio::io_context& context, udp_socket socket, steering& flow_steering,
@@ -37,7 +36,12 @@
     readable_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
                          [this](const boost::system::error_code& error) {
                              if (error) return;
-                             receive();
+                             try {
+                                 receive();
+                             } catch (...) {
+                                 wait(); // the event loop reports the exception, and packets are read further
+                                 throw;
+                             }
                              wait();
                          });
 }
