Let a flood of packets not keep the event loop from its other work

By reading: packets were read until fewer than a batch were left, which never happens while they arrive faster than they are handled, so that readiness checks, timers and signals would wait.

--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -11,6 +11,9 @@
 constexpr duration stale_packet_window = std::chrono::milliseconds(20);
 // A SYN that waited longer than this for the first synchronization may have been repeated by its caller already.
 constexpr duration max_startup_wait = std::chrono::milliseconds(190);
+// Packets that arrive faster than they are handled must not keep the event loop from readiness checks and timers.
+constexpr unsigned max_batches_per_turn = 16;
+
 } // namespace
 
 packet_handler::packet_handler(boost::asio::io_context& context, udp_socket socket, steering& flow_steering,
@@ -56,7 +59,7 @@
     check_for_pause();
     last_packet_at_ = time_.steady_now();
     is_discarding_syns_ = last_packet_at_ - last_pause_end_ < stale_packet_window;
-    for (;;) {
+    for (unsigned batches = 0; batches < max_batches_per_turn; ++batches) {
         const auto received = socket_.receive(batch_);
         counters_.malformed += received.too_long;
         for (const receive_batch::item& item : batch_.items())
