--- a/daemons/entry/listeners.cpp
+++ b/daemons/entry/listeners.cpp
@@ -31,7 +31,8 @@
     return std::nullopt;
 }
 
-std::optional<std::string> listeners::open_required(const endpoint& address, http_server::request_handler handler) {
+std::optional<std::string> listeners::open_required(const endpoint&                     address,
+                                                    const http_server::request_handler& handler) {
     return open(address, handler);
 }
 
--- a/daemons/entry/listeners.h
+++ b/daemons/entry/listeners.h
@@ -13,7 +13,7 @@
     listeners(boost::asio::io_context& context, event_log& log, std::size_t descriptors);
 
     // Returns the reason if the server cannot be opened.
-    std::optional<std::string> open_required(const endpoint& address, http_server::request_handler handler);
+    std::optional<std::string> open_required(const endpoint& address, const http_server::request_handler& handler);
     void        open_optional(const endpoint& address, http_server::request_handler handler, steady_time now);
     // Tries to open the servers that are not open, when it is time to. Must be called at every tick.
     void        retry(steady_time now);
--- a/tests/entry_process_ends_test.cpp
+++ b/tests/entry_process_ends_test.cpp
@@ -305,8 +305,10 @@
 BOOST_AUTO_TEST_CASE(idle_connections_beyond_the_descriptors_do_not_keep_a_core_busy) {
     program.start({.descriptor_limit = 24});
     BOOST_REQUIRE(becomes_ready());
+    constexpr int               connection_count = 60;
     std::vector<tcp_connection> idle;
-    for (int i = 0; i < 60; ++i)
+    idle.reserve(connection_count);
+    for (int i = 0; i < connection_count; ++i)
         idle.emplace_back(with_port(host, i % 2 == 0 ? readiness_port : metrics_port));
     const duration before = program.processor_time();
     BOOST_TEST(!program.wait_for_end(2s).has_value());
