--- a/soak/balancer_process.h
+++ b/soak/balancer_process.h
@@ -2,13 +2,12 @@
 #pragma once
 
 #include "soak/loopback_proxy.h"
+#include "standins/child_process.h"
+#include "standins/settings_template.h"
 
-#include <csignal>
-#include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <sys/wait.h>
-#include <unistd.h>
+#include <utility>
 
 namespace soak {
 
@@ -16,49 +15,57 @@
 using tamarack::steady_time;
 
 struct balancer_settings {
-    std::string program;
-    std::string folder; // holds the settings file and the log of the process
-    std::string name;
-    std::string failure_domain;
-    endpoint    packets_address;
-    endpoint    readiness_address;
-    endpoint    status_address; // status page, for debugging a run
-    endpoint    peers_address;
-    endpoint    proxy_address; // relays to the store
-    endpoint    store_address;
-    std::string contacts; // addresses of peers, comma-separated
+    std::string            program;
+    std::string            folder; // holds the settings file and the log of the process
+    standin::host_settings host;   // its store is the proxy
+    endpoint               store_address;
 };
 
 class balancer_process {
 public:
     balancer_process(boost::asio::io_context& context, balancer_settings settings)
-        : settings_(std::move(settings)), store_proxy(context, settings_.proxy_address, settings_.store_address) {
+        : settings_(std::move(settings)), store_proxy(context, settings_.host.store, settings_.store_address) {
         write_settings(3);
     }
-    // Kills the child process and waits for it to exit.
-    ~balancer_process() { send_signal(SIGKILL, true); }
+    // Kills the child processes and waits for them to exit.
+    ~balancer_process() {
+        send_signal(SIGKILL, true);
+        if (predecessor_ <= 0) return;
+        ::kill(predecessor_, SIGKILL);
+        ::waitpid(predecessor_, nullptr, 0);
+    }
     balancer_process(const balancer_process&) = delete;
     balancer_process& operator=(const balancer_process&) = delete;
 
     const balancer_settings& settings() const { return settings_; }
+    std::string              name() const { return settings_.host.name; }
+    endpoint                 readiness_address() const { return {settings_.host.host, standin::readiness_port}; }
+    endpoint                 packets_address() const { return {settings_.host.host, standin::packets_port}; }
     bool                     is_running() const { return pid_ > 0; }
     bool                     is_paused() const { return is_paused_; }
     bool                     is_stopping() const { return is_stopping_; }
 
-    void start(steady_time now) {
+    void start(steady_time now, const standin::start_conditions& conditions = {}) {
         last_fault_at = now;
         started_at = now;
         is_stopping_ = false;
-        pid_ = ::fork();
-        if (pid_ != 0) return;
-        const int log_file =
-            ::open((settings_.folder + "/" + settings_.name + ".log").c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
-        ::dup2(log_file, STDOUT_FILENO);
-        ::dup2(log_file, STDERR_FILENO);
-        ::close_range(STDERR_FILENO + 1, ~0U, 0); // the child must not inherit the sockets of the soak
-        const std::string config_flag = "--config=" + settings_path();
-        ::execl(settings_.program.c_str(), settings_.program.c_str(), config_flag.c_str(), nullptr);
-        ::_exit(127);
+        pid_ = standin::start_child(settings_.program, "--config=" + settings_path(),
+                                    settings_.folder + "/" + name() + ".log", conditions);
+    }
+
+    // Requests a graceful stop; the process that is started next overlaps with it.
+    void begin_replacement() {
+        send_signal(SIGTERM);
+        predecessor_ = std::exchange(pid_, 0);
+        is_paused_ = false;
+    }
+    bool               has_predecessor() const { return predecessor_ > 0; }
+    // Reaps the replaced process if it has exited and returns its wait status.
+    std::optional<int> reap_predecessor() {
+        int status = 0;
+        if (predecessor_ <= 0 || ::waitpid(predecessor_, &status, WNOHANG) != predecessor_) return std::nullopt;
+        predecessor_ = 0;
+        return status;
     }
 
     void send_signal(int signal, bool wait_for_exit = false) {
@@ -81,23 +88,21 @@
         return status;
     }
 
-    void write_settings(int grace_seconds) const {
-        std::ofstream(settings_path()) << "[balancer]\nname = " << settings_.name
-                                       << "\nfailure_domain = " << settings_.failure_domain
-                                       << "\npackets_address = " << settings_.packets_address.to_string()
-                                       << "\nreadiness_address = " << settings_.readiness_address.to_string()
-                                       << "\nstatus_address = " << settings_.status_address.to_string()
-                                       << "\n[peers]\naddress = " << settings_.peers_address.to_string()
-                                       << "\ncontacts = " << settings_.contacts
-                                       << "\n[store]\naddress = " << settings_.proxy_address.to_string()
-                                       << "\n[stop]\ngrace_seconds = " << grace_seconds << "\n";
+    void write_settings(unsigned grace_seconds) {
+        settings_.host.grace_seconds = grace_seconds;
+        std::ofstream(settings_path()) << settings_.host.to_text();
+    }
+    // As if the file were just being written. The rest follows with write_settings.
+    void write_part_of_settings(std::size_t size) const {
+        std::ofstream(settings_path()) << settings_.host.to_text().substr(0, size);
     }
 
 private:
-    std::string settings_path() const { return settings_.folder + "/" + settings_.name + ".ini"; }
+    std::string settings_path() const { return settings_.folder + "/" + name() + ".ini"; }
 
     balancer_settings settings_;
-    pid_t             pid_ = 0; // 0: no process is running
+    pid_t             pid_ = 0;         // 0: no process is running
+    pid_t             predecessor_ = 0; // still stopping; 0: none
     bool              is_paused_ = false;
     bool              is_stopping_ = false;
 
@@ -107,6 +112,7 @@
     steady_time                started_at{};
     std::optional<steady_time> restart_at;                  // set after the process has exited
     std::optional<steady_time> resume_at;                   // set while the process is paused
+    std::optional<steady_time> settings_complete_at;        // set while the settings file is incomplete
     std::optional<steady_time> faults_end_at;               // set while faults on its connections or packets are active
     unsigned                   loss_percent = 0;            // of the callers' packets to it
     unsigned                   duplication_percent = 0;     // of the packets that are not lost
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint32(fault_seconds, 6, "seconds during which faults are injected");
 DEFINE_bool(packet_faults, true, "also lose and duplicate packets of callers; changes which run a seed gives");
 DEFINE_bool(restores, true, "also restore the store from copies some seconds old; changes which run a seed gives");
+DEFINE_bool(start_faults, true, "also start processes under bad conditions; changes which run a seed gives");
 
 namespace {
 
@@ -42,7 +43,8 @@
                                                .network = network_of(seed),
                                                .fault_duration = std::chrono::seconds(FLAGS_fault_seconds),
                                                .has_packet_faults = FLAGS_packet_faults,
-                                               .has_restores = FLAGS_restores});
+                                               .has_restores = FLAGS_restores,
+                                               .has_start_faults = FLAGS_start_faults});
     std::cout << "seed " << seed << ": " << report.opened_flows << " flows, " << report.answered_requests
               << " requests answered, " << report.failed_flows << " flows failed, " << report.injected_faults
               << " faults, " << report.store_calls << " store calls, " << report.violations.size() << " violations"
@@ -56,7 +58,8 @@
     std::cout << "  logs in " << folder << "; to repeat: entry-soak --seed=" << seed
               << " --balancers=" << FLAGS_balancers << " --backends=" << FLAGS_backends
               << " --fault_seconds=" << FLAGS_fault_seconds << (FLAGS_packet_faults ? "" : " --nopacket_faults")
-              << (FLAGS_restores ? "" : " --norestores") << std::endl;
+              << (FLAGS_restores ? "" : " --norestores") << (FLAGS_start_faults ? "" : " --nostart_faults")
+              << std::endl;
     return false;
 }
 
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -65,6 +65,8 @@
     void          remove_backend(soak_backend& backend);
     void          step_backends();
     void          step_balancers();
+    void          step_process(balancer_process& balancer);
+    void          start_balancer(balancer_process& balancer);
     void          check_readiness(unsigned index);
     // Faults
     void          inject_fault();
@@ -97,7 +99,7 @@
     void          report_violation(const std::string& description);
     void          check_flow(const soak_backend& backend, const packet& received);
     void          check_placement(const soak_backend& backend, const caller_flow& flow, bool is_fixed_route);
-    std::string   balancer_name(unsigned index) const { return balancers_[index]->settings().name; }
+    std::string   balancer_name(unsigned index) const { return balancers_[index]->name(); }
     bool          bounds_apply_to(unsigned balancer_index) const;
     soak_backend* find_backend(const std::string& id);
 
@@ -153,19 +155,15 @@
     for (unsigned i = 0; i < 3; ++i)
         contacts += (i == 0 ? "" : ",") + loopback(settings.network, 2, i + 1, 8166).to_string();
     for (unsigned i = 0; i < settings.balancer_count; ++i) {
-        const auto endpoint_at = [&](std::uint16_t port) { return loopback(settings.network, 2, i + 1, port); };
         balancers_.push_back(std::make_unique<balancer_process>(
             context_, balancer_settings{.program = settings.program,
                                         .folder = settings.folder,
-                                        .name = "balancer-" + std::to_string(i + 1),
-                                        .failure_domain = failure_domains.at(i % failure_domains.size()),
-                                        .packets_address = endpoint_at(packet_port),
-                                        .readiness_address = endpoint_at(8167),
-                                        .status_address = endpoint_at(9109),
-                                        .peers_address = endpoint_at(7720),
-                                        .proxy_address = endpoint_at(8169),
-                                        .store_address = loopback(settings.network, 0, 1, 8169),
-                                        .contacts = contacts}));
+                                        .host = {.name = "balancer-" + std::to_string(i + 1),
+                                                 .failure_domain = failure_domains.at(i % failure_domains.size()),
+                                                 .host = loopback(settings.network, 2, i + 1, 0).address,
+                                                 .contacts = contacts,
+                                                 .store = loopback(settings.network, 2, i + 1, 8169)},
+                                        .store_address = loopback(settings.network, 0, 1, 8169)}));
     }
     for (unsigned i = 0; i < settings.backend_count; ++i)
         add_backend(services.at(i % services.size()), std::nullopt);
@@ -232,21 +230,59 @@
     });
 }
 
+void soak_run::step_process(balancer_process& balancer) {
+    if (balancer.reap_predecessor()) record_fault(balancer); // its ports are free for the successor
+    if (balancer.settings_complete_at && now() >= *balancer.settings_complete_at) {
+        balancer.settings_complete_at.reset();
+        balancer.write_settings(3);
+        record_fault(balancer);
+    }
+    if (!balancer.is_running()) {
+        if (balancer.restart_at && now() < *balancer.restart_at) return;
+        balancer.restart_at.reset();
+        return start_balancer(balancer);
+    }
+    const auto status = balancer.reap();
+    if (!status) return;
+    if (!balancer.is_stopping()) {
+        report_violation("balancer " + balancer.name() + " exited unexpectedly, wait status " +
+                         std::to_string(*status));
+    }
+    balancer.restart_at = now() + 300ms;
+}
+
+// Some starts find little: few descriptors, a log that is full or missing, or a settings file that is just being
+// written.
+void soak_run::start_balancer(balancer_process& balancer) {
+    standin::start_conditions conditions;
+    const bool                has_trouble = settings_.has_start_faults && is_injecting_faults();
+    switch (has_trouble ? random_below(8) : 7) {
+    case 0:
+        conditions.descriptor_limit = 32 + random_below(32);
+        break;
+    case 1:
+        conditions.file_size_limit = 1'000 + random_below(20'000);
+        break;
+    case 2:
+        conditions.has_standard_files = false;
+        break;
+    case 3:
+        conditions.blocked_signal = SIGHUP;
+        break;
+    case 4:
+        balancer.write_part_of_settings(random_below(400));
+        balancer.settings_complete_at = now() + 50ms + std::chrono::milliseconds(random_below(1'500));
+        break;
+    default:
+        break;
+    }
+    balancer.start(now(), conditions);
+}
+
 void soak_run::step_balancers() {
     for (unsigned i = 0; i < balancers_.size(); ++i) {
         balancer_process& balancer = *balancers_[i];
-        if (balancer.is_running()) {
-            if (const auto status = balancer.reap()) {
-                if (!balancer.is_stopping()) {
-                    report_violation("balancer " + balancer.settings().name + " exited unexpectedly, wait status " +
-                                     std::to_string(*status));
-                }
-                balancer.restart_at = now() + 300ms;
-            }
-        } else if (!balancer.restart_at || now() >= *balancer.restart_at) {
-            balancer.restart_at.reset();
-            balancer.start(now());
-        }
+        step_process(balancer);
         if (balancer.resume_at && now() >= *balancer.resume_at) {
             balancer.send_signal(SIGCONT);
             balancer.resume_at.reset();
@@ -282,7 +318,7 @@
         if (is_ready) balancer.is_in_rotation = true;
         if (balancer.failed_readiness_checks >= failed_checks_to_leave_rotation) balancer.is_in_rotation = false;
     };
-    const endpoint& address = balancers_[index]->settings().readiness_address;
+    const endpoint address = balancers_[index]->readiness_address();
     call->request = {http::verb::get, "/tamarackshore/ready", 11};
     call->stream.expires_after(400ms);
     call->stream.async_connect(
@@ -332,9 +368,12 @@
 void soak_run::inject_process_fault(balancer_process& balancer) {
     if (!balancer.is_running() || balancer.is_stopping() || balancer.is_paused()) return;
     record_fault(balancer);
-    switch (random_below(5)) {
+    switch (random_below(settings_.has_start_faults ? 6 : 5)) {
     case 0:
         return balancer.send_signal(SIGTERM);
+    case 5:
+        if (!balancer.has_predecessor()) balancer.begin_replacement();
+        return;
     case 1:
         return balancer.send_signal(SIGKILL);
     case 2: // kills several balancers at once
@@ -346,7 +385,7 @@
         }
         return;
     case 3:
-        balancer.write_settings(2 + static_cast<int>(random_below(3)));
+        balancer.write_settings(2 + random_below(3));
         // SIGHUP ends a process that has not installed its handler yet, which is no fault of the balancer.
         if (now() - balancer.started_at < program_load_time) return;
         return balancer.send_signal(SIGHUP);
@@ -522,8 +561,7 @@
     const std::size_t datagram_count =
         receiver.duplication_percent > 0 && random_below(100) < receiver.duplication_percent ? 2 : 1;
     const auto                                     bytes = outgoing.encode();
-    const std::vector<tamarack::outgoing_datagram> datagrams(datagram_count,
-                                                             {receiver.settings().packets_address, bytes});
+    const std::vector<tamarack::outgoing_datagram> datagrams(datagram_count, {receiver.packets_address(), bytes});
     caller_socket_->send(datagrams);
 }
 
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -20,6 +20,7 @@
     tamarack::duration calm_duration = std::chrono::seconds(9); // without faults, after them
     bool               has_packet_faults = true; // false: reproduces seeds recorded before packet faults existed
     bool               has_restores = true;      // the store is restored from copies; false: as with has_packet_faults
+    bool has_start_faults = true; // starts lack something, restarts overlap; false: as with has_packet_faults
 };
 
 struct run_report {
--- a/tests/entry_program.h
+++ b/tests/entry_program.h
@@ -3,18 +3,17 @@
 #pragma once
 
 #include "loopback_endpoint.h"
+#include "standins/child_process.h"
 #include "standins/kv_server.h"
+#include "standins/settings_template.h"
 #include "tamarack/clock.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstring>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <netinet/in.h>
-#include <sstream>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -23,22 +22,25 @@
 
 using namespace std::chrono_literals;
 
-inline constexpr std::uint16_t packets_port = 8'172;
-inline constexpr std::uint16_t readiness_port = 8'167;
-inline constexpr std::uint16_t peers_port = 7'720;
-inline constexpr std::uint16_t metrics_port = 9'108;
+using standin::metrics_port;
+using standin::packets_port;
+using standin::peers_port;
+using standin::readiness_port;
+
+inline std::string settings_text(const std::string& name, const endpoint& host, const endpoint& store) {
+    return standin::host_settings{.name = name,
+                                  .failure_domain = "north",
+                                  .host = host.address,
+                                  .contacts = host.address.to_string() + ":8166",
+                                  .store = store}
+        .to_text();
+}
 
 inline endpoint with_port(endpoint address, std::uint16_t port) {
     address.port = port;
     return address;
 }
 
-inline std::string read_file(const std::string& path) {
-    std::ostringstream text;
-    text << std::ifstream(path, std::ios::binary).rdbuf();
-    return text.str();
-}
-
 template <class Predicate>
 bool wait_until(duration timeout, Predicate is_done) {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
@@ -49,50 +51,6 @@
     return true;
 }
 
-//----------------------------------------------------------------------------------------------------------------------
-// Settings
-//----------------------------------------------------------------------------------------------------------------------
-
-// Fills in the platform's template: {{name}} by its value, a section {{#name}}..{{/name}} once if there is a value.
-inline std::string fill_in_template(std::string text, const std::map<std::string, std::string>& values) {
-    for (std::size_t start = 0; (start = text.find("{{", start)) != std::string::npos;) {
-        const std::size_t end = text.find("}}", start);
-        const std::string name = text.substr(start + 2, end - start - 2);
-        if (!name.starts_with("#")) {
-            const auto value = values.find(name);
-            text.replace(start, end + 2 - start, value == values.end() ? "" : value->second);
-            continue;
-        }
-        const std::string closing_tag = "{{/" + name.substr(1) + "}}";
-        const std::size_t closing = text.find(closing_tag, end);
-        const auto        value = values.find(name.substr(1));
-        std::string       content = value == values.end() ? "" : text.substr(end + 2, closing - end - 2);
-        if (const auto current = content.find("{{.}}"); current != std::string::npos)
-            content.replace(current, std::string_view("{{.}}").size(), value->second);
-        text.replace(start, closing + closing_tag.size() - start, content);
-    }
-    return text;
-}
-
-// The settings of a host, as the platform writes them.
-inline std::string settings_text(const std::string& name, const endpoint& host, const endpoint& store) {
-    const std::string address = host.address.to_string();
-    return fill_in_template(read_file(SOURCE_FOLDER "/platform/entry.ini.in"),
-                            {{"node_name", name},
-                             {"zone", "north"},
-                             {"ip", address},
-                             {"listen.datagram_addr", with_port(host, packets_port).to_string()},
-                             {"listen.ready_addr", with_port(host, readiness_port).to_string()},
-                             {"internal_ports.0", std::to_string(peers_port)},
-                             {"seeds", with_port(host, 8'166).to_string()},
-                             {"platform.address", store.to_string()},
-                             {"bounds.grace_s", "6"},
-                             {"limits.cpu_share", "0.25"},
-                             {"limits.link_mbps", "1000.0"},
-                             {"limits.memory_mb", "260"},
-                             {"bounds.config_apply_ms", "3000"}});
-}
-
 //----------------------------------------------------------------------------------------------------------------------
 // Store
 //----------------------------------------------------------------------------------------------------------------------
@@ -149,15 +107,6 @@
     std::string path_;
 };
 
-// What a process inherits from the program that starts it.
-struct start_conditions {
-    std::optional<rlim_t> descriptor_limit{};        // RLIMIT_NOFILE
-    std::optional<rlim_t> file_size_limit{};         // bytes, RLIMIT_FSIZE
-    std::optional<rlim_t> address_space_limit{};     // bytes, RLIMIT_AS
-    bool                  has_standard_files = true; // false: descriptors 0, 1 and 2 are closed
-    std::optional<int>    blocked_signal{};          // pending for the process when it starts, and blocked
-};
-
 class entry_program {
 public:
     entry_program(std::string settings_path, std::string log_path)
@@ -170,9 +119,8 @@
     entry_program(const entry_program&) = delete;
     entry_program& operator=(const entry_program&) = delete;
 
-    void start(const start_conditions& conditions = {}) {
-        pid_ = ::fork();
-        if (pid_ == 0) exec(conditions);
+    void start(const standin::start_conditions& conditions = {}) {
+        pid_ = standin::start_child(ENTRY_PROGRAM, "--config=" + settings_path_, log_path_, conditions);
     }
     void send_signal(int signal) const {
         if (pid_ > 0) ::kill(pid_, signal);
@@ -185,7 +133,7 @@
     }
     bool        is_running() { return pid_ > 0 && !reap(); }
     pid_t       pid() const { return pid_; }
-    std::string log() const { return read_file(log_path_); }
+    std::string log() const { return standin::read_file(log_path_); }
 
     // Processor time used so far.
     duration processor_time() const {
@@ -207,33 +155,6 @@
         return status;
     }
 
-    [[noreturn]] void exec(const start_conditions& conditions) const {
-        const int log = ::open(log_path_.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
-        ::dup2(log, STDOUT_FILENO);
-        ::dup2(log, STDERR_FILENO);
-        const int first_closed = conditions.has_standard_files ? STDERR_FILENO + 1 : STDIN_FILENO;
-        ::close_range(static_cast<unsigned>(first_closed), ~0U, 0); // also the sockets of the test
-        set_limit(RLIMIT_NOFILE, conditions.descriptor_limit);
-        set_limit(RLIMIT_FSIZE, conditions.file_size_limit);
-        set_limit(RLIMIT_AS, conditions.address_space_limit);
-        if (conditions.blocked_signal) raise_blocked(*conditions.blocked_signal);
-        const std::string flag = "--config=" + settings_path_;
-        ::execl(ENTRY_PROGRAM, ENTRY_PROGRAM, flag.c_str(), nullptr);
-        ::_exit(127);
-    }
-    static void set_limit(int resource, const std::optional<rlim_t>& value) {
-        if (!value) return;
-        const rlimit limit{*value, *value};
-        ::setrlimit(resource, &limit);
-    }
-    static void raise_blocked(int signal) {
-        sigset_t signals{};
-        sigemptyset(&signals);
-        sigaddset(&signals, signal);
-        ::sigprocmask(SIG_BLOCK, &signals, nullptr);
-        (void)::raise(signal);
-    }
-
     std::string settings_path_;
     std::string log_path_;
     pid_t       pid_ = 0; // 0: no process is running
