--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -48,13 +48,21 @@
     return output.address.is_v4() && output.address.bytes.at(first_v4_byte) == loopback_network;
 }
 
-bool parse_endpoints(std::string_view text, std::vector<endpoint>& output) {
+std::string_view trim(std::string_view text) {
+    constexpr std::string_view blanks = " \t";
+    const std::size_t          first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) return {};
+    return text.substr(first, text.find_last_not_of(blanks) + 1 - first);
+}
+
+// The ports may be 0: they are not used.
+bool parse_contacts(std::string_view text, std::vector<endpoint>& output) {
     output.clear();
     while (!text.empty()) {
         const std::size_t comma = std::min(text.find(','), text.size());
-        endpoint          parsed;
-        if (!parse_endpoint(text.substr(0, comma), parsed)) return false;
-        output.push_back(parsed);
+        const auto        contact = endpoint::parse(trim(text.substr(0, comma)));
+        if (!contact) return false;
+        output.push_back(*contact);
         text.remove_prefix(std::min(comma + 1, text.size()));
     }
     return true;
@@ -131,7 +139,7 @@
         {"peers", "contacts", false, "ADDRESS:PORT, separated by commas",
          "Hosts of other balancers to ask if the store does not answer at the start; their ports are ignored.",
          change_effect::after_restart,
-         [](std::string_view text, settings& values) { return parse_endpoints(text, values.contacts); }},
+         [](std::string_view text, settings& values) { return parse_contacts(text, values.contacts); }},
         {"store", "address", true, "ADDRESS:PORT", "Address of the platform's key-value store.",
          change_effect::after_restart,
          [](std::string_view text, settings& values) { return parse_endpoint(text, values.store_address); }},
@@ -162,7 +170,10 @@
         {"limits", "memory_mb", false, "16 to 1048576", "Memory that the process may use, in MB. Default 64.",
          change_effect::after_restart,
          [](std::string_view text, settings& values) {
-             return parse_number<std::size_t>(text, 16, 1'048'576, values.memory_mb);
+             double megabytes = 0;
+             if (!parse_number(text, 16.0, 1'048'576.0, megabytes)) return false;
+             values.memory_mb = static_cast<std::size_t>(megabytes);
+             return true;
          }},
     };
     return table;
--- a/tests/entry_program.h
+++ b/tests/entry_program.h
@@ -60,7 +60,7 @@
 public:
     explicit store_thread(const endpoint& listen) : server_(context_, listen, store_, time_) {
         store_.put("op/config", R"({"version":3,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"desk"}]})");
-        store_.put("servers/i-1f", R"({"service":"desk","address":"10.0.0.1:80","zone":"north","state":"ready"})");
+        store_.put("servers/i-1f", R"({"service":"desk","address":"127.0.0.9:80","zone":"north","state":"ready"})");
         poll();
         thread_ = std::thread([this] { context_.run(); });
     }
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -53,6 +53,18 @@
                std::string::npos);
 }
 
+// Each of these kept a host from starting: memory as a fraction, and a list with a blank or a port that is not used.
+BOOST_AUTO_TEST_CASE(numbers_and_lists_are_read_in_the_forms_that_writers_choose) {
+    std::string text = valid_settings;
+    text.replace(text.find("memory_mb = 80"), 14, "memory_mb = 260.5");
+    text.replace(text.find("10.0.0.2:8166,"), 14, "10.0.0.2:0, ");
+    const auto values = read_settings(text, "test.ini");
+    BOOST_REQUIRE(values.has_value());
+    BOOST_TEST(values.value().memory_mb == 260U);
+    BOOST_TEST(values.value().contacts.size() == 2U);
+    BOOST_TEST(problems_of(valid_settings + "[peers]\ncontacts = nowhere\n").find("contacts") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(all_problems_are_reported_together) {
     const std::string problems =
         problems_of("[balancer]\nname = one\npackets_address = nowhere\nreadiness_address = 10.0.0.1:0\ncolour = red\n"
