--- a/daemons/entry/http_server.cpp
+++ b/daemons/entry/http_server.cpp
@@ -43,10 +43,10 @@
 
 struct http_server::impl::session : std::enable_shared_from_this<session> {
     session(std::shared_ptr<impl> owner, tcp::socket socket) : server(std::move(owner)), stream(std::move(socket)) {
-        ++server->session_count;
         beast::error_code error;
         const auto        remote = stream.socket().remote_endpoint(error);
         caller = error ? "unknown" : remote.address().to_string() + ":" + std::to_string(remote.port());
+        ++server->session_count; // last: the destructor does not run after an exception
     }
     ~session() { --server->session_count; }
     session(const session&) = delete;
@@ -114,8 +114,8 @@
             ++self->failed_accepts;
             return self->accept_later();
         }
+        self->accept(); // before the session is made, which can throw
         if (self->session_count < self->max_sessions) std::make_shared<session>(self, std::move(socket))->read();
-        self->accept();
     });
 }
 
--- a/tests/entry_http_server_test.cpp
+++ b/tests/entry_http_server_test.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <fcntl.h>
+#include <new>
 #include <sys/resource.h>
 
 using namespace tamarack;
@@ -16,6 +18,27 @@
 
 namespace {
 
+std::size_t smallest_failing_allocation = 0; // bytes; the next one of at least this size fails; 0: none
+
+} // namespace
+
+// The allocation function of this program, with failures that a test can request.
+[[gnu::noinline]] void* operator new(std::size_t size) {
+    const bool fails = smallest_failing_allocation != 0 && size >= smallest_failing_allocation;
+    if (fails) smallest_failing_allocation = 0;
+    void* memory = fails ? nullptr : std::malloc(size == 0 ? 1 : size);
+    if (memory == nullptr) throw std::bad_alloc();
+    return memory;
+}
+[[gnu::noinline]] void operator delete(void* memory) noexcept {
+    std::free(memory);
+}
+[[gnu::noinline]] void operator delete(void* memory, std::size_t /*size*/) noexcept {
+    std::free(memory);
+}
+
+namespace {
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -136,6 +159,17 @@
     BOOST_TEST(context.stopped());
 }
 
+// An exception while a session was made left no pending accept, and all later connections without a response.
+BOOST_AUTO_TEST_CASE(connection_without_memory_for_its_session_does_not_end_accepting) {
+    constexpr std::size_t session_size = 512; // bytes, at least; the operations of the event loop are smaller
+    open(std::size_t{1});                     // the failed session must not stay counted
+    auto lost_client = connect();
+    smallest_failing_allocation = session_size;
+    BOOST_CHECK_THROW(run_for(500ms), std::bad_alloc);
+    auto client = connect();
+    BOOST_TEST(is_served(client));
+}
+
 BOOST_AUTO_TEST_CASE(address_that_cannot_be_used_is_an_error) {
     const auto no_handler = [](const server_request&, const http_server::response_callback&) {};
     BOOST_TEST(!http_server::open(context, {ip_address::v4(0x08080808), 9'109}, no_handler).has_value());
