--- a/daemons/entry/http_server.cpp
+++ b/daemons/entry/http_server.cpp
@@ -19,14 +19,19 @@
 // Before the next accept after a failed one. Without descriptors or buffers an accept fails at once, and again at once
 // until the process or the host has released some.
 constexpr std::chrono::milliseconds accept_retry_interval(100);
+constexpr std::uint32_t             max_header_size = 8'192; // bytes; a follower's request has a few hundred
+// Received and not parsed yet. The parser needs some parts in one piece: a header, and also the start of a chunk and a
+// trailer, which it does not limit itself.
+constexpr std::size_t               max_buffered_size = 16'384; // bytes
 
 } // namespace
 
 struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
     struct session;
 
-    impl(asio::io_context& context, request_handler handle_request, std::size_t session_limit)
-        : acceptor(context), retry_timer(context), handler(std::move(handle_request)), max_sessions(session_limit) {}
+    impl(asio::io_context& context, request_handler handle_request, std::size_t session_limit, std::size_t body_limit)
+        : acceptor(context), retry_timer(context), handler(std::move(handle_request)), max_sessions(session_limit),
+          max_body_size(body_limit) {}
 
     void open(const tcp::endpoint& address);
     void accept();
@@ -37,6 +42,7 @@
     asio::steady_timer retry_timer;
     request_handler    handler;
     std::size_t        max_sessions;
+    std::size_t        max_body_size; // bytes, of a request
     std::size_t        session_count = 0;
     std::uint64_t      failed_accepts = 0;
 };
@@ -53,21 +59,34 @@
     session& operator=(const session&) = delete;
 
     void read();
+    void read_body();
     void dispatch();
     void write(server_response new_response);
 
+    using parser = http::request_parser<http::string_body>;
+
     std::shared_ptr<impl>             server;
     beast::tcp_stream                 stream;
     std::string                       caller;
-    beast::flat_buffer                buffer;
-    http::request<http::string_body>  request;
+    beast::flat_buffer                buffer{max_buffered_size};
+    std::optional<parser>             request;
     http::response<http::string_body> response;
 };
 
 void http_server::impl::session::read() {
-    request = {};
+    request.emplace();
+    request->header_limit(max_header_size);
+    request->body_limit(server->max_body_size);
     stream.expires_after(idle_timeout);
-    http::async_read(stream, buffer, request,
+    // The header alone, since Beast 1.74 goes on after a length beyond the limit if bytes of the body are there.
+    http::async_read_header(stream, buffer, *request,
+                            [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
+                                if (!error) self->read_body();
+                            });
+}
+
+void http_server::impl::session::read_body() {
+    http::async_read(stream, buffer, *request,
                      [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
                          if (!error) self->dispatch();
                      });
@@ -75,22 +94,23 @@
 
 void http_server::impl::session::dispatch() {
     stream.expires_never();
-    const auto method = request.method_string();
-    const auto target = request.target();
+    const auto& message = request->get();
+    const auto  method = message.method_string();
+    const auto  target = message.target();
     server->handler(
-        {{method.data(), method.size()}, {target.data(), target.size()}, request.body(), caller},
+        {{method.data(), method.size()}, {target.data(), target.size()}, message.body(), caller},
         [self = shared_from_this()](server_response new_response) { self->write(std::move(new_response)); });
 }
 
 void http_server::impl::session::write(server_response new_response) {
     response = {};
-    response.version(request.version());
+    response.version(request->get().version());
     response.result(new_response.status);
     response.set(http::field::content_type, new_response.content_type);
     for (const auto& [name, value] : new_response.headers)
         response.set(name, value);
     response.body() = std::move(new_response.body);
-    response.keep_alive(request.keep_alive());
+    response.keep_alive(request->keep_alive());
     response.prepare_payload();
     stream.expires_after(idle_timeout);
     http::async_write(stream, response,
@@ -141,9 +161,10 @@
 }
 
 result<http_server, std::string> http_server::open(asio::io_context& context, const endpoint& listen_address,
-                                                   request_handler handler, std::size_t max_sessions) {
+                                                   request_handler handler, std::size_t max_sessions,
+                                                   std::size_t max_body_size) {
     try {
-        auto implementation = std::make_shared<impl>(context, std::move(handler), max_sessions);
+        auto implementation = std::make_shared<impl>(context, std::move(handler), max_sessions, max_body_size);
         implementation->open({asio::ip::make_address(listen_address.address.to_string()), listen_address.port});
         return http_server(std::move(implementation));
     } catch (const std::exception& error) {
--- a/daemons/entry/http_server.h
+++ b/daemons/entry/http_server.h
@@ -31,9 +31,14 @@
     using response_callback = std::function<void(server_response)>; // must be called exactly once, now or later
     using request_handler = std::function<void(const server_request& request, response_callback respond)>;
 
-    // Connections beyond the limit are closed immediately; the client has to connect again.
+    // Of requests. The balancer's callers send none; each connection can hold this much.
+    static constexpr std::size_t default_max_body_size = 1'024; // bytes
+
+    // Connections beyond the limit are closed immediately; the client has to connect again. A connection with a request
+    // that exceeds a limit is closed, without a response.
     static result<http_server, std::string> open(boost::asio::io_context& context, const endpoint& listen_address,
-                                                 request_handler handler, std::size_t max_sessions = 64);
+                                                 request_handler handler, std::size_t max_sessions = 64,
+                                                 std::size_t max_body_size = default_max_body_size);
     ~http_server();
     http_server(http_server&&) noexcept;
     http_server& operator=(http_server&&) noexcept;
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -31,7 +31,7 @@
                                                   [this](const tamarack::entry::server_request& call, reply respond) {
                                                       handle_call(call, std::move(respond));
                                                   },
-                                                  max_connections)
+                                                  max_connections, max_body_size)
                                                   .value()) {}
 
     kv_fault      fault = kv_fault::none;
@@ -57,6 +57,7 @@
 
 private:
     static constexpr std::size_t max_connections = 4'096;
+    static constexpr std::size_t max_body_size = 2'097'152; // bytes; one value of 1 MB as base64
 
     struct waiting_watch {
         std::uint64_t after_revision = 0; // the watch waits for a later revision
--- a/tests/entry_http_server_test.cpp
+++ b/tests/entry_http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <new>
+#include <sstream>
 #include <sys/resource.h>
 
 using namespace tamarack;
@@ -108,6 +109,17 @@
         }
         return received;
     }
+    // Before the server ends idle connections, which is after 10 s.
+    bool is_closed(tcp::socket& client) {
+        boost::system::error_code error = asio::error::would_block;
+        const auto                deadline = std::chrono::steady_clock::now() + 2s;
+        char                      byte = 0;
+        while (error == asio::error::would_block && std::chrono::steady_clock::now() < deadline) {
+            run_for(1ms);
+            client.read_some(asio::buffer(&byte, 1), error);
+        }
+        return error && error != asio::error::would_block;
+    }
     bool is_served(tcp::socket& client, const std::string& request = request_text) {
         boost::system::error_code error;
         asio::write(client, asio::buffer(request), error);
@@ -170,6 +182,66 @@
     BOOST_TEST(is_served(client));
 }
 
+// A body of up to 1 MB was taken on each connection of each port, which is more than a host with 80 MB has.
+BOOST_AUTO_TEST_CASE(body_that_no_caller_needs_is_not_received) {
+    constexpr std::size_t body_size = 500'000; // bytes
+    const std::string     body(body_size, 'a');
+    std::ostringstream    with_length;
+    std::ostringstream    chunked;
+    with_length << "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " << body_size << "\r\n\r\n" << body;
+    chunked << "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            << std::hex << body_size << "\r\n"
+            << body << "\r\n0\r\n\r\n";
+    for (const std::string& request : {with_length.str(), chunked.str()}) {
+        auto client = connect();
+        BOOST_TEST(!is_served(client, request));
+    }
+    BOOST_TEST(body_sizes.empty());
+    auto client = connect();
+    BOOST_TEST(is_served(client));
+}
+
+BOOST_AUTO_TEST_CASE(server_with_a_larger_limit_receives_bodies_up_to_it) {
+    constexpr std::size_t limit = 2'000; // bytes
+    open(std::size_t{64}, limit);
+    const std::string post = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ";
+    for (const std::size_t size : {limit, limit + 1}) {
+        auto client = connect();
+        BOOST_TEST(is_served(client, post + std::to_string(size) + "\r\n\r\n" + std::string(size, 'a')) ==
+                   (size <= limit));
+    }
+    BOOST_TEST((body_sizes == std::vector{limit}));
+}
+
+// Parts of a request that have no length in advance. A chunk's extensions and the trailer were kept without a limit.
+BOOST_AUTO_TEST_CASE(endless_part_of_a_request_ends_the_connection) {
+    constexpr std::size_t sent_size = 1'000'000; // bytes
+    const std::string     chunked = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& start : {std::string("GET /"), std::string("GET / HTTP/1.1\r\na: "), chunked + "1;",
+                                     chunked + "0\r\na: ", chunked + "0;"}) {
+        auto                      client = connect();
+        boost::system::error_code error;
+        client.non_blocking(true);
+        std::string rest = start + std::string(sent_size, 'a');
+        while (!rest.empty() && (!error || error == asio::error::would_block)) {
+            rest.erase(0, client.write_some(asio::buffer(rest), error));
+            run_for(1ms);
+        }
+        BOOST_TEST(is_closed(client), start);
+    }
+    BOOST_TEST(body_sizes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(invalid_length_of_a_body_ends_the_connection) {
+    for (const std::string length : {"-1", "1e3", "18446744073709551615", "18446744073709551616", "", "0x1",
+                                     "1\r\nContent-Length: 2", "3\r\nTransfer-Encoding: chunked"}) {
+        auto client = connect();
+        BOOST_TEST(!is_served(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\n\r\nabc"),
+                   length);
+    }
+    BOOST_TEST(body_sizes.empty());
+}
+
 BOOST_AUTO_TEST_CASE(address_that_cannot_be_used_is_an_error) {
     const auto no_handler = [](const server_request&, const http_server::response_callback&) {};
     BOOST_TEST(!http_server::open(context, {ip_address::v4(0x08080808), 9'109}, no_handler).has_value());
