Let a new connection take the place of an idle one when all sessions are taken

Cause: sessions were kept for those who came first, whether they asked for something or not. Now the session that has been idle longest gives way. A session with a request, such as a follower's watch, is not closed.

--- a/daemons/entry/http_server.cpp
+++ b/daemons/entry/http_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
 
 namespace tamarack::entry {
 
@@ -36,15 +37,17 @@
     void open(const tcp::endpoint& address);
     void accept();
     void accept_later();
+    void serve(tcp::socket socket);
     void close();
 
-    tcp::acceptor      acceptor; // closed: the server is destroyed, and only sessions are left
-    asio::steady_timer retry_timer;
-    request_handler    handler;
-    std::size_t        max_sessions;
-    std::size_t        max_body_size; // bytes, of a request
-    std::size_t        session_count = 0;
-    std::uint64_t      failed_accepts = 0;
+    tcp::acceptor       acceptor; // closed: the server is destroyed, and only sessions are left
+    asio::steady_timer  retry_timer;
+    request_handler     handler;
+    std::size_t         max_sessions;
+    std::size_t         max_body_size; // bytes, of a request
+    std::size_t         session_count = 0;
+    std::list<session*> waiting; // sessions without a request, the longest first
+    std::uint64_t       failed_accepts = 0;
 };
 
 struct http_server::impl::session : std::enable_shared_from_this<session> {
@@ -54,11 +57,16 @@
         caller = error ? "unknown" : remote.address().to_string() + ":" + std::to_string(remote.port());
         ++server->session_count; // last: the destructor does not run after an exception
     }
-    ~session() { --server->session_count; }
+    ~session() {
+        end_waiting();
+        --server->session_count;
+    }
     session(const session&) = delete;
     session& operator=(const session&) = delete;
 
     void read();
+    void end_waiting();
+    void give_way();
     void read_body();
     void dispatch();
     void write(server_response new_response);
@@ -70,10 +78,23 @@
     std::string                       caller;
     beast::flat_buffer                buffer{max_buffered_size};
     std::optional<parser>             request;
+    bool                              is_waiting = false; // in server->waiting
     http::response<http::string_body> response;
 };
 
+void http_server::impl::session::end_waiting() {
+    if (std::exchange(is_waiting, false)) server->waiting.remove(this);
+}
+
+// Nothing has been asked for in this session, so that its client loses nothing but the connection.
+void http_server::impl::session::give_way() {
+    end_waiting();
+    stream.close();
+}
+
 void http_server::impl::session::read() {
+    server->waiting.push_back(this);
+    is_waiting = true;
     request.emplace();
     request->header_limit(max_header_size);
     request->body_limit(server->max_body_size);
@@ -81,6 +102,7 @@
     // The header alone, since Beast 1.74 goes on after a length beyond the limit if bytes of the body are there.
     http::async_read_header(stream, buffer, *request,
                             [self = shared_from_this()](const beast::error_code& error, std::size_t /*size*/) {
+                                self->end_waiting();
                                 if (!error) self->read_body();
                             });
 }
@@ -135,10 +157,19 @@
             return self->accept_later();
         }
         self->accept(); // before the session is made, which can throw
-        if (self->session_count < self->max_sessions) std::make_shared<session>(self, std::move(socket))->read();
+        self->serve(std::move(socket));
     });
 }
 
+// Idle connections, however many, must not keep out a client that asks for something.
+void http_server::impl::serve(tcp::socket socket) {
+    if (session_count >= max_sessions) {
+        if (waiting.empty()) return; // all are being served
+        waiting.front()->give_way();
+    }
+    std::make_shared<session>(shared_from_this(), std::move(socket))->read();
+}
+
 void http_server::impl::accept_later() {
     retry_timer.expires_after(accept_retry_interval);
     retry_timer.async_wait([self = shared_from_this()](const beast::error_code& /*error*/) {
--- a/daemons/entry/http_server.h
+++ b/daemons/entry/http_server.h
@@ -34,8 +34,9 @@
     // Of requests. The balancer's callers send none; each connection can hold this much.
     static constexpr std::size_t default_max_body_size = 1'024; // bytes
 
-    // Connections beyond the limit are closed immediately; the client has to connect again. A connection with a request
-    // that exceeds a limit is closed, without a response.
+    // Beyond the limit of sessions, a new connection takes the place of the one that has been idle longest. If none is
+    // idle it is closed immediately, and the client has to connect again. A connection with a request that exceeds a
+    // limit is closed, without a response.
     static result<http_server, std::string> open(boost::asio::io_context& context, const endpoint& listen_address,
                                                  request_handler handler, std::size_t max_sessions = 64,
                                                  std::size_t max_body_size = default_max_body_size);
--- a/tests/entry_process_ends_test.cpp
+++ b/tests/entry_process_ends_test.cpp
@@ -317,6 +317,19 @@
     BOOST_TEST(becomes_ready());
 }
 
+// Connections without a request took all sessions for ten seconds, after two of which a host is out of rotation.
+BOOST_AUTO_TEST_CASE(idle_connections_do_not_keep_a_host_from_its_readiness_checks) {
+    constexpr int connection_count = 130;
+    program.start();
+    BOOST_REQUIRE(becomes_ready());
+    std::vector<tcp_connection> idle;
+    idle.reserve(connection_count);
+    for (int i = 0; i < connection_count; ++i)
+        idle.emplace_back(with_port(host, readiness_port));
+    for (int check = 0; check < 4; ++check)
+        BOOST_TEST(is_ready(host));
+}
+
 BOOST_AUTO_TEST_CASE(a_start_with_too_few_descriptors_waits_and_says_so) {
     for (const rlim_t limit : {rlim_t{6}, rlim_t{8}, rlim_t{10}, rlim_t{12}}) {
         BOOST_TEST_CONTEXT("descriptors " << limit) {
