--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -43,6 +43,7 @@
     metrics["entry_follower_calls_rejected"] = status.rejected_requests;
     metrics["entry_steps_failed"] = status.failed_steps;
     metrics["entry_log_lines_omitted"] = status.omitted_log_lines;
+    metrics["entry_accepts_failed"] = status.failed_accepts;
     metrics["entry_listeners_missing"] = status.missing_listeners;
     if (const auto bytes = peak_memory()) metrics["entry_memory_peak_bytes"] = *bytes;
     metrics["entry_configuration_version"] = store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -14,6 +14,7 @@
     std::uint64_t                        rejected_requests = 0; // of followers without the feeder's key
     std::uint64_t                        failed_steps = 0;      // of the event loop, that ended by an exception
     std::uint64_t                        omitted_log_lines = 0;
+    std::uint64_t                        failed_accepts = 0;
     std::size_t                          missing_listeners = 0; // optional ones that are not open
     std::map<std::string, std::uint64_t> calls_by_result;       // by outcome of a read, or "claim_" + that of a claim
     std::map<std::string, std::uint64_t> calls_by_kind;         // by source and kind of call
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -469,6 +469,7 @@
                                  .rejected_requests = rejected_requests,
                                  .failed_steps = failed_steps,
                                  .omitted_log_lines = log.omitted_lines(),
+                                 .failed_accepts = http_listeners.failed_accepts(),
                                  .missing_listeners = http_listeners.missing(),
                                  .calls_by_result = calls_by_result,
                                  .calls_by_kind = calls_by_kind};
--- a/daemons/entry/listeners.cpp
+++ b/daemons/entry/listeners.cpp
@@ -64,6 +64,13 @@
     log_.note_socket_failed(reason);
 }
 
+std::uint64_t listeners::failed_accepts() const {
+    std::uint64_t count = 0;
+    for (const auto& [address, server] : open_)
+        count += server.failed_accepts();
+    return count;
+}
+
 bool listeners::is_open(const endpoint& address) const {
     return open_.contains(address);
 }
--- a/daemons/entry/listeners.h
+++ b/daemons/entry/listeners.h
@@ -14,11 +14,12 @@
 
     // Returns the reason if the server cannot be opened.
     std::optional<std::string> open_required(const endpoint& address, const http_server::request_handler& handler);
-    void        open_optional(const endpoint& address, http_server::request_handler handler, steady_time now);
+    void          open_optional(const endpoint& address, http_server::request_handler handler, steady_time now);
     // Tries to open the servers that are not open, when it is time to. Must be called at every tick.
-    void        retry(steady_time now);
-    bool        is_open(const endpoint& address) const;
-    std::size_t missing() const { return waiting_.size(); } // servers that are not open
+    void          retry(steady_time now);
+    bool          is_open(const endpoint& address) const;
+    std::size_t   missing() const { return waiting_.size(); } // servers that are not open
+    std::uint64_t failed_accepts() const;
 
 private:
     struct waiting_listener {
