--- a/tests/platform_http_limits_test.cpp
+++ b/tests/platform_http_limits_test.cpp
@@ -2,7 +2,10 @@
 // that ends for lack of memory, or that waits for an answer for ever.
 #define BOOST_TEST_MODULE platform_http_limits
 #include "loopback_endpoint.h"
+#include "platform/compression.h"
 #include "platform/http_client.h"
+#include "platform/record_format.h"
+#include "platform/store_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -10,6 +13,9 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <malloc.h>
+#include <sodium.h>
 
 using namespace tamarack;
 using namespace std::chrono_literals;
@@ -103,7 +109,7 @@
 
 // Row 6 of the observed ends: the announced length was reserved before it was compared with the limit.
 BOOST_AUTO_TEST_CASE(announced_length_beyond_the_limit_is_not_reserved) {
-    for (const char* length : {"100000000000", "10000000000", "18446744073709551615", "16777217"}) {
+    for (const char* length : {"100000000000", "10000000000", "18446744073709551615", "12582913"}) {
         server.start = ok;
         server.start.append("Content-Length: ").append(length).append("\r\n\r\na");
         BOOST_TEST(outcome_of_request() == "unreachable", length);
@@ -152,3 +158,159 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+using entry::unusable_record;
+using platform::decode_listing;
+
+constexpr std::size_t      answer_limit = 12'582'912; // bytes, of an HTTP response
+constexpr std::size_t      value_limit = 1'048'576;   // bytes, of the store
+constexpr std::string_view listing_end = R"(],"current_rev":9,"has_more":false})";
+constexpr std::string_view good_backend =
+    R"({"service":"desk","address":"10.0.0.1:80","zone":"north","state":"ready"})";
+
+// A text of about the given size that repeats a part.
+std::string filled(std::string_view start, std::string_view part, std::string_view end, std::size_t size) {
+    std::string text(start);
+    text.reserve(size);
+    while (text.size() + part.size() + end.size() <= size)
+        text += part;
+    return text.append(end);
+}
+
+std::string item_of(std::string_view key, std::string_view value) {
+    std::string encoded(sodium_base64_encoded_len(value.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(encoded.data(), encoded.size(), reinterpret_cast<const unsigned char*>(value.data()),
+                      value.size(), sodium_base64_VARIANT_ORIGINAL);
+    encoded.pop_back(); // the terminating zero
+    std::string item = R"({"revision":1,"key":")";
+    return item.append(key).append(R"(","value":")").append(encoded).append(R"("})");
+}
+
+// Bodies that take much more memory when they are decoded than as text.
+std::string dense_body(std::string_view part, std::size_t size) {
+    return filled(R"({"a":[0)", "," + std::string(part), R"(],"items":[)" + std::string(listing_end), size);
+}
+
+// The largest configuration that has the most values for its size.
+std::string largest_configuration() {
+    return filled(R"({"version":3,"routes":[{"host":"198.18.0.1","prefix":"/443/","split":[{"service":"a","weight":1})",
+                  R"(,{"service":"a","weight":1})", "]}]}", value_limit);
+}
+
+std::size_t status_kilobytes(std::string_view name) {
+    std::ifstream file("/proc/self/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(name)) return std::stoul(line.substr(name.size()));
+    }
+    return 0;
+}
+
+// The most memory that the body and its decoding took at a time, bytes. The sanitizers keep memory that was released.
+std::size_t peak_memory_of_decoding(const std::string& body) {
+    ::malloc_trim(0);
+    std::ofstream("/proc/self/clear_refs") << "5"; // begins a new VmHWM
+    const std::size_t before = status_kilobytes("VmRSS:");
+    decode_listing(body).has_value();
+    return body.size() + (status_kilobytes("VmHWM:") - before) * 1'024;
+}
+
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool measures_memory = false;
+#else
+constexpr bool measures_memory = true;
+#endif
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(bodies)
+
+// A host may have 80 MB, and the rest of the process needs some of it: a body of 300 KB took 1.7 GB when it was
+// decoded.
+BOOST_AUTO_TEST_CASE(body_of_any_content_is_decoded_within_the_memory_of_a_host) {
+    constexpr std::size_t    memory_for_decoding = 64'000'000; // bytes
+    std::vector<std::string> texts;
+    for (const std::string_view part : {"0", "[]", "{}", R"({"":0})", R"("")", "[[],[]]", R"({"a":{"a":0}})"})
+        texts.push_back(dense_body(part, answer_limit));
+    const std::string item = R"({"key":"servers/a","revision":1,"text":""})";
+    texts.push_back(filled(R"({"items":[)" + item, "," + item, listing_end, answer_limit));
+    for (const std::string& value :
+         {std::string(value_limit, 'a'), largest_configuration(), filled(R"({"a":[0)", ",0", "]}", value_limit)}) {
+        const std::string large_item = item_of("op/config", value);
+        texts.push_back(filled(R"({"items":[)" + large_item, "," + large_item, listing_end, answer_limit));
+    }
+    const std::string long_text(answer_limit - 100, 'a');
+    texts.push_back(R"({"items":[{"key":"servers/a","revision":1,"text":")" + long_text + "\"}" +
+                    std::string(listing_end));
+    const std::size_t text_count = texts.size();
+    for (std::size_t i = 0; i < text_count; ++i)
+        texts.push_back(platform::compressed_body_mark + platform::compress(texts[i]));
+    for (const std::size_t size : {8'000'000U, 64'000'000U}) // bytes, decompressed
+        texts.push_back(platform::compressed_body_mark + platform::compress(dense_body("0", size)));
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        const std::size_t peak = peak_memory_of_decoding(texts[i]);
+        if (measures_memory) BOOST_TEST(peak < memory_for_decoding, "body " << i << ": " << peak << " bytes");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(body_with_too_many_values_is_rejected) {
+    BOOST_TEST(decode_listing(dense_body("0", 400'000)).has_value()); // bytes; 200,000 values
+    BOOST_TEST(!decode_listing(dense_body("0", 600'000)).has_value());
+    BOOST_TEST(
+        !decode_listing(platform::compressed_body_mark + platform::compress(dense_body("0", 600'000))).has_value());
+}
+
+// Values that earlier versions compressed one by one have a limit together.
+BOOST_AUTO_TEST_CASE(values_that_are_large_when_decompressed_are_unusable_beyond_the_limit) {
+    const std::string value = filled(good_backend.substr(0, good_backend.size() - 1), " ", "}", value_limit);
+    std::string       item = item_of("servers/a-1", platform::compress(value));
+    item.replace(item.find("value"), 5, "compressed");
+    std::string body = R"({"items":[)" + item;
+    for (int i = 1; i < 20; ++i)
+        body.append(",").append(item);
+    const auto listing = decode_listing(body.append(listing_end));
+    BOOST_REQUIRE(listing.has_value());
+    std::size_t usable = 0;
+    for (const entry::record& record : listing.value().records)
+        usable += std::holds_alternative<entry::backend_registration>(record.content) ? 1 : 0;
+    BOOST_TEST(usable == 8U); // of 1 MB each
+}
+
+BOOST_AUTO_TEST_CASE(several_values_of_another_writer_at_the_limit_leave_the_others_usable) {
+    std::string body = R"({"items":[)" + item_of("servers/i-1", good_backend);
+    for (const std::string& value :
+         {std::string(value_limit, '\xff'), std::string(value_limit, '['),
+          filled(R"({"a":[0)", ",0", "]}", value_limit), filled(R"({"a":{"a":0)", R"(,"a":0)", "}}", value_limit),
+          R"({"service":")" + std::string(value_limit - 14, 'a') + "\"}"})
+        body.append(",").append(item_of("servers/odd-1", value));
+    body.append(",").append(item_of("servers/i-2", good_backend)).append(listing_end);
+    BOOST_TEST(body.size() < answer_limit);
+    const auto listing = decode_listing(body);
+    BOOST_REQUIRE(listing.has_value());
+    const auto& records = listing.value().records;
+    BOOST_REQUIRE(records.size() == 7U);
+    for (std::size_t i = 0; i < records.size(); ++i)
+        BOOST_TEST(std::holds_alternative<unusable_record>(records[i].content) == (i > 0 && i < 6), i);
+}
+
+BOOST_AUTO_TEST_CASE(largest_configuration_and_listing_are_usable) {
+    const auto  configuration = platform::decode_record("op/config", {1, 1}, largest_configuration());
+    const auto* table = std::get_if<std::shared_ptr<const entry::routing_table>>(&configuration.content);
+    BOOST_REQUIRE(table != nullptr);
+    BOOST_TEST((*table)->routes.front().services.size() > 35'000U);
+    std::string           body = R"({"items":[)" + item_of("op/config", largest_configuration());
+    constexpr std::size_t backend_count = 5'000;
+    for (std::size_t i = 0; i < backend_count; ++i)
+        body.append(",").append(item_of("servers/i-" + std::to_string(i), good_backend));
+    const auto listing = decode_listing(body.append(listing_end));
+    BOOST_REQUIRE(listing.has_value());
+    BOOST_TEST(listing.value().records.size() == backend_count + 1);
+    entry::feed_answer answer;
+    answer.records = listing.value().records;
+    const auto followed = decode_listing(platform::encode_listing(answer));
+    BOOST_REQUIRE(followed.has_value());
+    BOOST_TEST(followed.value().records.size() == backend_count + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
