--- a/tests/entry_http_server_test.cpp
+++ b/tests/entry_http_server_test.cpp
@@ -2,14 +2,13 @@
 // Guards against a server that takes up a core, that accepts no connection any more, or that ends the process.
 #define BOOST_TEST_MODULE entry_http_server
 #include "daemons/entry/http_server.h"
+#include "failing_allocation.h"
 #include "loopback_endpoint.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <fcntl.h>
-#include <new>
 #include <sstream>
 #include <sys/resource.h>
 
@@ -19,27 +18,6 @@
 
 namespace {
 
-std::size_t smallest_failing_allocation = 0; // bytes; the next one of at least this size fails; 0: none
-
-} // namespace
-
-// The allocation function of this program, with failures that a test can request.
-[[gnu::noinline]] void* operator new(std::size_t size) {
-    const bool fails = smallest_failing_allocation != 0 && size >= smallest_failing_allocation;
-    if (fails) smallest_failing_allocation = 0;
-    void* memory = fails ? nullptr : std::malloc(size == 0 ? 1 : size);
-    if (memory == nullptr) throw std::bad_alloc();
-    return memory;
-}
-[[gnu::noinline]] void operator delete(void* memory) noexcept {
-    std::free(memory);
-}
-[[gnu::noinline]] void operator delete(void* memory, std::size_t /*size*/) noexcept {
-    std::free(memory);
-}
-
-namespace {
-
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -176,7 +154,7 @@
     constexpr std::size_t session_size = 512; // bytes, at least; the operations of the event loop are smaller
     open(std::size_t{1});                     // the failed session must not stay counted
     auto lost_client = connect();
-    smallest_failing_allocation = session_size;
+    next_failing_allocation = {.least_size = session_size};
     BOOST_CHECK_THROW(run_for(500ms), std::bad_alloc);
     auto client = connect();
     BOOST_TEST(is_served(client));
--- a/tests/platform_http_limits_test.cpp
+++ b/tests/platform_http_limits_test.cpp
@@ -1,6 +1,7 @@
 // Answers of a server that are larger, slower or denser than the platform's formats need. Guards against a balancer
 // that ends for lack of memory, or that waits for an answer for ever.
 #define BOOST_TEST_MODULE platform_http_limits
+#include "failing_allocation.h"
 #include "loopback_endpoint.h"
 #include "platform/compression.h"
 #include "platform/http_client.h"
@@ -314,3 +315,29 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// The exception left the callback uncalled, and the records were never read again.
+BOOST_FIXTURE_TEST_CASE(answer_without_memory_for_it_is_a_failed_call, client_fixture) {
+    constexpr std::size_t  large = 100'000; // bytes; beyond all allocations but those for the body and its values
+    platform::store_client store(context, server_endpoint);
+    const std::string      body =
+        R"({"items":[)" + item_of("servers/a-1", std::string(500'000, 'a')) + std::string(listing_end);
+    server.start = ok + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (const unsigned passed : {0U, 1U}) { // fails while it is received, while it is decoded
+        unsigned                         calls = 0;
+        std::optional<entry::read_error> error;
+        entry::read_call                 call;
+        call.timeout = 2s;
+        call.connect_timeout = 2s;
+        next_failing_allocation = {large, passed};
+        store.read(call, [&](const auto& page) {
+            ++calls;
+            if (!page) error = page.error().error;
+        });
+        context.restart();
+        context.run_for(1s);
+        BOOST_TEST(next_failing_allocation.least_size == 0U); // it has failed
+        BOOST_TEST(calls == 1U);
+        BOOST_TEST((error == (passed == 0 ? entry::read_error::unreachable : entry::read_error::unreadable)));
+    }
+}
