Pause between watches that the store answers at once without changes

Cause: the next watch followed the answer of the one before without a pause, since the store was trusted to wait. Watches without changes are now at least 100 ms apart; answers with changes are read as before. Test: a_store_that_answers_watches_at_once_without_changes_is_not_called_without_a_pause (1,000 calls in a second before).

--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -31,6 +31,8 @@
 constexpr duration burst_window = std::chrono::milliseconds(1'000);
 constexpr duration burst_pause = std::chrono::milliseconds(400);
 constexpr duration single_change_pause = std::chrono::milliseconds(50);
+// A store that answers watches at once, though nothing has changed, must not be called again without a pause.
+constexpr duration min_watch_interval = std::chrono::milliseconds(100);
 // A balancer that reads the store although it is no feeder waits for a feeder to be registered.
 constexpr duration least_reader_pause = std::chrono::milliseconds(400);
 constexpr duration most_reader_pause = std::chrono::milliseconds(900);
@@ -252,6 +254,8 @@
     const bool follows_listing = std::exchange(resumes_listing_, false);
     latest_call_.after_position = follows_listing ? first_page_.position : page.position;
     next_call_due_ = next_call_after(pause_after(!page.records.empty(), now), now);
+    const bool is_idle_watch = reads_store() && page.records.empty() && latest_call_.max_wait >= min_watch_wait;
+    if (is_idle_watch) next_call_due_ = std::max(next_call_due_, latest_call_time_ + min_watch_interval);
     if (!page.records.empty()) last_change_ = now;
 }
 
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -259,6 +259,21 @@
 }
 
 // Hundreds of hosts that start together read the store until there are feeders. Each change must not wake all of them.
+// A feeder called such a store thousands of times a second.
+BOOST_AUTO_TEST_CASE(a_store_that_answers_watches_at_once_without_changes_is_not_called_without_a_pause) {
+    sync.set_holds_slot(true);
+    complete_listing();
+    unsigned          calls = 0;
+    const steady_time end = now + 1s;
+    for (; now < end; now += 1ms) {
+        if (!sync.next_call(now)) continue;
+        ++calls;
+        answer({}, 5, 5);
+    }
+    BOOST_TEST(calls <= 11U);
+    BOOST_TEST(calls >= 9U);
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_that_is_no_feeder_reads_the_store_rarely) {
     complete_listing();
     BOOST_TEST(count_calls_during_changes(2s) <= 5U);
