Write log lines while the clock of the host shows a time before 1970

By reading: the negative fraction of a second made the timestamp's padding wrap around, and each line raised an exception. A diskless host without a clock of its own may start so. An exception while a failed step is logged must not leave the event loop either.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -221,7 +221,7 @@
     ++failed_steps;
     try {
         log.note_step_failed(name, reason);
-    } catch (const std::bad_alloc&) {
+    } catch (const std::exception&) {
         return; // without memory for the line, the counter alone tells of the failure
     }
 }
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -17,13 +17,15 @@
 constexpr duration    summary_interval = std::chrono::seconds(1);
 
 std::string timestamp(wall_time now) {
-    const auto  milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-    const auto  seconds = static_cast<std::time_t>(milliseconds / 1000);
+    // Rounded down, since a host without a clock of its own may start before 1970.
+    const auto  whole_seconds = std::chrono::floor<std::chrono::seconds>(now);
+    const auto  seconds = static_cast<std::time_t>(whole_seconds.time_since_epoch().count());
+    const auto  milliseconds = std::chrono::floor<std::chrono::milliseconds>(now - whole_seconds).count();
     std::tm     parts{};
     std::string text(sizeof "2026-01-01T00:00:00", '\0');
     ::gmtime_r(&seconds, &parts);
     text.resize(std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts));
-    const std::string fraction = std::to_string(milliseconds % 1000);
+    const std::string fraction = std::to_string(milliseconds);
     return text + "." + std::string(3 - fraction.size(), '0') + fraction + "Z";
 }
 
