--- a/entry/model.h
+++ b/entry/model.h
@@ -111,7 +111,7 @@
     std::string    key;
     store_revision revision{};
     record_content content;
-    std::string    raw_value; // as stored, forwarded unchanged to other balancers
+    std::string raw_value; // as stored, forwarded unchanged to other balancers; empty: unusable and too large to keep
 };
 
 //----------------------------------------------------------------------------------------------------------------------
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -99,6 +99,14 @@
         return decoded;
     }
 
+    // The store sends each value as it was written; a balancer does not keep some of them.
+    tamarack::entry::record stored_record(const std::string& key, std::uint64_t revision,
+                                          const std::string& value) const {
+        auto stored = tamarack::platform::decode_record(key, {store_.epoch(), revision}, value);
+        stored.raw_value = value;
+        return stored;
+    }
+
     tamarack::entry::server_response listing(std::string_view prefix) const {
         tamarack::entry::feed_answer answer{.records = {},
                                             .position = store_.revision(),
@@ -106,8 +114,7 @@
                                             .listed_revision = {store_.epoch(), store_.revision()}};
         for (const auto& [key, item] : store_.items()) {
             if (!key.starts_with(prefix)) continue;
-            answer.records.push_back(
-                tamarack::platform::decode_record(key, {store_.epoch(), item.revision}, item.value));
+            answer.records.push_back(stored_record(key, item.revision, item.value));
         }
         return {.body = tamarack::platform::encode_listing(answer), .content_type = "application/json"};
     }
@@ -122,9 +129,8 @@
                                             .listed_revision = {store_.epoch(), store_.revision()}};
         for (const kv_store::event& event : *events) {
             answer.records.push_back(
-                event.value
-                    ? tamarack::platform::decode_record(event.key, {store_.epoch(), event.revision}, *event.value)
-                    : tamarack::platform::make_removed_record(event.key, {store_.epoch(), event.revision}));
+                event.value ? stored_record(event.key, event.revision, *event.value)
+                            : tamarack::platform::make_removed_record(event.key, {store_.epoch(), event.revision}));
         }
         respond({.body = tamarack::platform::encode_changes(answer), .content_type = "application/json"});
     }
--- a/tests/platform_http_limits_test.cpp
+++ b/tests/platform_http_limits_test.cpp
@@ -295,6 +295,24 @@
         BOOST_TEST(std::holds_alternative<unusable_record>(records[i].content) == (i > 0 && i < 6), i);
 }
 
+// A listing is kept until its last page: sixty such entries were more than a host's memory.
+BOOST_AUTO_TEST_CASE(large_values_of_another_writer_are_not_kept) {
+    constexpr std::size_t kept_size = 10'000; // bytes
+    for (const std::string_view key : {"op/config", "servers/i-1", "tamarack/feeders/north/0", "other"}) {
+        for (const char byte : {'a', '[', '\xff'}) {
+            const auto odd = platform::decode_record(std::string(key), {1, 7}, std::string(value_limit, byte));
+            BOOST_TEST(std::holds_alternative<unusable_record>(odd.content), key);
+            BOOST_TEST(odd.raw_value.size() < kept_size, key);
+            entry::feed_answer answer;
+            answer.records = {odd};
+            const auto followed = platform::decode_changes(platform::encode_changes(answer));
+            BOOST_REQUIRE(followed.has_value());
+            BOOST_TEST(std::holds_alternative<unusable_record>(followed.value().records.front().content), key);
+            BOOST_TEST((followed.value().records.front().revision == entry::store_revision{1, 7}), key);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(largest_configuration_and_listing_are_usable) {
     const auto  configuration = platform::decode_record("op/config", {1, 1}, largest_configuration());
     const auto* table = std::get_if<std::shared_ptr<const entry::routing_table>>(&configuration.content);
