--- a/tests/entry_program.h
+++ b/tests/entry_program.h
@@ -2,27 +2,15 @@
 // tests of what only a real process shows: its start, its end, and the resources that it uses.
 #pragma once
 
+#include "child_program.h"
 #include "loopback_endpoint.h"
 #include "standins/kv_server.h"
 #include "tamarack/clock.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <csignal>
-#include <cstring>
-#include <fcntl.h>
-#include <filesystem>
-#include <fstream>
-#include <netinet/in.h>
-#include <sstream>
-#include <sys/resource.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <thread>
 
 namespace tamarack {
 
-using namespace std::chrono_literals;
-
 inline constexpr std::uint16_t packets_port = 8'172;
 inline constexpr std::uint16_t readiness_port = 8'167;
 inline constexpr std::uint16_t peers_port = 7'720;
@@ -33,22 +21,6 @@
     return address;
 }
 
-inline std::string read_file(const std::string& path) {
-    std::ostringstream text;
-    text << std::ifstream(path, std::ios::binary).rdbuf();
-    return text.str();
-}
-
-template <class Predicate>
-bool wait_until(duration timeout, Predicate is_done) {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    while (!is_done()) {
-        if (std::chrono::steady_clock::now() >= deadline) return false;
-        std::this_thread::sleep_for(5ms);
-    }
-    return true;
-}
-
 //----------------------------------------------------------------------------------------------------------------------
 // Settings
 //----------------------------------------------------------------------------------------------------------------------
@@ -134,160 +106,16 @@
 // Process
 //----------------------------------------------------------------------------------------------------------------------
 
-class temporary_folder {
-public:
-    temporary_folder() : path_((std::filesystem::temp_directory_path() / "entry_program_XXXXXX").string()) {
-        if (::mkdtemp(path_.data()) == nullptr) throw std::runtime_error("cannot create a temporary folder");
-    }
-    ~temporary_folder() { std::filesystem::remove_all(path_); }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-
-    std::string file(const std::string& name) const { return path_ + "/" + name; }
-
-private:
-    std::string path_;
-};
-
-// What a process inherits from the program that starts it.
-struct start_conditions {
-    std::optional<rlim_t> descriptor_limit{};        // RLIMIT_NOFILE
-    std::optional<rlim_t> file_size_limit{};         // bytes, RLIMIT_FSIZE
-    std::optional<rlim_t> address_space_limit{};     // bytes, RLIMIT_AS
-    bool                  has_standard_files = true; // false: descriptors 0, 1 and 2 are closed
-    std::optional<int>    blocked_signal{};          // pending for the process when it starts, and blocked
-};
-
-class entry_program {
+class entry_program : public child_program {
 public:
     entry_program(std::string settings_path, std::string log_path)
-        : settings_path_(std::move(settings_path)), log_path_(std::move(log_path)) {}
-    // Kills the process if it still runs.
-    ~entry_program() {
-        send_signal(SIGKILL);
-        wait_for_end(10s);
-    }
-    entry_program(const entry_program&) = delete;
-    entry_program& operator=(const entry_program&) = delete;
-
-    void start(const start_conditions& conditions = {}) {
-        pid_ = ::fork();
-        if (pid_ == 0) exec(conditions);
-    }
-    void send_signal(int signal) const {
-        if (pid_ > 0) ::kill(pid_, signal);
-    }
-    // The wait status, or nullopt if the process still runs after the timeout.
-    std::optional<int> wait_for_end(duration timeout) {
-        std::optional<int> ended;
-        wait_until(timeout, [&] { return pid_ <= 0 || (ended = reap()).has_value(); });
-        return ended;
-    }
-    bool        is_running() { return pid_ > 0 && !reap(); }
-    pid_t       pid() const { return pid_; }
-    std::string log() const { return read_file(log_path_); }
-
-    // Processor time used so far.
-    duration processor_time() const {
-        std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
-        std::string   word;
-        for (int field = 1; field < 14; ++field) // utime and stime are fields 14 and 15
-            stat >> word;
-        long user_ticks = 0;
-        long system_ticks = 0;
-        stat >> user_ticks >> system_ticks;
-        return std::chrono::milliseconds(1'000 * (user_ticks + system_ticks) / ::sysconf(_SC_CLK_TCK));
-    }
-
-private:
-    std::optional<int> reap() {
-        int status = 0;
-        if (::waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
-        pid_ = 0;
-        return status;
-    }
-
-    [[noreturn]] void exec(const start_conditions& conditions) const {
-        const int log = ::open(log_path_.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
-        ::dup2(log, STDOUT_FILENO);
-        ::dup2(log, STDERR_FILENO);
-        const int first_closed = conditions.has_standard_files ? STDERR_FILENO + 1 : STDIN_FILENO;
-        ::close_range(static_cast<unsigned>(first_closed), ~0U, 0); // also the sockets of the test
-        set_limit(RLIMIT_NOFILE, conditions.descriptor_limit);
-        set_limit(RLIMIT_FSIZE, conditions.file_size_limit);
-        set_limit(RLIMIT_AS, conditions.address_space_limit);
-        if (conditions.blocked_signal) raise_blocked(*conditions.blocked_signal);
-        const std::string flag = "--config=" + settings_path_;
-        ::execl(ENTRY_PROGRAM, ENTRY_PROGRAM, flag.c_str(), nullptr);
-        ::_exit(127);
-    }
-    static void set_limit(int resource, const std::optional<rlim_t>& value) {
-        if (!value) return;
-        const rlimit limit{*value, *value};
-        ::setrlimit(resource, &limit);
-    }
-    static void raise_blocked(int signal) {
-        sigset_t signals{};
-        sigemptyset(&signals);
-        sigaddset(&signals, signal);
-        ::sigprocmask(SIG_BLOCK, &signals, nullptr);
-        (void)::raise(signal);
-    }
-
-    std::string settings_path_;
-    std::string log_path_;
-    pid_t       pid_ = 0; // 0: no process is running
+        : child_program(ENTRY_PROGRAM, std::move(settings_path), std::move(log_path)) {}
 };
 
 //----------------------------------------------------------------------------------------------------------------------
 // Calls
 //----------------------------------------------------------------------------------------------------------------------
 
-// A TCP connection that is closed with its object; handle() is negative if it was refused.
-class tcp_connection {
-public:
-    explicit tcp_connection(const endpoint& server) : handle_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-        constexpr std::size_t v4_offset = 12;
-        constexpr timeval     timeout{.tv_sec = 2, .tv_usec = 0};
-        sockaddr_in           address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(server.port);
-        std::memcpy(&address.sin_addr, server.address.bytes.data() + v4_offset, sizeof address.sin_addr);
-        ::setsockopt(handle_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-        ::setsockopt(handle_, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
-        if (::connect(handle_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) close();
-    }
-    ~tcp_connection() { close(); }
-    tcp_connection(tcp_connection&& other) noexcept : handle_(std::exchange(other.handle_, -1)) {}
-    tcp_connection(const tcp_connection&) = delete;
-    tcp_connection& operator=(const tcp_connection&) = delete;
-    tcp_connection& operator=(tcp_connection&&) = delete;
-
-    int handle() const { return handle_; }
-
-    bool send(std::string_view text) const {
-        return ::send(handle_, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
-    }
-    // All bytes until the server closes the connection or stays silent for 2 s.
-    std::string receive_all() const {
-        std::string            text;
-        std::array<char, 4096> buffer{};
-        for (;;) {
-            const ssize_t size = ::recv(handle_, buffer.data(), buffer.size(), 0);
-            if (size <= 0) return text;
-            text.append(buffer.data(), static_cast<std::size_t>(size));
-        }
-    }
-
-private:
-    void close() {
-        if (handle_ >= 0) ::close(handle_);
-        handle_ = -1;
-    }
-
-    int handle_;
-};
-
 // The whole response, or an empty text if there was none.
 inline std::string http_get(const endpoint& server, const std::string& target) {
     const tcp_connection connection(server);
