--- a/daemons/tamarackd.cpp
+++ b/daemons/tamarackd.cpp
@@ -1,8 +1,10 @@
 // tamarackd: runs one balancer with the settings of a file.
 #include "tamarack/balancer_process.h"
 #include "tamarack/events.h"
+#include "tamarack/process_environment.h"
 
 #include <atomic>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <google/protobuf/stubs/logging.h>
@@ -72,12 +74,15 @@
     const auto balancer = balancer_process::open(settings, FLAGS_config);
     if (!balancer) return fail(balancer.error());
     balancer.value()->run();
-    return exit_ok;
+    // Without destruction: Boost.Asio's signal set would first set the default actions, with which SIGHUP ends a
+    // process.
+    std::quick_exit(exit_ok);
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
+    prepare_environment();
     FLAGS_logtostderr = true;
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
--- a/tamarack/control_loop.cpp
+++ b/tamarack/control_loop.cpp
@@ -4,6 +4,7 @@
 #include "tamarack/control_log.h"
 #include "tamarack/events.h"
 #include "tamarack/invariant.h"
+#include "tamarack/process_environment.h"
 
 #include <boost/asio.hpp>
 #include <glog/logging.h>
@@ -47,7 +48,7 @@
         last_iteration_ = time_.steady_now();
         wait_for_datagrams();
         wait_for_tick(std::chrono::steady_clock::now());
-        wait_for_signal();
+        handle_signals();
         io_.run();
     }
 
@@ -169,6 +170,14 @@
         }
     }
 
+    // Until now the process has noted a request to stop; see process_environment.h.
+    void handle_signals() {
+        for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+            signals_.add(signal);
+        if (is_stop_requested()) begin_stop("a signal at the start");
+        wait_for_signal();
+    }
+
     void wait_for_signal() {
         signals_.async_wait([this](const boost::system::error_code& error, int number) {
             if (error) return;
@@ -278,7 +287,7 @@
 
     asio::posix::stream_descriptor        socket_readiness_{io_, socket_.handle()};
     asio::steady_timer                    timer_{io_};
-    asio::signal_set                      signals_{io_, SIGTERM, SIGINT, SIGHUP};
+    asio::signal_set                      signals_{io_};
     std::chrono::steady_clock::time_point next_tick_;
     steady_time                           last_iteration_;
     steady_time                           last_housekeeping_{};
--- /dev/null
+++ b/tamarack/process_environment.cpp
@@ -0,0 +1,59 @@
+// Signals and limits of the process.
+#include "tamarack/process_environment.h"
+
+#include <array>
+#include <csignal>
+#include <sys/resource.h>
+
+namespace tamarack {
+
+namespace {
+
+volatile std::sig_atomic_t stop_request_count = 0; // written by the signal handler only
+
+// SIGPIPE and SIGXFSZ concern the log, whose reader may be gone or whose file may be full. SIGTTOU stops a process in
+// the background that writes to its terminal. Tools that rotate logs send SIGUSR1 or SIGUSR2.
+constexpr std::array ignored_signals = {SIGHUP, SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM, SIGTTIN, SIGTTOU};
+constexpr std::array stop_signals = {SIGTERM, SIGINT};
+
+void note_stop_request(int /*signal*/) {
+    stop_request_count = 1;
+}
+
+// Operation: SIG_BLOCK or SIG_UNBLOCK.
+void change_signal_mask(int operation) {
+    sigset_t signals{};
+    ::sigemptyset(&signals);
+    for (const int signal : ignored_signals)
+        ::sigaddset(&signals, signal);
+    for (const int signal : stop_signals)
+        ::sigaddset(&signals, signal);
+    (void)::sigprocmask(operation, &signals, nullptr); // fails only for an unknown operation
+}
+
+} // namespace
+
+void prepare_environment() {
+    for (const int signal : ignored_signals)
+        (void)std::signal(signal, SIG_IGN);
+    for (const int signal : stop_signals)
+        (void)std::signal(signal, note_stop_request);
+    // A signal that the starting program has blocked would stay blocked, so that a stop could not be requested.
+    change_signal_mask(SIG_UNBLOCK);
+}
+
+void block_signals() {
+    change_signal_mask(SIG_BLOCK);
+}
+
+bool is_stop_requested() {
+    return stop_request_count != 0;
+}
+
+std::size_t descriptor_limit() {
+    constexpr std::size_t usual_limit = 1'024;
+    rlimit                limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usual_limit;
+}
+
+} // namespace tamarack
