--- a/tamarack/process_environment.cpp
+++ b/tamarack/process_environment.cpp
@@ -1,9 +1,12 @@
-// Signals and limits of the process.
+// Signals, standard files and limits of the process.
 #include "tamarack/process_environment.h"
 
 #include <array>
+#include <cerrno>
 #include <csignal>
+#include <fcntl.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 namespace tamarack {
 
@@ -31,6 +34,16 @@
     (void)::sigprocmask(operation, &signals, nullptr); // fails only for an unknown operation
 }
 
+void open_standard_files() {
+    for (int handle = STDIN_FILENO; handle <= STDERR_FILENO; ++handle) {
+        const bool is_closed = ::fcntl(handle, F_GETFD) < 0 && errno == EBADF;
+        if (is_closed) (void)::open("/dev/null", O_RDWR); // takes the lowest free number, which is this one
+    }
+}
+
+// Before the static initializers of libraries, which run before main: gRPC opens a descriptor there.
+[[gnu::section(".preinit_array"), gnu::used]] void (*const open_files_first)() = open_standard_files;
+
 } // namespace
 
 void prepare_environment() {
--- a/tamarack/process_environment.h
+++ b/tamarack/process_environment.h
@@ -1,4 +1,6 @@
-// What the process inherits from the program that starts it: dispositions of signals, the signal mask, and limits.
+// What the process inherits from the program that starts it: dispositions of signals, the signal mask, and the standard
+// files. Closed standard files are opened as /dev/null before main, so that no log line is written to a socket that has
+// got their number.
 #pragma once
 
 #include <cstddef>
