--- a/daemons/tamarackd.cpp
+++ b/daemons/tamarackd.cpp
@@ -1,7 +1,8 @@
 // tamarackd: runs one balancer with the settings of a file.
-#include "tamarack/balancer_process.h"
+#include "tamarack/clock.h"
 #include "tamarack/events.h"
 #include "tamarack/process_environment.h"
+#include "tamarack/startup.h"
 
 #include <atomic>
 #include <cstdlib>
@@ -24,8 +25,8 @@
 constexpr const char* usage =
     "Layer-4 load balancer.\n\n"
     "SIGTERM or SIGINT stops gracefully, a second one at once. SIGHUP reads the settings file "
-    "again.\nExit codes: 0 stopped or checked, 1 problems of the command line or the settings, "
-    "2 could not start.\n";
+    "again. A start waits for usable settings and for the addresses in them; the log tells what is missing.\n"
+    "Exit codes: 0 stopped or checked, 1 problems of the command line or of the checked settings, 2 could not start.\n";
 
 enum exit_status : int { exit_ok = 0, exit_settings = 1, exit_start = 2 };
 
@@ -66,14 +67,14 @@
     return exit_start;
 }
 
-int run_daemon(const daemon_settings& settings) {
-    FLAGS_minloglevel = static_cast<int>(settings.min_log_level);
+int run_daemon() {
     ::gpr_set_log_function(log_grpc_message);
     google::protobuf::SetLogHandler(nullptr); // the default handler logs every malformed text that a client sends
     if (::sodium_init() < 0) return fail("libsodium cannot be initialised");
-    const auto balancer = balancer_process::open(settings, FLAGS_config);
-    if (!balancer) return fail(balancer.error());
-    balancer.value()->run();
+    const system_clock time;
+    const auto         balancer = startup(FLAGS_config, time).open_balancer();
+    if (!balancer) return exit_ok;
+    balancer->run();
     // Without destruction: Boost.Asio's signal set would first set the default actions, with which SIGHUP ends a
     // process.
     std::quick_exit(exit_ok);
@@ -98,10 +99,5 @@
         return exit_settings;
     }
     if (!FLAGS_reference.empty()) return print_reference();
-    const auto parsed_settings = read_settings_file(FLAGS_config);
-    if (FLAGS_check) return check_settings(parsed_settings);
-    if (parsed_settings) return run_daemon(parsed_settings.value());
-    for (const finding& problem : parsed_settings.error())
-        log_event(event::settings_problem, {{"problem", problem.to_string()}});
-    return exit_settings;
+    return FLAGS_check ? check_settings(read_settings_file(FLAGS_config)) : run_daemon();
 }
--- a/tamarack/balancer_process.cpp
+++ b/tamarack/balancer_process.cpp
@@ -55,10 +55,16 @@
         auto                        started = admin_server::start(admin, loop_, loop_.queue());
         if (!started) return started.error();
         admin_ = std::move(started).value();
-        log_listening("admin", admin_->address());
         return std::nullopt;
     }
 
+    void log_ports() const {
+        log_listening("control", settings_.node.self.control);
+        log_listening("fabric", settings_.fabric);
+        log_listening("relay", settings_.node.self.relay);
+        log_listening("admin", admin_->address());
+    }
+
     void run() {
         set_collaborators();
         for (const auto& traffic : traffic_)
@@ -84,8 +90,6 @@
             traffic_.push_back(std::make_unique<traffic_loop>(thread, std::move(fabric).value(),
                                                               std::move(relay).value(), handler_, time_));
         }
-        log_listening("fabric", settings_.fabric);
-        log_listening("relay", settings_.node.self.relay);
         return std::nullopt;
     }
 
@@ -153,13 +157,13 @@
 
 result<std::unique_ptr<balancer_process>, std::string> balancer_process::open(const daemon_settings& settings,
                                                                               const std::string&     settings_file) {
-    log_start(settings);
     auto control = udp_socket::open(settings.node.self.control);
     if (!control) return control.error();
-    log_listening("control", control.value().address());
     std::unique_ptr<balancer_process> process(new balancer_process());
     process->impl_ = std::make_unique<impl>(settings, settings_file, std::move(control).value());
     if (auto failed = process->impl_->open_ports()) return *failed;
+    log_start(settings); // not before, since a start that waits tries again and again
+    process->impl_->log_ports();
     return process;
 }
 
--- a/tamarack/settings.cpp
+++ b/tamarack/settings.cpp
@@ -625,12 +625,18 @@
     return settings_parser(text, file_name).run();
 }
 
-result<daemon_settings, findings> read_settings_file(const std::string& file_name) {
+result<std::string, findings> read_settings_text(const std::string& file_name) {
     std::ifstream      file(file_name);
     std::ostringstream text;
     text << file.rdbuf();
     if (!file.good() || text.fail()) return findings{{file_name, "the file cannot be read or is empty", "an INI file"}};
-    return read_settings(text.str(), file_name);
+    return text.str();
+}
+
+result<daemon_settings, findings> read_settings_file(const std::string& file_name) {
+    const auto text = read_settings_text(file_name);
+    if (!text) return text.error();
+    return read_settings(text.value(), file_name);
 }
 
 settings_difference compare(const daemon_settings& current, const daemon_settings& reloaded) {
--- a/tamarack/settings.h
+++ b/tamarack/settings.h
@@ -38,6 +38,8 @@
 // Reads the settings from text. The file name appears in findings, and names of key files are relative to its folder.
 result<daemon_settings, findings> read_settings(std::string_view text, const std::string& file_name);
 result<daemon_settings, findings> read_settings_file(const std::string& file_name);
+// The text of the file, which is never empty.
+result<std::string, findings>     read_settings_text(const std::string& file_name);
 
 // Keys, as "[section] key", whose values differ between the current settings and a reloaded file.
 struct settings_difference {
--- /dev/null
+++ b/tamarack/waiting_report.h
@@ -0,0 +1,27 @@
+// Keeps something that is tried again and again from filling the log.
+#pragma once
+
+#include "tamarack/tamarack.h"
+
+#include <string>
+
+namespace tamarack {
+
+class waiting_report {
+public:
+    // Whether to log why the last try failed: at once if the reason is new, and then every 10 s.
+    bool is_due(const std::string& reason, steady_time now) {
+        if (reason == latest_reason_ && now < due_) return false;
+        latest_reason_ = reason;
+        due_ = now + interval;
+        return true;
+    }
+
+private:
+    static constexpr duration interval = std::chrono::seconds(10);
+
+    std::string latest_reason_;
+    steady_time due_{};
+};
+
+} // namespace tamarack
