--- a/tamarack/balancer_process.cpp
+++ b/tamarack/balancer_process.cpp
@@ -7,8 +7,11 @@
 #include "tamarack/node_packet_handler.h"
 #include "tamarack/platform_grpc.h"
 #include "tamarack/prober_grpc.h"
+#include "tamarack/process_environment.h"
 
+#include <cerrno>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -18,6 +21,10 @@
 
 namespace {
 
+// Descriptors that a running balancer needs: 12 of its own, and as many again for the platform, probes and operators.
+constexpr std::size_t shared_descriptors = 24;
+constexpr std::size_t sockets_per_thread = 2;
+
 std::string read_file(const std::string& name) {
     if (name.empty()) return "";
     std::ifstream      file(name);
@@ -157,6 +164,9 @@
 
 result<std::unique_ptr<balancer_process>, std::string> balancer_process::open(const daemon_settings& settings,
                                                                               const std::string&     settings_file) {
+    const std::size_t needed = shared_descriptors + sockets_per_thread * settings.traffic_threads;
+    if (!can_open_descriptors(needed)) // gRPC and Boost.Asio would end the process
+        return "cannot open " + std::to_string(needed) + " descriptors: " + std::strerror(errno);
     auto control = udp_socket::open(settings.node.self.control);
     if (!control) return control.error();
     std::unique_ptr<balancer_process> process(new balancer_process());
--- a/tamarack/process_environment.cpp
+++ b/tamarack/process_environment.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <sys/resource.h>
 #include <unistd.h>
+#include <vector>
 
 namespace tamarack {
 
@@ -69,4 +70,22 @@
     return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usual_limit;
 }
 
+bool can_open_descriptors(std::size_t count) {
+    std::vector<int> opened;
+    opened.reserve(count);
+    int error = 0;
+    while (opened.size() < count) {
+        const int handle = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+        if (handle < 0) {
+            error = errno;
+            break;
+        }
+        opened.push_back(handle);
+    }
+    for (const int handle : opened)
+        (void)::close(handle);
+    errno = error;
+    return opened.size() == count;
+}
+
 } // namespace tamarack
--- a/tamarack/process_environment.h
+++ b/tamarack/process_environment.h
@@ -16,5 +16,8 @@
 void        block_signals();
 // Descriptors that the process may have open (RLIMIT_NOFILE).
 std::size_t descriptor_limit();
+// Whether so many more descriptors can be opened, otherwise errno says why not; for libraries that end the process when
+// they cannot open one.
+bool        can_open_descriptors(std::size_t count);
 
 } // namespace tamarack
