--- a/tamarack/admin_server.cpp
+++ b/tamarack/admin_server.cpp
@@ -2,6 +2,7 @@
 #include "tamarack/admin_server.h"
 
 #include "tamarack/admin_messages.h"
+#include "tamarack/connection_acceptor.h"
 #include "tamarack/events.h"
 
 #include "admin.grpc.pb.h"
@@ -270,36 +271,45 @@
 
 class admin_server::impl {
 public:
-    impl(const admin_server_settings& settings, administered_balancer& balancer, control_queue queue)
-        : service_(balancer, std::move(queue), settings.max_pending_calls), address_(settings.address) {
-        int                 port = 0;
+    impl(const admin_server_settings& settings, administered_balancer& balancer, control_queue queue,
+         std::unique_ptr<connection_acceptor> acceptor)
+        : service_(balancer, std::move(queue), settings.max_pending_calls), acceptor_(std::move(acceptor)) {
+        using connection_type = grpc::ServerBuilder::experimental_type::ExternalConnectionType;
         grpc::ServerBuilder builder;
-        builder.AddListeningPort(settings.address.to_string(), credentials_of(settings), &port);
-        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0); // opening a port that is in use must fail
+        connections_ =
+            builder.experimental().AddExternalConnectionAcceptor(connection_type::FROM_FD, credentials_of(settings));
         builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, max_connection_idle_ms);
         builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, max_calls_per_connection);
         builder.SetMaxReceiveMessageSize(max_request_size);
         builder.RegisterService(&service_);
         server_ = builder.BuildAndStart();
-        if (port == 0) server_.reset();
-        address_.port = static_cast<std::uint16_t>(port);
+        if (server_) acceptor_->start([this](int listener, int connection) { add(listener, connection); });
     }
     ~impl() { stop(); }
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
     bool     is_listening() const { return server_ != nullptr; }
-    endpoint address() const { return address_; }
+    endpoint address() const { return acceptor_->address(); }
 
     void stop() {
+        acceptor_->stop();
         service_.stop();
         if (server_) server_->Shutdown(std::chrono::system_clock::now() + shutdown_timeout);
     }
 
 private:
-    administration_service        service_;
-    std::unique_ptr<grpc::Server> server_;
-    endpoint                      address_;
+    void add(int listener, int connection) {
+        grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters parameters;
+        parameters.listener_fd = listener;
+        parameters.fd = connection;
+        connections_->HandleNewConnection(&parameters);
+    }
+
+    administration_service                                          service_;
+    std::unique_ptr<connection_acceptor>                            acceptor_;
+    std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> connections_;
+    std::unique_ptr<grpc::Server>                                   server_;
 };
 
 admin_server::admin_server() = default;
@@ -307,12 +317,11 @@
 
 result<std::unique_ptr<admin_server>, std::string>
 admin_server::start(const admin_server_settings& settings, administered_balancer& balancer, control_queue queue) {
+    auto acceptor = connection_acceptor::open(settings.address);
+    if (!acceptor) return acceptor.error();
     std::unique_ptr<admin_server> server(new admin_server());
-    server->impl_ = std::make_unique<impl>(settings, balancer, std::move(queue));
-    if (!server->impl_->is_listening()) {
-        return "cannot listen on " + settings.address.to_string() +
-               ": the address is in use or does not belong to this host, or the certificate and key do not match";
-    }
+    server->impl_ = std::make_unique<impl>(settings, balancer, std::move(queue), std::move(acceptor).value());
+    if (!server->impl_->is_listening()) return "the certificate and key of the administration interface do not match";
     return server;
 }
 
