--- a/tamarack/balancer_process.cpp
+++ b/tamarack/balancer_process.cpp
@@ -8,6 +8,7 @@
 #include "tamarack/platform_grpc.h"
 #include "tamarack/prober_grpc.h"
 #include "tamarack/process_environment.h"
+#include "tamarack/waiting_report.h"
 
 #include <cerrno>
 #include <cstdlib>
@@ -54,22 +55,40 @@
         : settings_(settings), node_(settings.node, time_, std::random_device{}()),
           handler_(node_, settings.traffic_threads), loop_(node_, time_, std::move(control), settings, settings_file) {}
 
-    // Opens the ports for callers, peers and operators. Returns an error text on failure.
-    std::optional<std::string> open_ports() {
-        if (auto failed = open_traffic_ports()) return failed;
-        const admin_server_settings admin{settings_.node.self.admin, read_file(settings_.admin_tls.certificate),
-                                          read_file(settings_.admin_tls.key), read_file(settings_.admin_tls.authority)};
-        auto                        started = admin_server::start(admin, loop_, loop_.queue());
-        if (!started) return started.error();
-        admin_ = std::move(started).value();
+    // The sockets of several threads share a port. Each port is first opened exclusively, since otherwise another
+    // daemon could share it by mistake. Returns an error text on failure.
+    std::optional<std::string> open_traffic_ports() {
+        for (const endpoint& port : {settings_.fabric, settings_.node.self.relay}) {
+            const auto exclusive = udp_socket::open(port);
+            if (!exclusive) return exclusive.error();
+        }
+        const udp_socket_settings shared{settings_.receive_buffer, true};
+        for (std::size_t thread = 0; thread < settings_.traffic_threads; ++thread) {
+            auto fabric = udp_socket::open(settings_.fabric, shared);
+            if (!fabric) return fabric.error();
+            auto relay = udp_socket::open(settings_.node.self.relay, shared);
+            if (!relay) return relay.error();
+            traffic_.push_back(std::make_unique<traffic_loop>(thread, std::move(fabric).value(),
+                                                              std::move(relay).value(), handler_, time_));
+        }
         return std::nullopt;
     }
 
+    // Packets do not wait for this port: operators can ask any balancer. Called until the port is open.
+    void open_admin_port() {
+        auto started = start_admin_server();
+        if (started) {
+            admin_ = std::move(started).value();
+            log_listening("admin", admin_->address());
+        } else if (admin_report_.is_due(started.error(), time_.steady_now())) {
+            log_event(event::socket_failed, {{"reason", started.error()}});
+        }
+    }
+
     void log_ports() const {
         log_listening("control", settings_.node.self.control);
         log_listening("fabric", settings_.fabric);
         log_listening("relay", settings_.node.self.relay);
-        log_listening("admin", admin_->address());
     }
 
     void run() {
@@ -77,27 +96,15 @@
         for (const auto& traffic : traffic_)
             threads_.emplace_back([&traffic](const std::stop_token& stop) { run_traffic(*traffic, stop); });
         loop_.run();
-        admin_->stop();
+        if (admin_) admin_->stop();
     }
 
 private:
-    // The sockets of several threads share a port. Each port is first opened exclusively, since otherwise another
-    // daemon could share it by mistake.
-    std::optional<std::string> open_traffic_ports() {
-        for (const endpoint& port : {settings_.fabric, settings_.node.self.relay}) {
-            const auto exclusive = udp_socket::open(port);
-            if (!exclusive) return exclusive.error();
-        }
-        const udp_socket_settings shared{settings_.receive_buffer, true};
-        for (std::size_t thread = 0; thread < settings_.traffic_threads; ++thread) {
-            auto fabric = udp_socket::open(settings_.fabric, shared);
-            if (!fabric) return fabric.error();
-            auto relay = udp_socket::open(settings_.node.self.relay, shared);
-            if (!relay) return relay.error();
-            traffic_.push_back(std::make_unique<traffic_loop>(thread, std::move(fabric).value(),
-                                                              std::move(relay).value(), handler_, time_));
-        }
-        return std::nullopt;
+    result<std::unique_ptr<admin_server>, std::string> start_admin_server() {
+        const tls_files&            files = settings_.admin_tls;
+        const admin_server_settings admin{settings_.node.self.admin, read_file(files.certificate), read_file(files.key),
+                                          read_file(files.authority)};
+        return admin_server::start(admin, loop_, loop_.queue());
     }
 
     void set_collaborators() {
@@ -114,7 +121,10 @@
         };
         collaborators.traffic_counters = [this] { return traffic_counters(); };
         collaborators.traffic_distributions = [this] { return traffic_distributions(); };
-        collaborators.every_second = [this] { prober_.close_unused(time_.steady_now()); };
+        collaborators.every_second = [this] {
+            prober_.close_unused(time_.steady_now());
+            if (!admin_) open_admin_port();
+        };
         loop_.set_collaborators(std::move(collaborators));
     }
 
@@ -154,7 +164,8 @@
     control_loop                               loop_;
     prober_grpc                                prober_;
     std::optional<platform_grpc>               platform_;
-    std::unique_ptr<admin_server>              admin_;
+    std::unique_ptr<admin_server>              admin_; // null until its port is open
+    waiting_report                             admin_report_;
     std::vector<std::unique_ptr<traffic_loop>> traffic_;
     std::vector<std::jthread>                  threads_; // last: the threads use the other members
 };
@@ -171,9 +182,10 @@
     if (!control) return control.error();
     std::unique_ptr<balancer_process> process(new balancer_process());
     process->impl_ = std::make_unique<impl>(settings, settings_file, std::move(control).value());
-    if (auto failed = process->impl_->open_ports()) return *failed;
+    if (auto failed = process->impl_->open_traffic_ports()) return *failed;
     log_start(settings); // not before, since a start that waits tries again and again
     process->impl_->log_ports();
+    process->impl_->open_admin_port();
     return process;
 }
 
