--- a/tamarack/balancer_process.cpp
+++ b/tamarack/balancer_process.cpp
@@ -104,6 +104,8 @@
         const tls_files&            files = settings_.admin_tls;
         const admin_server_settings admin{settings_.node.self.admin, read_file(files.certificate), read_file(files.key),
                                           read_file(files.authority)};
+        const bool is_complete = !admin.certificate.empty() && !admin.key.empty() && !admin.authority.empty();
+        if (!files.empty() && !is_complete) return "a file of the certificate of the administration interface is empty";
         return admin_server::start(admin, loop_, loop_.queue());
     }
 
@@ -178,6 +180,9 @@
     const std::size_t needed = shared_descriptors + sockets_per_thread * settings.traffic_threads;
     if (!can_open_descriptors(needed)) // gRPC and Boost.Asio would end the process
         return "cannot open " + std::to_string(needed) + " descriptors: " + std::strerror(errno);
+    // An empty authority would mean plain text.
+    if (!settings.platform_authority.empty() && read_file(settings.platform_authority).empty())
+        return settings.platform_authority + ", the authority of the platform, is empty";
     auto control = udp_socket::open(settings.node.self.control);
     if (!control) return control.error();
     std::unique_ptr<balancer_process> process(new balancer_process());
--- a/tests/daemon_process_ends_test.cpp
+++ b/tests/daemon_process_ends_test.cpp
@@ -5,6 +5,7 @@
 #include "tamarack/admin_client.h"
 
 #include <boost/test/unit_test.hpp>
+#include <poll.h>
 #include <sys/stat.h>
 
 using namespace tamarack;
@@ -119,6 +120,34 @@
     BOOST_TEST(stops_gracefully());
 }
 
+// The files were just being written.
+BOOST_AUTO_TEST_CASE(empty_certificates_do_not_open_the_admin_port_without_tls) {
+    for (const char* name : {"certificate", "private", "authority"})
+        host_fixture::write_key(folder.file(name));
+    std::ofstream(folder.file("certificate"), std::ios::trunc).flush();
+    write_settings(settings_text(host, admin_address()) +
+                   "[admin]\ncertificate_file = certificate\nkey_file = private\nauthority_file = authority\n");
+    program.start();
+    BOOST_TEST(logs("T1002 listening port=fabric"));
+    BOOST_TEST(stays_alive());
+    BOOST_TEST(logs("T1006"));
+    BOOST_TEST(!answers_operators(admin_address()));
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_authority_does_not_lead_to_calls_of_the_platform_without_tls) {
+    std::ofstream(folder.file("authority")).flush();
+    write_settings(settings_text(host, admin_address()) + "[platform]\nauthority_file = authority\n");
+    const int platform = hold_port(with_port(host, 2'379), SOCK_STREAM);
+    program.start();
+    BOOST_TEST(stays_alive());
+    pollfd entry{platform, POLLIN, 0};
+    BOOST_TEST(::poll(&entry, 1, 3'000) == 0); // no connection; the first one comes 2 s after a start
+    BOOST_TEST(logs("T1006"));
+    write_key(folder.file("authority"));
+    BOOST_TEST(becomes_ready());
+    ::close(platform);
+}
+
 BOOST_AUTO_TEST_CASE(a_start_waits_for_the_ports_that_a_predecessor_still_holds) {
     for (const endpoint& port : {control_address(), fabric_address(), relay_address()}) {
         BOOST_TEST_CONTEXT("port " << port.to_string()) {
