--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -6,7 +6,7 @@
 #include "daemons/entry/feed_server.h"
 #include "daemons/entry/listeners.h"
 #include "daemons/entry/packet_handler.h"
-#include "daemons/entry/process_environment.h"
+#include "tamarack/process_environment.h"
 #include "daemons/entry/status_page.h"
 #include "entry/lifecycle.h"
 #include "platform/http_status.h"
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,5 +1,5 @@
 // tamarack-entry: runs one entry balancer with the settings of a file.
-#include "daemons/entry/process_environment.h"
+#include "tamarack/process_environment.h"
 #include "daemons/entry/startup.h"
 #include "tamarack/clock.h"
 
@@ -51,14 +51,14 @@
     const suspend_aware_clock time;
     const auto                process = entry::startup(file, time).open_process();
     if (process) process->run();
-    entry::block_signals(); // the event loop handles them no longer
+    block_signals(); // the event loop handles them no longer
     return exit_ok;
 }
 
 } // namespace
 
 int main(int argc, char** argv) {
-    entry::prepare_environment();
+    prepare_environment();
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
--- a/daemons/entry/startup.cpp
+++ b/daemons/entry/startup.cpp
@@ -1,7 +1,7 @@
 // Repeats the start until everything that it needs is there.
 #include "daemons/entry/startup.h"
 
-#include "daemons/entry/process_environment.h"
+#include "tamarack/process_environment.h"
 
 #include <thread>
 
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -17,6 +17,7 @@
     std::optional<rlim_t> address_space_limit{};     // bytes, RLIMIT_AS
     bool                  has_standard_files = true; // false: descriptors 0, 1 and 2 are closed
     std::optional<int>    blocked_signal{};          // pending for the process when it starts, and blocked
+    std::optional<int>    masked_signal{};           // blocked, not pending
 };
 
 inline void set_limit(int resource, const std::optional<rlim_t>& value) {
@@ -25,12 +26,11 @@
     ::setrlimit(resource, &limit);
 }
 
-inline void raise_blocked(int signal) {
+inline void block_signal(int signal) {
     sigset_t signals{};
     sigemptyset(&signals);
     sigaddset(&signals, signal);
     ::sigprocmask(SIG_BLOCK, &signals, nullptr);
-    (void)::raise(signal);
 }
 
 // Returns the process id. The child appends its standard output and error to the log, and inherits no other descriptor.
@@ -46,7 +46,11 @@
     set_limit(RLIMIT_NOFILE, conditions.descriptor_limit);
     set_limit(RLIMIT_FSIZE, conditions.file_size_limit);
     set_limit(RLIMIT_AS, conditions.address_space_limit);
-    if (conditions.blocked_signal) raise_blocked(*conditions.blocked_signal);
+    if (conditions.masked_signal) block_signal(*conditions.masked_signal);
+    if (conditions.blocked_signal) {
+        block_signal(*conditions.blocked_signal);
+        (void)::raise(*conditions.blocked_signal);
+    }
     ::execl(program.c_str(), program.c_str(), argument.c_str(), nullptr);
     ::_exit(127);
 }
--- a/tamarack/balancer_process.cpp
+++ b/tamarack/balancer_process.cpp
@@ -7,8 +7,12 @@
 #include "tamarack/node_packet_handler.h"
 #include "tamarack/platform_grpc.h"
 #include "tamarack/prober_grpc.h"
+#include "tamarack/process_environment.h"
+#include "tamarack/waiting_report.h"
 
+#include <cerrno>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -18,6 +22,10 @@
 
 namespace {
 
+// Descriptors that a running balancer needs: 12 of its own, and as many again for the platform, probes and operators.
+constexpr std::size_t shared_descriptors = 24;
+constexpr std::size_t sockets_per_thread = 2;
+
 std::string read_file(const std::string& name) {
     if (name.empty()) return "";
     std::ifstream      file(name);
@@ -47,29 +55,8 @@
         : settings_(settings), node_(settings.node, time_, std::random_device{}()),
           handler_(node_, settings.traffic_threads), loop_(node_, time_, std::move(control), settings, settings_file) {}
 
-    // Opens the ports for callers, peers and operators. Returns an error text on failure.
-    std::optional<std::string> open_ports() {
-        if (auto failed = open_traffic_ports()) return failed;
-        const admin_server_settings admin{settings_.node.self.admin, read_file(settings_.admin_tls.certificate),
-                                          read_file(settings_.admin_tls.key), read_file(settings_.admin_tls.authority)};
-        auto                        started = admin_server::start(admin, loop_, loop_.queue());
-        if (!started) return started.error();
-        admin_ = std::move(started).value();
-        log_listening("admin", admin_->address());
-        return std::nullopt;
-    }
-
-    void run() {
-        set_collaborators();
-        for (const auto& traffic : traffic_)
-            threads_.emplace_back([&traffic](const std::stop_token& stop) { run_traffic(*traffic, stop); });
-        loop_.run();
-        admin_->stop();
-    }
-
-private:
     // The sockets of several threads share a port. Each port is first opened exclusively, since otherwise another
-    // daemon could share it by mistake.
+    // daemon could share it by mistake. Returns an error text on failure.
     std::optional<std::string> open_traffic_ports() {
         for (const endpoint& port : {settings_.fabric, settings_.node.self.relay}) {
             const auto exclusive = udp_socket::open(port);
@@ -84,9 +71,42 @@
             traffic_.push_back(std::make_unique<traffic_loop>(thread, std::move(fabric).value(),
                                                               std::move(relay).value(), handler_, time_));
         }
+        return std::nullopt;
+    }
+
+    // Packets do not wait for this port: operators can ask any balancer. Called until the port is open.
+    void open_admin_port() {
+        auto started = start_admin_server();
+        if (started) {
+            admin_ = std::move(started).value();
+            log_listening("admin", admin_->address());
+        } else if (admin_report_.is_due(started.error(), time_.steady_now())) {
+            log_event(event::socket_failed, {{"reason", started.error()}});
+        }
+    }
+
+    void log_ports() const {
+        log_listening("control", settings_.node.self.control);
         log_listening("fabric", settings_.fabric);
         log_listening("relay", settings_.node.self.relay);
-        return std::nullopt;
+    }
+
+    void run() {
+        set_collaborators();
+        for (const auto& traffic : traffic_)
+            threads_.emplace_back([&traffic](const std::stop_token& stop) { run_traffic(*traffic, stop); });
+        loop_.run();
+        if (admin_) admin_->stop();
+    }
+
+private:
+    result<std::unique_ptr<admin_server>, std::string> start_admin_server() {
+        const tls_files&            files = settings_.admin_tls;
+        const admin_server_settings admin{settings_.node.self.admin, read_file(files.certificate), read_file(files.key),
+                                          read_file(files.authority)};
+        const bool is_complete = !admin.certificate.empty() && !admin.key.empty() && !admin.authority.empty();
+        if (!files.empty() && !is_complete) return "a file of the certificate of the administration interface is empty";
+        return admin_server::start(admin, loop_, loop_.queue());
     }
 
     void set_collaborators() {
@@ -103,7 +123,10 @@
         };
         collaborators.traffic_counters = [this] { return traffic_counters(); };
         collaborators.traffic_distributions = [this] { return traffic_distributions(); };
-        collaborators.every_second = [this] { prober_.close_unused(time_.steady_now()); };
+        collaborators.every_second = [this] {
+            prober_.close_unused(time_.steady_now());
+            if (!admin_) open_admin_port();
+        };
         loop_.set_collaborators(std::move(collaborators));
     }
 
@@ -143,7 +166,8 @@
     control_loop                               loop_;
     prober_grpc                                prober_;
     std::optional<platform_grpc>               platform_;
-    std::unique_ptr<admin_server>              admin_;
+    std::unique_ptr<admin_server>              admin_; // null until its port is open
+    waiting_report                             admin_report_;
     std::vector<std::unique_ptr<traffic_loop>> traffic_;
     std::vector<std::jthread>                  threads_; // last: the threads use the other members
 };
@@ -153,13 +177,20 @@
 
 result<std::unique_ptr<balancer_process>, std::string> balancer_process::open(const daemon_settings& settings,
                                                                               const std::string&     settings_file) {
-    log_start(settings);
+    const std::size_t needed = shared_descriptors + sockets_per_thread * settings.traffic_threads;
+    if (!can_open_descriptors(needed)) // gRPC and Boost.Asio would end the process
+        return "cannot open " + std::to_string(needed) + " descriptors: " + std::strerror(errno);
+    // An empty authority would mean plain text.
+    if (!settings.platform_authority.empty() && read_file(settings.platform_authority).empty())
+        return settings.platform_authority + ", the authority of the platform, is empty";
     auto control = udp_socket::open(settings.node.self.control);
     if (!control) return control.error();
-    log_listening("control", control.value().address());
     std::unique_ptr<balancer_process> process(new balancer_process());
     process->impl_ = std::make_unique<impl>(settings, settings_file, std::move(control).value());
-    if (auto failed = process->impl_->open_ports()) return *failed;
+    if (auto failed = process->impl_->open_traffic_ports()) return *failed;
+    log_start(settings); // not before, since a start that waits tries again and again
+    process->impl_->log_ports();
+    process->impl_->open_admin_port();
     return process;
 }
 
--- a/daemons/entry/process_environment.cpp
+++ b/tamarack/process_environment.cpp
@@ -1,5 +1,5 @@
 // Signals, standard files and limits of the process.
-#include "daemons/entry/process_environment.h"
+#include "tamarack/process_environment.h"
 
 #include <array>
 #include <cerrno>
@@ -7,8 +7,9 @@
 #include <fcntl.h>
 #include <sys/resource.h>
 #include <unistd.h>
+#include <vector>
 
-namespace tamarack::entry {
+namespace tamarack {
 
 namespace {
 
@@ -41,6 +42,9 @@
     }
 }
 
+// Before the static initializers of libraries, which run before main: gRPC opens a descriptor there.
+[[gnu::section(".preinit_array"), gnu::used]] void (*const open_files_first)() = open_standard_files;
+
 } // namespace
 
 void prepare_environment() {
@@ -50,7 +54,6 @@
         (void)std::signal(signal, note_stop_request);
     // A signal that the starting program has blocked would stay blocked, so that a stop could not be requested.
     change_signal_mask(SIG_UNBLOCK);
-    open_standard_files();
 }
 
 void block_signals() {
@@ -67,4 +70,22 @@
     return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usual_limit;
 }
 
-} // namespace tamarack::entry
+bool can_open_descriptors(std::size_t count) {
+    std::vector<int> opened;
+    opened.reserve(count);
+    int error = 0;
+    while (opened.size() < count) {
+        const int handle = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+        if (handle < 0) {
+            error = errno;
+            break;
+        }
+        opened.push_back(handle);
+    }
+    for (const int handle : opened)
+        (void)::close(handle);
+    errno = error;
+    return opened.size() == count;
+}
+
+} // namespace tamarack
