--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -6,11 +6,11 @@
 #include "daemons/entry/feed_server.h"
 #include "daemons/entry/listeners.h"
 #include "daemons/entry/packet_handler.h"
-#include "tamarack/process_environment.h"
 #include "daemons/entry/status_page.h"
 #include "entry/lifecycle.h"
 #include "platform/http_status.h"
 #include "platform/store_client.h"
+#include "tamarack/process_environment.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,7 +1,7 @@
 // tamarack-entry: runs one entry balancer with the settings of a file.
-#include "tamarack/process_environment.h"
 #include "daemons/entry/startup.h"
 #include "tamarack/clock.h"
+#include "tamarack/process_environment.h"
 
 #include <cstdlib>
 #include <gflags/gflags.h>
