--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -28,7 +28,7 @@
     const auto key = decoded->authentication ? feed_.authenticated_key(*decoded->authentication) : std::nullopt;
     const bool is_listing = std::holds_alternative<platform::feed_list_request>(decoded->parameters);
     const pending_request request{std::move(respond), key, decoded->authentication ? decoded->authentication->nonce : 0,
-                                  is_listing};
+                                  is_listing, now};
     // Without a key only a listing is served, and only if the request carries no authentication that failed.
     if (!key && (decoded->authentication || !is_listing)) {
         request.send(feed_status::rejected, {}, now);
--- a/tests/entry_feed_test.cpp
+++ b/tests/entry_feed_test.cpp
@@ -140,6 +140,22 @@
     BOOST_TEST((record_feed.list_unauthenticated(now + 1s).status == feed_status::ok));
 }
 
+// The time of arrival was missing: each response told that its request was held since the clock began, and followers
+// took the time that an answer had travelled for time that the feeder had waited.
+BOOST_AUTO_TEST_CASE(response_tells_how_long_its_request_was_held) {
+    replica           store_replica(1'000);
+    const steady_time now{1h};
+    store_replica.note_store_available(now);
+    store_replica.apply_listing({}, at_revision(5), now);
+    feed_server       server(feed(store_replica, {.key = feeder_key}, now));
+    const std::string list = platform::add_request_mac("/tamarackshore/kv-range?prefix=", feeder_key, 5);
+    std::string       body;
+    server.handle(list, "127.0.0.1:9", now, [&](const server_response& response) { body = response.body; });
+    const auto verified = platform::verify_response(body, feeder_key, 5);
+    BOOST_REQUIRE(verified.has_value());
+    BOOST_TEST((verified->held == 0ms));
+}
+
 // Requests may have any content: each must get exactly one response, and only authenticated ones may be kept pending.
 BOOST_AUTO_TEST_CASE(corrupt_requests_get_exactly_one_error_response) {
     replica           store_replica(1'000);
