--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -64,6 +64,7 @@
 }
 
 void feed_server::poll(steady_time now) {
+    std::exception_ptr failure; // of one response, whose connection it ends; the others are sent first
     for (const feed::due_answer& due : feed_.poll(now)) {
         std::string body; // the same for all calls of an answer
         for (const std::uint64_t call : due.calls) {
@@ -71,10 +72,15 @@
             if (found == pending_requests_.end()) continue;
             const pending_request request = std::move(found->second);
             pending_requests_.erase(found);
-            if (body.empty()) body = request.encode(due.answer);
-            request.send(due.answer.status, body, now);
+            try {
+                if (body.empty()) body = request.encode(due.answer);
+                request.send(due.answer.status, body, now);
+            } catch (const std::exception&) {
+                failure = std::current_exception();
+            }
         }
     }
+    if (failure) std::rethrow_exception(failure);
 }
 
 } // namespace tamarack::entry
--- a/entry/feed.cpp
+++ b/entry/feed.cpp
@@ -148,10 +148,13 @@
     std::vector<due_answer> due_answers;
     for (auto& [key, numbers] : due_calls) {
         feed_answer answer = answer_due(waiting_calls_.at(numbers.front()), now);
-        for (const std::uint64_t number : numbers)
-            waiting_calls_.erase(number);
         due_answers.push_back({std::move(numbers), std::move(answer)});
     }
+    // Last, since an answer can fail for lack of memory: all calls then wait for the next poll.
+    for (const due_answer& due : due_answers) {
+        for (const std::uint64_t number : due.calls)
+            waiting_calls_.erase(number);
+    }
     return due_answers;
 }
 
--- a/tests/entry_feed_test.cpp
+++ b/tests/entry_feed_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE entry_feed
 #include "daemons/entry/feed_server.h"
 #include "entry_fixture.h"
+#include "failing_allocation.h"
 #include "loopback_endpoint.h"
 #include "platform/feed_format.h"
 #include "platform/store_client.h"
@@ -156,6 +157,43 @@
     BOOST_TEST((verified->held == 0ms));
 }
 
+// An exception while one response was made left the other requests, and their connections, waiting for ever.
+BOOST_AUTO_TEST_CASE(response_without_memory_does_not_leave_other_requests_waiting) {
+    constexpr std::size_t large = 20'000; // bytes; beyond all allocations but those for the records and the responses
+    unsigned              failures = 0;
+    for (unsigned passed = 0; passed < 12; ++passed) {
+        replica     store_replica(1'000);
+        steady_time now{1h};
+        store_replica.note_store_available(now);
+        store_replica.apply_listing({}, at_revision(5), now);
+        feed_server server(feed(store_replica, {.key = feeder_key}, now));
+        auto        waiting = std::make_shared<int>(); // each request that has not ended has a share of it
+        for (std::uint64_t nonce = 1; nonce <= 2; ++nonce) {
+            const std::string watch = platform::add_request_mac(
+                "/tamarackshore/kv-watch?prefix=&after=" + std::to_string(store_replica.generation()) + "&wait_ms=1000",
+                feeder_key, nonce);
+            server.handle(watch, "127.0.0.1:9", now, [waiting](const server_response&) {});
+            record backend = backend_record(nonce, registration_of(nonce));
+            backend.revision = at_revision(5 + nonce);
+            backend.raw_value = std::string(large, '\xff');
+            store_replica.apply(backend, now);
+        }
+        next_failing_allocation = {large, passed};
+        for (int step = 0; step < 40; ++step) {
+            now += 100ms;
+            store_replica.note_store_available(now);
+            try {
+                server.poll(now);
+            } catch (const std::bad_alloc&) {
+                ++failures;
+            }
+        }
+        next_failing_allocation = {};
+        BOOST_TEST(waiting.use_count() == 1, "after " << passed << " allocations");
+    }
+    BOOST_TEST(failures > 0U);
+}
+
 // Requests may have any content: each must get exactly one response, and only authenticated ones may be kept pending.
 BOOST_AUTO_TEST_CASE(corrupt_requests_get_exactly_one_error_response) {
     replica           store_replica(1'000);
