--- a/daemons/entry/feed_server.cpp
+++ b/daemons/entry/feed_server.cpp
@@ -28,7 +28,7 @@
     const auto key = decoded->authentication ? feed_.authenticated_key(*decoded->authentication) : std::nullopt;
     const bool is_listing = std::holds_alternative<platform::feed_list_request>(decoded->parameters);
     const pending_request request{std::move(respond), key, decoded->authentication ? decoded->authentication->nonce : 0,
-                                  is_listing};
+                                  is_listing, now};
     // Without a key only a listing is served, and only if the request carries no authentication that failed.
     if (!key && (decoded->authentication || !is_listing)) {
         request.send(feed_status::rejected, {}, now);
@@ -64,6 +64,7 @@
 }
 
 void feed_server::poll(steady_time now) {
+    std::exception_ptr failure; // of one response, whose connection it ends; the others are sent first
     for (const feed::due_answer& due : feed_.poll(now)) {
         std::string body; // the same for all calls of an answer
         for (const std::uint64_t call : due.calls) {
@@ -71,10 +72,15 @@
             if (found == pending_requests_.end()) continue;
             const pending_request request = std::move(found->second);
             pending_requests_.erase(found);
-            if (body.empty()) body = request.encode(due.answer);
-            request.send(due.answer.status, body, now);
+            try {
+                if (body.empty()) body = request.encode(due.answer);
+                request.send(due.answer.status, body, now);
+            } catch (const std::exception&) {
+                failure = std::current_exception();
+            }
         }
     }
+    if (failure) std::rethrow_exception(failure);
 }
 
 } // namespace tamarack::entry
