Read settings from regular files only

Seen in a search with real processes: a pipe in the place of the settings file stalled a host in service at the next SIGHUP, since opening it waits for a writer; readiness checks got no answer. At a start it waited without a line.

--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -237,6 +237,11 @@
 }
 
 result<std::string, findings> read_text(const std::string& file_name) {
+    // Opening a pipe would wait for its writer, and reading a device might not end.
+    std::error_code error;
+    const bool      is_regular = std::filesystem::is_regular_file(file_name, error);
+    if (!is_regular && std::filesystem::exists(file_name, error))
+        return findings{{file_name, "it is not a regular file", ""}};
     std::ifstream file(file_name, std::ios::binary);
     if (!file) return findings{{file_name, "the file cannot be opened", ""}};
     std::ostringstream text;
--- a/tests/entry_process_ends_test.cpp
+++ b/tests/entry_process_ends_test.cpp
@@ -4,6 +4,7 @@
 #include "tamarack/udp_socket.h"
 
 #include <boost/test/unit_test.hpp>
+#include <sys/stat.h>
 
 using namespace tamarack;
 
@@ -231,6 +232,18 @@
     }
 }
 
+// The process waited for a writer of the pipe, and answered no readiness check meanwhile.
+BOOST_AUTO_TEST_CASE(a_pipe_in_the_place_of_the_settings_file_does_not_stall_a_host) {
+    program.start();
+    BOOST_REQUIRE(becomes_ready());
+    std::filesystem::remove(settings_path);
+    BOOST_REQUIRE(::mkfifo(settings_path.c_str(), 0600) == 0);
+    program.send_signal(SIGHUP);
+    BOOST_TEST(wait_until(ready_bound, [&] { return log_contains("T2004"); }));
+    BOOST_TEST(is_ready(host));
+    BOOST_TEST(stops_gracefully());
+}
+
 BOOST_AUTO_TEST_CASE(a_stop_ends_the_wait_for_settings) {
     std::filesystem::remove(settings_path);
     program.start();
