--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -22,8 +22,8 @@
      "Look for an overloaded or suspended host."},
     {event::start_failed, severity::error, "start failed", "The daemon ends, see `reason`."},
     {event::socket_failed, severity::error, "socket failed",
-     "A socket could not be opened or used, see `reason`. tamarackd ends at the start; the entry balancer tries again, "
-     "and serves meanwhile if it can do without the socket."},
+     "A socket could not be opened or used, see `reason`. It is tried again; a balancer serves meanwhile if it can do "
+     "without the socket, otherwise its start waits."},
     {event::thread_failed, severity::error, "thread failed", "A thread ended by an exception; the daemon ends."},
     {event::restarted, severity::error, "restarted",
      "Entry balancer: an exception ended the event loop, see `reason`. The balancer drops its state and starts again "
@@ -33,9 +33,8 @@
      "with the surrounding log lines."},
 
     {event::settings_problem, severity::error, "settings problem",
-     "One problem of the settings file. All of them are logged. At its start the entry balancer waits if a required "
-     "key "
-     "is missing or not accepted, and uses the default of other keys."},
+     "One problem of the settings file. All of them are logged. A start waits until the file can be used. The entry "
+     "balancer needs only the required keys for that, and uses the defaults of others."},
     {event::settings_reread, severity::info, "settings reread",
      "SIGHUP: the file was read; `in_force` lists the keys that changed and took effect."},
     {event::setting_needs_restart, severity::warning, "setting needs a restart",
--- a/tests/daemon_process_ends_test.cpp
+++ b/tests/daemon_process_ends_test.cpp
@@ -349,8 +349,10 @@
         BOOST_TEST_CONTEXT("descriptors " << limit) {
             program.start({.descriptor_limit = limit});
             BOOST_REQUIRE(becomes_ready());
+            constexpr int               connection_count = 80;
             std::vector<tcp_connection> idle;
-            for (int i = 0; i < 80; ++i)
+            idle.reserve(connection_count);
+            for (int i = 0; i < connection_count; ++i)
                 idle.emplace_back(admin_address());
             const duration before = program.processor_time();
             BOOST_TEST(!program.wait_for_end(2s).has_value());
