Share the report of a wait between the programs, and lose no reload request or log line

The reasons for waiting were remembered three times. A SIGHUP between looking at the request and clearing it was lost (by reading); the log lines before an exception were, too.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -445,11 +445,16 @@
 }
 
 void entry_process::run() {
-    impl_->log.note_start();
-    impl_->start();
-    impl_->context.run();
-    impl_->log.note_stopped();
-    impl_->log.flush();
+    try {
+        impl_->log.note_start();
+        impl_->start();
+        impl_->context.run();
+        impl_->log.note_stopped();
+        impl_->log.flush();
+    } catch (...) {
+        impl_->log.flush(); // what led to the exception
+        throw;
+    }
 }
 
 } // namespace tamarack::entry
--- a/daemons/entry/listeners.cpp
+++ b/daemons/entry/listeners.cpp
@@ -39,8 +39,8 @@
 void listeners::open_optional(const endpoint& address, http_server::request_handler handler, steady_time now) {
     const auto reason = open(address, handler);
     if (!reason) return;
-    waiting_.push_back({address, std::move(handler), {}, {}});
-    report(waiting_.back(), *reason, now);
+    waiting_.push_back({address, std::move(handler), waiting_report(report_interval)});
+    if (waiting_.back().report.is_due(*reason, now)) log_.note_socket_failed(*reason);
 }
 
 void listeners::retry(steady_time now) {
@@ -48,22 +48,12 @@
     next_retry_ = now + retry_interval;
     std::erase_if(waiting_, [&](waiting_listener& listener) {
         const auto reason = open(listener.address, listener.handler);
-        if (reason) {
-            report(listener, *reason, now);
-        } else {
-            log_.note_listening(listener.address);
-        }
+        if (!reason) log_.note_listening(listener.address);
+        if (reason && listener.report.is_due(*reason, now)) log_.note_socket_failed(*reason);
         return !reason;
     });
 }
 
-void listeners::report(waiting_listener& listener, const std::string& reason, steady_time now) {
-    if (reason == listener.reason && now < listener.report_due) return;
-    listener.reason = reason;
-    listener.report_due = now + report_interval;
-    log_.note_socket_failed(reason);
-}
-
 std::uint64_t listeners::failed_accepts() const {
     std::uint64_t count = 0;
     for (const auto& [address, server] : open_)
--- a/daemons/entry/listeners.h
+++ b/daemons/entry/listeners.h
@@ -4,6 +4,7 @@
 
 #include "daemons/entry/http_server.h"
 #include "entry/event_log.h"
+#include "tamarack/waiting_report.h"
 
 namespace tamarack::entry {
 
@@ -25,12 +26,10 @@
     struct waiting_listener {
         endpoint                     address;
         http_server::request_handler handler;
-        std::string                  reason;       // why it is not open, as logged
-        steady_time                  report_due{}; // when the same reason is logged again
+        waiting_report               report;
     };
 
     std::optional<std::string> open(const endpoint& address, const http_server::request_handler& handler);
-    void                       report(waiting_listener& listener, const std::string& reason, steady_time now);
 
     boost::asio::io_context&        context_;
     event_log&                      log_;
--- a/daemons/entry/startup.cpp
+++ b/daemons/entry/startup.cpp
@@ -10,17 +10,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds retry_interval(100);
-constexpr duration                  report_interval = std::chrono::seconds(10); // of the same reason for waiting
 // A settings file that may be incomplete is used when it has not changed for this long.
 constexpr duration                  settle_time = std::chrono::seconds(1);
 
-std::string text_of(const findings& problems) {
-    std::string text;
-    for (const finding& problem : problems)
-        text += problem.to_string() + "\n";
-    return text;
-}
-
 } // namespace
 
 void startup::run() {
@@ -57,12 +49,12 @@
     (void)take_reload_request(); // the settings are read now
     const start_settings read = read_start_settings(settings_path_);
     if (!read.values || !is_settled(read)) {
-        if (is_report_due(text_of(read.problems))) log_.note_settings_problems(read.problems);
+        if (report_.is_due(to_string(read.problems), time_.steady_now())) log_.note_settings_problems(read.problems);
         return nullptr;
     }
     auto process = entry_process::open(*read.values, settings_path_, time_, restarts_);
     if (!process) {
-        if (is_report_due(process.error())) log_.note_socket_failed(process.error());
+        if (report_.is_due(process.error(), time_.steady_now())) log_.note_socket_failed(process.error());
         return nullptr;
     }
     if (!read.problems.empty()) log_.note_settings_problems(read.problems);
@@ -79,12 +71,4 @@
     return is_complete || time_.steady_now() - text_changed_at_ >= settle_time;
 }
 
-bool startup::is_report_due(const std::string& reason) {
-    const steady_time now = time_.steady_now();
-    if (reason == latest_reason_ && now < report_due_) return false;
-    latest_reason_ = reason;
-    report_due_ = now + report_interval;
-    return true;
-}
-
 } // namespace tamarack::entry
--- a/daemons/entry/startup.h
+++ b/daemons/entry/startup.h
@@ -10,6 +10,7 @@
 
 #include "daemons/entry/entry_process.h"
 #include "entry/event_log.h"
+#include "tamarack/waiting_report.h"
 
 namespace tamarack::entry {
 
@@ -25,16 +26,14 @@
     std::unique_ptr<entry_process> try_to_open();
     void                           note_exception(const std::exception& error);
     bool                           is_settled(const start_settings& read);
-    bool                           is_report_due(const std::string& reason);
 
-    std::string  settings_path_;
-    const clock& time_;
-    event_log    log_{time_, "starting"}; // the name of the balancer is not known yet
-    std::string  latest_text_;            // of the settings file
-    steady_time  text_changed_at_{};
-    unsigned     restarts_ = 0;  // after exceptions
-    std::string  latest_reason_; // for waiting, as logged
-    steady_time  report_due_{};  // when the same reason is logged again
+    std::string    settings_path_;
+    const clock&   time_;
+    event_log      log_{time_, "starting"}; // the name of the balancer is not known yet
+    std::string    latest_text_;            // of the settings file
+    steady_time    text_changed_at_{};
+    unsigned       restarts_ = 0; // after exceptions
+    waiting_report report_;
 };
 
 } // namespace tamarack::entry
--- a/tamarack/process_environment.cpp
+++ b/tamarack/process_environment.cpp
@@ -61,9 +61,9 @@
 }
 
 bool take_reload_request() {
-    const bool is_requested = has_reload_request != 0;
-    has_reload_request = 0;
-    return is_requested;
+    if (has_reload_request == 0) return false;
+    has_reload_request = 0; // one that arrives now is served together with the one before
+    return true;
 }
 
 std::size_t descriptor_limit() {
--- a/tamarack/startup.cpp
+++ b/tamarack/startup.cpp
@@ -15,13 +15,6 @@
 // A settings file that ends within a line may be incomplete. It is used when it has not changed for this long.
 constexpr duration                  settle_time = std::chrono::seconds(1);
 
-std::string text_of(const findings& problems) {
-    std::string text;
-    for (const finding& problem : problems)
-        text += problem.to_string() + "\n";
-    return text;
-}
-
 } // namespace
 
 std::unique_ptr<balancer_process> startup::open_balancer() {
@@ -36,7 +29,7 @@
     const auto text = read_settings_text(settings_file_);
     const auto settings = text ? read_settings(text.value(), settings_file_) : text.error();
     if (!settings) {
-        if (!report_.is_due(text_of(settings.error()), time_.steady_now())) return nullptr;
+        if (!report_.is_due(to_string(settings.error()), time_.steady_now())) return nullptr;
         for (const finding& problem : settings.error())
             log_event(event::settings_problem, {{"problem", problem.to_string()}});
         return nullptr;
--- a/tamarack/tamarack.h
+++ b/tamarack/tamarack.h
@@ -346,4 +346,6 @@
 
 using findings = std::vector<finding>;
 
+std::string to_string(const findings& problems); // one a line
+
 } // namespace tamarack
--- a/tamarack/types.cpp
+++ b/tamarack/types.cpp
@@ -108,4 +108,11 @@
     return text;
 }
 
+std::string to_string(const findings& problems) {
+    std::string text;
+    for (const finding& problem : problems)
+        text += problem.to_string() + "\n";
+    return text;
+}
+
 } // namespace tamarack
