--- a/tests/entry_http_server_test.cpp
+++ b/tests/entry_http_server_test.cpp
@@ -109,7 +109,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(http_servers, server_fixture)
 
-// Row 5 of the observed ends: a failed accept was repeated at once, also without a connection that waits.
+// A failed accept was repeated at once, also without a connection that waits.
 BOOST_AUTO_TEST_CASE(accept_without_descriptors_does_not_take_up_a_core) {
     tcp::socket client(context, tcp::v4());
     {
--- a/tests/platform_http_limits_test.cpp
+++ b/tests/platform_http_limits_test.cpp
@@ -116,7 +116,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(http_answers, client_fixture)
 
-// Row 6 of the observed ends: the announced length was reserved before it was compared with the limit.
+// The announced length was reserved before it was compared with the limit.
 BOOST_AUTO_TEST_CASE(announced_length_beyond_the_limit_is_not_reserved) {
     for (const char* length : {"100000000000", "10000000000", "18446744073709551615", "12582913"}) {
         server.start = ok;
