Evacuate failure domains, decode admission and warm-up fields, and move the choice of backend servers to placement

Change: an evacuation is a record of the replica, kept over restored stores for as long as restored registrations; placement (split from steering) excludes candidates by rule and names the rule in the explanation. Routes that allow regions only use backend servers of these.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -50,6 +50,7 @@
     metrics["entry_store_revision"] = store_replica.complete_revision().number;
     metrics["entry_store_epoch"] = store_replica.complete_revision().epoch;
     metrics["entry_records_ignored"] = store_replica.ignored_count();
+    metrics["entry_failure_domains_evacuated"] = store_replica.evacuations().size();
     metrics["entry_knowledge_age_ms"] = to_milliseconds(now - store_replica.last_confirmation());
     metrics["entry_store_distance"] = store_replica.store_distance();
     for (const auto& [call_result, count] : status.calls_by_result)
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -167,9 +167,10 @@
       log(time_source, initial_settings.name),
       sync(store_replica, make_source_settings(initial_settings), random_number()),
       slot_claim(make_claim_settings(initial_settings, own_feed_key), store_replica, random_number()),
-      flow_steering(
-          {.failure_domain = initial_settings.failure_domain, .flow_capacity = flow_capacity(initial_settings)},
-          store_replica, random_number()),
+      flow_steering({.failure_domain = initial_settings.failure_domain,
+                     .regions = initial_settings.regions,
+                     .flow_capacity = flow_capacity(initial_settings)},
+                    store_replica, random_number()),
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
       follower_feed(feed(store_replica, make_feed_settings(initial_settings, own_feed_key), time_source.steady_now())),
--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -60,6 +60,11 @@
                                       {"address", configured_route.address.to_string()},
                                       {"services", format_shares(configured_route)}});
     }
+    for (const auto& [key, evacuated] : store_replica_.evacuations())
+        text += format_line("evacuation", {{"failure_domain", evacuated.failure_domain},
+                                           {"epoch", evacuated.revision.epoch},
+                                           {"revision", evacuated.revision.number},
+                                           {"held", evacuated.held_removal_due ? "yes" : "no"}});
     return text;
 }
 
@@ -127,7 +132,8 @@
         text += format_line("candidate", {{"backend_server", candidate.backend->registration.name},
                                           {"service", candidate.backend->registration.service},
                                           {"cost", format_hundredths(candidate.cost)},
-                                          {"avoided", candidate.is_avoided ? "yes" : "no"}});
+                                          {"avoided", candidate.excluded == exclusion::unresponsive ? "yes" : "no"},
+                                          {"excluded", to_string(candidate.excluded)}});
     }
     return text;
 }
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -237,6 +237,10 @@
                                              {"slot", feeder->slot},
                                              {"epoch", item.revision.epoch},
                                              {"revision", item.revision.number}});
+        } else if (const auto* order = std::get_if<evacuation>(&item.content)) {
+            write(event::domain_evacuated, {{"failure_domain", order->failure_domain},
+                                            {"epoch", item.revision.epoch},
+                                            {"revision", item.revision.number}});
         } else {
             write(event::record_removed,
                   {{"key", item.key}, {"epoch", item.revision.epoch}, {"revision", item.revision.number}});
--- a/entry/model.h
+++ b/entry/model.h
@@ -1,9 +1,9 @@
 // Data types of the entry balancer, which steers each flow by a backend reference that the flow's packets carry.
 //
 // Index
-//   [1] Routing    request_kind, service_share, route, routing_table
+//   [1] Routing    request_kind, service_share, route, service_policy, routing_table
 //   [2] Backends   backend_registration, backend_reference
-//   [3] Records    feeder_registration, store_revision, record, record_content
+//   [3] Records    feeder_registration, evacuation, store_revision, record, record_content
 //   [4] Packets    segment
 //
 // The platform provides the fabric, which sends callers' packets to the balancers that report to be ready, so that the
@@ -27,8 +27,13 @@
     idempotent,     // callers may retry it after any failure
     non_idempotent, // must run at most once
     upload,         // has a large body; must run at most once
+    download,       // has a large response; callers may retry it after any failure
 };
 
+constexpr bool is_idempotent(request_kind kind) {
+    return kind == request_kind::idempotent || kind == request_kind::download;
+}
+
 struct service_share {
     std::string   service;
     std::uint32_t weight = 1; // relative to the other shares of the route
@@ -40,13 +45,25 @@
     endpoint                   address;  // callers connect to it
     std::vector<service_share> services; // at least one
     request_kind               kind = request_kind::non_idempotent;
+    std::uint32_t              priority = 0;    // 0 is the highest
+    duration                   response_goal{}; // for an answer, from the caller's first attempt; zero: none is stated
+    duration                   time_limit{};    // after which the caller gives up; zero: none is stated
+    std::vector<std::string>   allowed_regions{}; // backend servers of these regions only; empty: of all
+};
+
+// What the configuration says of the backend servers of a service.
+struct service_policy {
+    std::string name;
+    duration    warmup_time{};                    // after the start of a backend server
+    double      warmup_requests_per_second = 0.0; // that a backend server bears meanwhile; 0: not limited
 };
 
 // One version of the operator's configuration. Immutable once published.
 struct routing_table {
-    std::uint64_t      version = 0;
-    duration           idle_timeout = std::chrono::seconds(15); // flows idle for longer may be forgotten
-    std::vector<route> routes;
+    std::uint64_t               version = 0;
+    duration                    idle_timeout = std::chrono::seconds(15); // flows idle for longer may be forgotten
+    std::vector<route>          routes;
+    std::vector<service_policy> services;
 };
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -88,13 +105,18 @@
     feed_key    key{};    // readable by everyone who can read the store; valid at every balancer of the tree
 };
 
+// Order of the operator: backend servers of the failure domain get no new flows as long as the record exists.
+struct evacuation {
+    std::string failure_domain;
+};
+
 struct removed_record {};
 struct unusable_record {
     std::string reason; // why the stored value cannot be used
 };
 
 using record_content = std::variant<removed_record, unusable_record, std::shared_ptr<const routing_table>,
-                                    backend_registration, feeder_registration>;
+                                    backend_registration, feeder_registration, evacuation>;
 
 // Position in the history of the store. A store that is restored from a copy begins a new epoch: it has lost the
 // changes since the copy, and issues their revision numbers again. So numbers are only compared within an epoch.
--- /dev/null
+++ b/entry/placement.h
@@ -0,0 +1,85 @@
+// Chooses the backend server of a new flow.
+//
+// A backend server is a candidate if it is registered for the service and takes new flows. Rules may exclude a
+// candidate: for this flow only, or for all new flows. Of the others the one with the lowest cost is chosen.
+//
+// Load pattern: many short flows and some long ones with pauses, over backend servers with few slots each, of which
+// some may be unresponsive, warming up or in another failure domain. Only this balancer's own counts are used for the
+// cost: load reports lag, and health probes occupy slots.
+#pragma once
+
+#include "entry/flow_tracker.h"
+#include "entry/replica.h"
+#include "tamarack/resilience.h"
+
+namespace tamarack::entry {
+
+// Why a candidate is not chosen, whatever its cost is.
+enum class exclusion : std::uint8_t {
+    none,
+    evacuated,          // the operator has evacuated its failure domain
+    returning,          // the evacuation of its failure domain has just ended, and flows return gradually
+    region_not_allowed, // the route allows other regions only
+    tried_before,       // a SYN of this flow went there and was not answered
+    unresponsive,       // it has not responded lately; chosen if there is no other candidate
+};
+
+std::string_view to_string(exclusion reason);
+
+// A backend server as a candidate for a new flow.
+struct backend_candidate {
+    const known_backend* backend = nullptr;
+    double               cost = 0; // waiting requests per slot, plus a surcharge for another failure domain
+    exclusion            excluded = exclusion::none;
+};
+
+// Regions of the failure domains, by name.
+using region_map = std::map<std::string, std::string, std::less<>>;
+
+struct placement_settings {
+    std::string failure_domain; // of this balancer
+    region_map  regions;        // by failure domain; a failure domain without an entry is in no region
+};
+
+class placement {
+public:
+    placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
+              std::uint64_t random_seed);
+
+    // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
+    // and was not answered; 0: none.
+    const known_backend*           choose(const route& matched_route, backend_reference tried, steady_time now);
+    // Whether a retransmitted SYN may still go to the backend server that was chosen for the first one.
+    bool                           allows(const known_backend& backend, const route& matched_route) const;
+    // All candidates of all services of the route, those that would be chosen first.
+    std::vector<backend_candidate> explain(const route& matched_route, steady_time now) const;
+
+    // The backend server has not answered a SYN or a request in time.
+    void     note_unresponsive(backend_reference reference, steady_time now);
+    // Time after which a SYN that has not been answered counts as a failure of the backend server.
+    duration syn_answer_timeout() const;
+
+private:
+    struct choice {
+        const known_backend* backend = nullptr;
+        double               cost = 0;
+    };
+
+    void             offer(choice& best, const known_backend& candidate, steady_time now) const;
+    std::string_view choose_service(const route& matched_route);
+    bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
+    // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
+    exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
+                                  steady_time now) const;
+    bool             is_returning(const known_backend& backend, double position, steady_time now) const;
+    double           cost_of(const known_backend& backend, steady_time now) const;
+    bool             wins_tie(const known_backend& left, const known_backend& right) const;
+
+    placement_settings settings_;
+    const replica&     store_replica_;
+    flow_tracker&      flows_;
+    random_source      random_;
+    std::uint64_t      tie_break_seed_; // gives each balancer its own order of equal backend servers
+};
+
+} // namespace tamarack::entry
--- a/entry/replica.cpp
+++ b/entry/replica.cpp
@@ -2,7 +2,6 @@
 #include "entry/replica.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace tamarack::entry {
 
@@ -74,6 +73,7 @@
         return apply_backend(item, *registration, now);
     if (const auto* registration = std::get_if<feeder_registration>(&item.content))
         return apply_feeder(item, *registration);
+    if (const auto* order = std::get_if<evacuation>(&item.content)) return apply_evacuation(item, *order);
     if (std::holds_alternative<removed_record>(item.content)) {
         const store_revision registered_until{item.revision.epoch, item.revision.number - 1};
         return apply_removal(item, registered_until, now);
@@ -126,11 +126,13 @@
     return backend.held_registration && item.revision <= backend.held_registration->revision;
 }
 
+// A source that holds a removal still lists the key, also to a balancer that has learned of the removal elsewhere.
+bool replica::was_dropped(const record& item, bool is_known) const {
+    return is_complete_ && !is_known && item.revision <= complete_revision_;
+}
+
 replica_change replica::apply_backend(const record& item, const backend_registration& registration, steady_time now) {
-    if (was_removed_since(item)) return replica_change::none;
-    // A source that holds a removal still lists the key, also to a balancer that has learned of the removal elsewhere.
-    const bool has_been_removed = is_complete_ && !backends_.contains(item.key) && item.revision <= complete_revision_;
-    if (has_been_removed) return replica_change::none;
+    if (was_removed_since(item) || was_dropped(item, backends_.contains(item.key))) return replica_change::none;
     known_backend& backend = backends_[item.key];
     if (item.revision <= backend.revision) return replica_change::none;
     if (is_before_held_registration(item, backend)) return replica_change::none;
@@ -185,6 +187,7 @@
 
 replica_change replica::apply_removal(const record& item, const store_revision& registered_until, steady_time now) {
     if (feeder_slots_by_key_.contains(item.key)) return remove_feeder(item, now);
+    if (evacuations_.contains(item.key)) return remove_evacuation(item, now);
     const auto found = backends_.find(item.key);
     if (found == backends_.end()) {
         tombstone& removal = tombstones_[item.key];
@@ -253,6 +256,7 @@
     const store_revision registered_until{revision.epoch, is_same_epoch ? complete_revision_.number : 0};
     for (const record& item : removals)
         apply_removal(item, registered_until, now);
+    remove_unlisted_evacuations(listed_keys, revision, now);
     // Keys that were removed before the listing are unknown unless the replica held them. A follower may hold one.
     forgotten_revision_ = std::max(forgotten_revision_, revision);
     // A listing that is no newer than an earlier one tells of no further removals. Balancers that read from each other
--- a/entry/replica.h
+++ b/entry/replica.h
@@ -12,12 +12,16 @@
 // During an outage of the store, registrations may expire although their backend servers are alive. Removals seen
 // during an outage, or within the hold time after it, are therefore held: the backend server stays in use until it
 // registers again, or the store has confirmed after the hold time that it has not.
+//
+// The evacuation of a failure domain applies at once. Its end applies at once, too, unless only the copy that the store
+// was restored from lacks the record: then the evacuation is held, until the operator has written again.
 #pragma once
 
 #include "entry/model.h"
 
 #include <algorithm>
 #include <map>
+#include <unordered_set>
 
 namespace tamarack::entry {
 
@@ -39,6 +43,15 @@
     std::uint64_t       changed_generation = 0; // generation of the last change
 };
 
+// An evacuated failure domain.
+struct known_evacuation {
+    std::string                failure_domain;
+    store_revision             revision{};
+    std::uint64_t              changed_generation = 0;  // generation of the last change
+    std::optional<steady_time> held_removal_due;        // set: the removal is held until this time
+    store_revision             held_removal_revision{}; // of the listing that lacks the record
+};
+
 // A registered backend server and the replica's bookkeeping for it.
 struct known_backend {
     backend_registration       registration;
@@ -68,6 +81,7 @@
 enum class replica_change : std::uint8_t {
     none,
     feeders_changed,
+    evacuations_changed,
     routing_changed,
     backend_registered,
     backend_changed,
@@ -114,6 +128,11 @@
     const known_backend*                                  find_backend(backend_reference reference) const;
     std::span<const known_backend* const>                 available_backends(std::string_view service) const;
     const std::unordered_map<std::string, known_backend>& backends() const { return backends_; }
+    // Failure domains whose backend servers get no new flows, by key of the store.
+    const std::map<std::string, known_evacuation>&        evacuations() const { return evacuations_; }
+    bool                                                  is_evacuated(std::string_view failure_domain) const;
+    // When the last evacuation of the failure domain ended; nullopt: none has ended lately.
+    std::optional<steady_time>                            evacuation_end(std::string_view failure_domain) const;
     // A complete listing has been applied at least once.
     bool                                                  is_complete() const { return is_complete_; }
     // The replica contains every change up to this revision.
@@ -171,6 +190,12 @@
     void           apply_held_registrations(steady_time now);
     replica_change apply_feeder(const record& item, const feeder_registration& registration);
     replica_change remove_feeder(const record& item, steady_time now);
+    replica_change apply_evacuation(const record& item, const evacuation& order);
+    replica_change remove_evacuation(const record& item, steady_time now);
+    void           remove_unlisted_evacuations(const std::unordered_set<std::string_view>& listed_keys,
+                                               const store_revision& revision, steady_time now);
+    std::size_t    expire_evacuations(steady_time now);
+    bool           was_dropped(const record& item, bool is_known) const;
     // The key was still registered at the second revision.
     replica_change apply_removal(const record& item, const store_revision& registered_until, steady_time now);
     void           mark_unusable(const record& item);
@@ -207,6 +232,8 @@
     mutable bool                                                               indexes_are_current_ = true;
     std::map<std::pair<std::string, unsigned>, known_feeder>                   feeders_; // by failure domain and slot
     std::unordered_map<std::string, std::pair<std::string, unsigned>>          feeder_slots_by_key_; // into feeders_
+    std::map<std::string, known_evacuation>                                    evacuations_;         // by key
+    std::map<std::string, steady_time, std::less<>>                            evacuation_ends_; // by failure domain
     std::optional<steady_time>                                                 store_available_since_;
     steady_time                                                                last_confirmation_{};
     unsigned       store_distance_ = 0; // of the last confirmation
--- a/entry/replica_lookup.cpp
+++ b/entry/replica_lookup.cpp
@@ -89,6 +89,13 @@
                            .content = feeder.registration,
                            .raw_value = raw_values_.at(key)});
     }
+    for (const auto& [key, evacuated] : evacuations_) {
+        if (!is_newer(evacuated.revision, evacuated.changed_generation)) continue;
+        changes.push_back({.key = key,
+                           .revision = evacuated.revision,
+                           .content = evacuation{evacuated.failure_domain},
+                           .raw_value = raw_values_.at(key)});
+    }
     for (const auto& [key, removal] : tombstones_) {
         if (is_newer(removal.revision, removal.changed_generation))
             changes.push_back({.key = key, .revision = removal.revision, .content = removed_record{}, .raw_value = {}});
@@ -103,6 +110,10 @@
     const auto     precede = [&](const store_revision& held_after) {
         revision.number = std::min(revision.number, held_after.epoch == revision.epoch ? held_after.number : 0);
     };
+    for (const auto& [key, evacuated] : evacuations_) {
+        // The listing of the new epoch does not tell when the record was removed.
+        if (evacuated.held_removal_due) precede({evacuated.held_removal_revision.epoch, 0});
+    }
     for (const auto& [key, backend] : backends_) {
         if (backend.held_removal_due) precede(backend.registered_until);
         if (!backend.held_registration) continue;
--- a/entry/replica_outage.cpp
+++ b/entry/replica_outage.cpp
@@ -62,6 +62,7 @@
         return is_expired;
     });
     if (applied_removals + forgotten_backends > 0) indexes_are_current_ = false;
+    applied_removals += expire_evacuations(now);
     expire_tombstones(now);
     return applied_removals;
 }
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -68,6 +68,20 @@
     return true;
 }
 
+// Pairs DOMAIN:REGION, separated by commas.
+bool parse_regions(std::string_view text, std::map<std::string, std::string, std::less<>>& output) {
+    output.clear();
+    while (!text.empty()) {
+        const std::size_t      comma = std::min(text.find(','), text.size());
+        const std::string_view pair = trim(text.substr(0, comma));
+        const std::size_t      colon = pair.find(':');
+        if (colon == std::string_view::npos || colon == 0 || colon + 1 == pair.size()) return false;
+        output[std::string(pair.substr(0, colon))] = pair.substr(colon + 1);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return true;
+}
+
 template <class Number>
 bool parse_number(std::string_view text, Number low, Number high, Number& output) {
     Number value{};
@@ -106,6 +120,9 @@
         {"balancer", "failure_domain", true, "non-empty text",
          "Failure domain of the host; its backend servers are preferred.", change_effect::after_restart,
          [](std::string_view text, settings& values) { return parse_text(text, values.failure_domain); }},
+        {"balancer", "regions", false, "DOMAIN:REGION, separated by commas",
+         "Region of each failure domain, for routes that are restricted to regions.", change_effect::after_restart,
+         [](std::string_view text, settings& values) { return parse_regions(text, values.regions); }},
         {"balancer", "first_start", false, "true or false",
          "The whole system starts for the first time: hosts with little capacity wait for others to read the store. "
          "Default false.",
@@ -167,6 +184,17 @@
          [](std::string_view text, settings& values) {
              return parse_milliseconds(text, 100, 600'000, values.change_deadline);
          }},
+        {"limits", "warmup_overrun", false, "1 to 100",
+         "Factor by which all balancers together may exceed the rate of new flows that a service states for the "
+         "warm-up of its backend servers. Default 1.",
+         change_effect::after_restart,
+         [](std::string_view text, settings& values) { return parse_number(text, 1.0, 100.0, values.warmup_overrun); }},
+        {"limits", "warmup_slack", false, "0 to 100000",
+         "New flows in a second that a backend server may get beyond that during its warm-up. Default 0.",
+         change_effect::after_restart,
+         [](std::string_view text, settings& values) {
+             return parse_number(text, 0.0, 100'000.0, values.warmup_slack);
+         }},
         {"limits", "memory_mb", false, "16 to 1048576", "Memory that the process may use, in MB. Default 64.",
          change_effect::after_restart,
          [](std::string_view text, settings& values) {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -10,8 +10,9 @@
 namespace tamarack::entry {
 
 struct settings {
-    std::string             name;                   // [balancer] unique among the balancers
-    std::string             failure_domain;         // [balancer] of the host
+    std::string                                     name;           // [balancer] unique among the balancers
+    std::string                                     failure_domain; // [balancer] of the host
+    std::map<std::string, std::string, std::less<>> regions;        // [balancer] by failure domain
     bool                    is_first_start = false; // [balancer] the whole system starts for the first time
     endpoint                packets_address;        // [balancer] receives callers' packets from the fabric
     endpoint                readiness_address;      // [balancer] answers the fabric's readiness checks
@@ -24,9 +25,11 @@
     double                  processor_share = 1.0;                // [limits] in cores
     double                  link_mbps = 1'000.0;                  // [limits] of the host's link
     duration change_deadline = std::chrono::seconds(3);           // [limits] for a change to be in force everywhere
-    std::map<std::string, std::string> raw_values;                // text of each key in the file, by "[section] key"
-    std::size_t                        memory_mb = 64;            // [limits] of the process
-    std::filesystem::file_time_type    modified_at{}; // modification time of the file, taken before it was read
+    double   warmup_overrun = 1.0; // [limits] factor by which backend servers may exceed their warm-up rate
+    double   warmup_slack = 0.0;   // [limits] new flows in a second beyond that
+    std::map<std::string, std::string> raw_values;     // text of each key in the file, by "[section] key"
+    std::size_t                        memory_mb = 64; // [limits] of the process
+    std::filesystem::file_time_type    modified_at{};  // modification time of the file, taken before it was read
 };
 
 result<settings, findings> read_settings(std::string_view text, const std::string& file_name);
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -5,10 +5,8 @@
 // its reference to the caller, which adds it to the flow's packets.
 #pragma once
 
-#include "entry/flow_tracker.h"
-#include "entry/replica.h"
+#include "entry/placement.h"
 #include "entry/unknown_flows.h"
-#include "tamarack/resilience.h"
 
 namespace tamarack::entry {
 
@@ -44,22 +42,16 @@
     flow_progress        progress{};        // what the packet shows about its flow
 };
 
-// A backend server as a candidate for a new flow.
-struct backend_candidate {
-    const known_backend* backend = nullptr;
-    double               cost = 0;           // waiting requests per slot, plus a surcharge for another failure domain
-    bool                 is_avoided = false; // it has not responded recently
-};
-
 // Explains the destination of a flow. The pointers are valid until the next packet or change of the replica.
 struct flow_explanation {
     const route*                   matched_route = nullptr; // null: no route has the address
     const tracked_flow*            flow = nullptr;          // null: this balancer does not track the flow
-    std::vector<backend_candidate> candidates;              // for a new flow, cheapest first
+    std::vector<backend_candidate> candidates;              // for a new flow; those that may be chosen first
 };
 
 struct steering_settings {
     std::string failure_domain; // of this balancer
+    region_map  regions{};      // by failure domain
     std::size_t flow_capacity = 65'536;
     // After the first synchronization and after an outage of the store, no flow is reset for an unknown reference or a
     // removed backend server during this time.
@@ -69,6 +61,8 @@
 class steering {
 public:
     steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed);
+    steering(const steering&) = delete; // placement_ refers to flows_
+    steering& operator=(const steering&) = delete;
 
     steering_decision   decide(const segment& packet, steady_time now);
     flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
@@ -80,16 +74,10 @@
     steering_decision decide_later_packet(const segment& packet, steady_time now);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
-    const known_backend* choose_backend(const route& matched_route, backend_reference excluded, steady_time now);
-    bool                 wins_tie(const known_backend& left, const known_backend& right);
-    double           cost_of(const known_backend& candidate, const backend_activity& activity, steady_time now) const;
-    std::string_view choose_service(const route& matched_route);
-    void             note_unresponsive(backend_reference reference, steady_time now);
-    duration         syn_answer_timeout() const;
-    bool             is_stalled(const tracked_flow& flow, steady_time now);
-    bool             is_settled(steady_time now) const;
+    bool              is_stalled(const tracked_flow& flow, steady_time now);
+    bool              is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
-    bool             is_confirmed_since_first_packet(const segment& packet, steady_time now);
+    bool              is_confirmed_since_first_packet(const segment& packet, steady_time now);
     static steering_decision refuse(const segment& packet, decision_reason reason, bool is_proved);
     steering_decision        refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now);
     steering_decision refuse_removed(const segment& packet, const known_backend& backend, const tracked_flow* flow,
@@ -98,9 +86,8 @@
     steering_settings settings_;
     const replica&    store_replica_;
     flow_tracker      flows_;
-    random_source     random_;
-    std::uint64_t     tie_break_seed_; // gives each balancer its own order of equal backend servers
-    unknown_flows     unknown_flows_;  // whose route or backend server the replica lacks
+    placement         placement_;
+    unknown_flows     unknown_flows_; // whose route or backend server the replica lacks
 };
 
 } // namespace tamarack::entry
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -62,10 +62,13 @@
     {event::backend_server_registered, severity::info, "backend server registered",
      "Entry balancer: a backend server registered or changed its registration in the store, as `revision`."},
     {event::record_removed, severity::info, "record removed",
-     "Entry balancer: a registration of a backend server or feeder ended. After an outage of the store the line comes "
+     "Entry balancer: a registration of a backend server or feeder, or the evacuation of a failure domain ended. After "
+     "an outage of the store the line comes "
      "when the removal takes effect, since the backend server is held in use for a while."},
     {event::feeder_registered, severity::info, "feeder registered",
      "Entry balancer: a balancer reads the store for the others of its failure domain."},
+    {event::domain_evacuated, severity::info, "failure domain evacuated",
+     "Entry balancer: by order of the operator, backend servers of the failure domain get no new flows."},
 
     {event::packet_delivered, severity::info, "packet delivered",
      "Entry balancer: a SYN (`reason` placed..., `copy`: 0 for the first), the first packet of a request, or a packet "
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -43,6 +43,7 @@
     backend_server_registered = 5003,
     record_removed = 5004,
     feeder_registered = 5005,
+    domain_evacuated = 5006,
 
     packet_delivered = 6001,
     packet_not_delivered = 6002,
