Reset idle flows whose backend server has ended

Change: when the store has confirmed a removal, idle flows on that backend server are reset with the same proof as a packet of such a flow; flows with a request in progress are left alone.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -34,6 +34,7 @@
             packets.decisions_by_reason.at(i);
     }
     metrics["entry_packets_malformed"] = packets.malformed;
+    metrics["entry_flows_orphaned"] = packets.orphaned_flows;
     metrics["entry_syns_stale"] = packets.stale_syns;
     metrics["entry_packets_unsent"] = packets.send_failures;
     metrics["entry_ready"] = status.is_ready ? 1 : 0;
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -306,6 +306,7 @@
     const steady_time current_time = now();
     store_replica.expire(current_time);
     log_new_changes();
+    packets.reset_orphaned_flows();
     flow_steering.expire(current_time);
     sync.set_own_followers(follower_feed.followers(current_time));
     read_store();
--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -90,6 +90,15 @@
     }
 }
 
+void packet_handler::reset_orphaned_flows() {
+    for (const segment& flow : steering_.end_orphaned_flows(time_.steady_now())) {
+        outgoing_actions_.add(action_kind::reply_to_caller, {flow.source.address, reset_port_},
+                              platform::make_reset(flow), {});
+        ++counters_.orphaned_flows;
+    }
+    flush();
+}
+
 void packet_handler::record_progress(const flow_progress& progress) {
     if (progress.handshake_time)
         counters_.handshake_seconds.add(std::chrono::duration<double>(*progress.handshake_time).count());
--- a/daemons/entry/packet_handler.h
+++ b/daemons/entry/packet_handler.h
@@ -16,6 +16,7 @@
     std::array<std::uint64_t, decision_reason_count> decisions_by_reason{}; // indexed by reason
     std::uint64_t                                    malformed = 0;
     std::uint64_t send_failures = 0;                   // datagrams that the operating system did not accept
+    std::uint64_t orphaned_flows = 0;                  // reset while idle, since their backend server had ended
     std::uint64_t stale_syns = 0;                      // dropped, since they waited while the process was paused
     distribution  handshake_seconds{latency_bounds()}; // from a SYN to the caller's reply
     distribution  response_seconds{latency_bounds()};  // from a request to the first response
@@ -33,6 +34,8 @@
     void                   start();
     // Detects that the process was paused. Must be called at every tick.
     void                   check_for_pause();
+    // Resets idle flows whose backend server has ended. Must be called at every tick.
+    void                   reset_orphaned_flows();
     bool                   is_started() const { return is_started_; }
     steady_time            last_packet_at() const { return last_packet_at_; }
     const packet_counters& counters() const { return counters_; }
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -61,7 +61,9 @@
     if (existing == flows_.end() && flows_.size() >= capacity_) return nullptr;
     tracked_flow& flow = existing == flows_.end() ? flows_[key] : existing->second;
     if (existing != flows_.end()) close(flow);
-    flow = {.reference = reference,
+    flow = {.caller = packet.source,
+            .route_address = packet.destination,
+            .reference = reference,
             .next_sequence = packet.sequence + packet.payload_size,
             .acknowledged = packet.syn ? 0 : packet.acknowledged,
             .first_syn = now,
@@ -116,6 +118,19 @@
     return progress;
 }
 
+std::vector<tracked_flow*> flow_tracker::idle_flows(const std::unordered_set<backend_reference>& references) {
+    std::vector<tracked_flow*> idle;
+    for (auto& [key, flow] : flows_) {
+        if (flow.is_open && !flow.is_waiting && references.contains(flow.reference)) idle.push_back(&flow);
+    }
+    return idle;
+}
+
+void flow_tracker::note_reset(tracked_flow& flow, steady_time now) {
+    close(flow);
+    flow.last_seen = now;
+}
+
 void flow_tracker::note_response(backend_activity& activity, steady_time now) {
     activity.last_response = now;
     activity.consecutive_failures = 0;
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -7,6 +7,8 @@
 
 #include "entry/model.h"
 
+#include <unordered_set>
+
 namespace tamarack::entry {
 
 // Load and responsiveness of one backend server, as observed by this balancer.
@@ -26,6 +28,8 @@
 flow_key key_of(const segment& packet);
 
 struct tracked_flow {
+    endpoint          caller;
+    endpoint          route_address;
     backend_reference reference = 0;                 // of the flow's backend server
     std::uint32_t     next_sequence = 0;             // sequence number after the data that the caller has sent
     std::uint32_t     acknowledged = 0;              // by the caller
@@ -61,6 +65,11 @@
     // Assigns a flow that is not open to another backend server.
     void                reassign(tracked_flow& flow, backend_reference reference);
 
+    // Open flows of these backend servers that wait for no answer. Checks the whole table.
+    std::vector<tracked_flow*> idle_flows(const std::unordered_set<backend_reference>& references);
+    // The flow has been reset.
+    void                       note_reset(tracked_flow& flow, steady_time now);
+
     // A SYN is forwarded to the backend server.
     void     note_syn(backend_reference reference, steady_time now);
     // Smoothed time from a SYN to the caller's answer to the SYN+ACK.
--- /dev/null
+++ b/entry/orphaned_flows.h
@@ -0,0 +1,32 @@
+// Finds the backend servers that have ended and may still have idle flows here.
+//
+// Load pattern: callers keep flows open with pauses of seconds between their requests. When a backend server ends
+// without closing its flows, the next request on each of them would be lost, and a request that must not run twice is
+// not repeated by its caller. A reset while the flow is idle costs the caller nothing: the next request opens a new
+// flow.
+#pragma once
+
+#include "entry/replica.h"
+
+#include <unordered_set>
+
+namespace tamarack::entry {
+
+class orphaned_flows {
+public:
+    explicit orphaned_flows(const replica& store_replica) : store_replica_(store_replica) {}
+
+    // Backend servers whose removal has been noticed since the last call of clear. Cheap unless the replica has
+    // changed.
+    const std::unordered_set<backend_reference>& ended_backends(steady_time now);
+    // The idle flows of these backend servers have been reset.
+    void                                         clear() { ended_backends_.clear(); }
+
+private:
+    const replica&                        store_replica_;
+    std::unordered_set<backend_reference> ended_backends_;
+    std::uint64_t                         checked_generation_ = 0; // of the replica
+    steady_time                           checked_at_{};
+};
+
+} // namespace tamarack::entry
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -26,7 +26,8 @@
 
 steering::steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed)
     : settings_(settings), store_replica_(store_replica), flows_(settings.flow_capacity),
-      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed) {}
+      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed),
+      orphaned_flows_(store_replica) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
@@ -158,6 +159,25 @@
     return refuse(packet, decision_reason::backend_gone, is_proved);
 }
 
+// The store has confirmed the removal, and it has been available for long enough: registrations may expire during an
+// outage although their backend servers live.
+std::vector<segment> steering::end_orphaned_flows(steady_time now) {
+    const auto& ended_backends = orphaned_flows_.ended_backends(now);
+    if (ended_backends.empty() || !is_settled(now)) return {};
+    std::vector<segment> resets;
+    for (tracked_flow* flow : flows_.idle_flows(ended_backends)) {
+        if (flow->first_syn >= *store_replica_.find_backend(flow->reference)->removed_at) continue;
+        segment reset;
+        reset.source = flow->caller;
+        reset.destination = flow->route_address;
+        reset.acknowledged = flow->acknowledged;
+        resets.push_back(reset);
+        flows_.note_reset(*flow, now);
+    }
+    orphaned_flows_.clear();
+    return resets;
+}
+
 // Load pattern: a backend server that stops responding usually has many open flows. Their requests are retransmitted
 // without progress before a new flow shows the failure. A single stalled flow is enough to direct new flows elsewhere.
 bool steering::is_stalled(const tracked_flow& flow, steady_time now) {
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -5,6 +5,7 @@
 // its reference to the caller, which adds it to the flow's packets.
 #pragma once
 
+#include "entry/orphaned_flows.h"
 #include "entry/placement.h"
 #include "entry/unknown_flows.h"
 
@@ -64,10 +65,13 @@
     steering(const steering&) = delete; // placement_ refers to flows_
     steering& operator=(const steering&) = delete;
 
-    steering_decision   decide(const segment& packet, steady_time now);
-    flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
-    void                expire(steady_time now);
-    const flow_tracker& flows() const { return flows_; }
+    steering_decision    decide(const segment& packet, steady_time now);
+    flow_explanation     explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
+    // Idle flows whose backend server has ended, to be reset now: the segments name the caller, the route and the
+    // caller's last acknowledgement. To be called at every tick.
+    std::vector<segment> end_orphaned_flows(steady_time now);
+    void                 expire(steady_time now);
+    const flow_tracker&  flows() const { return flows_; }
 
 private:
     steering_decision decide_syn(const segment& packet, steady_time now);
@@ -87,6 +91,7 @@
     const replica&    store_replica_;
     flow_tracker      flows_;
     placement         placement_;
+    orphaned_flows    orphaned_flows_;
     unknown_flows     unknown_flows_; // whose route or backend server the replica lacks
 };
 
