Limit the new flows of backend servers during their warm-up

A server that has just started, or returns from an evacuation, could get flows from all hosts at once. Only one feeder at a time may place flows on it now, up to half of the limit in a sliding second.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -45,6 +45,9 @@
     metrics["entry_log_lines_omitted"] = status.omitted_log_lines;
     metrics["entry_accepts_failed"] = status.failed_accepts;
     metrics["entry_listeners_missing"] = status.missing_listeners;
+    metrics["entry_warmup_flows"] = status.warmup_flows;
+    metrics["entry_warmup_servers"] = status.warmup_servers;
+    metrics["entry_warmup_servers_owned"] = status.warmup_servers_owned;
     if (const auto bytes = peak_memory()) metrics["entry_memory_peak_bytes"] = *bytes;
     metrics["entry_configuration_version"] = store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
     metrics["entry_store_revision"] = store_replica.complete_revision().number;
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -15,9 +15,12 @@
     unsigned                             restarts = 0;          // of this process, after exceptions
     std::uint64_t                        omitted_log_lines = 0;
     std::uint64_t                        failed_accepts = 0;
-    std::size_t                          missing_listeners = 0; // optional ones that are not open
-    std::map<std::string, std::uint64_t> calls_by_result;       // by outcome of a read, or "claim_" + that of a claim
-    std::map<std::string, std::uint64_t> calls_by_kind;         // by source and kind of call
+    std::size_t                          missing_listeners = 0;    // optional ones that are not open
+    std::uint64_t                        warmup_flows = 0;         // placed on backend servers under a warm-up limit
+    std::size_t                          warmup_servers = 0;       // backend servers under a warm-up limit
+    std::size_t                          warmup_servers_owned = 0; // of these: the balancer may place flows on them
+    std::map<std::string, std::uint64_t> calls_by_result; // by outcome of a read, or "claim_" + that of a claim
+    std::map<std::string, std::uint64_t> calls_by_kind;   // by source and kind of call
 };
 
 std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -35,6 +35,8 @@
         return "returning";
     case exclusion::region_not_allowed:
         return "region_not_allowed";
+    case exclusion::warmup_limit:
+        return "warmup_limit";
     case exclusion::tried_before:
         return "tried_before";
     case exclusion::unresponsive:
@@ -45,8 +47,8 @@
 
 placement::placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
                      std::uint64_t random_seed)
-    : settings_(std::move(settings)), store_replica_(store_replica), flows_(flows), random_(random_seed),
-      tie_break_seed_(random_()) {}
+    : settings_(std::move(settings)), store_replica_(store_replica), flows_(flows),
+      warmup_(settings_.warmup, store_replica), random_(random_seed), tie_break_seed_(random_()) {}
 
 //----------------------------------------------------------------------------------------------------------------------
 // Rules
@@ -69,6 +71,7 @@
                                   steady_time now) const {
     if (store_replica_.is_evacuated(backend.registration.failure_domain)) return exclusion::evacuated;
     if (!is_in_allowed_region(backend, matched_route)) return exclusion::region_not_allowed;
+    if (!warmup_.may_place(backend, now)) return exclusion::warmup_limit;
     if (is_returning(backend, returning_position, now)) return exclusion::returning;
     return exclusion::none;
 }
@@ -111,6 +114,7 @@
 }
 
 const known_backend* placement::choose(const route& matched_route, backend_reference tried, steady_time now) {
+    note_feeders(now);
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
@@ -154,7 +158,9 @@
     const bool              is_warming_up = now < backend.registration_received + backend.registration.warmup_remaining;
     const double            slots = std::max(1U, backend.registration.slots);
     const double load = activity.waiting_flows + activity.unanswered_syns + idle_flow_load * activity.open_flows;
-    const double cost = (load + 1.0) * (is_warming_up ? warmup_factor : 1.0) / slots;
+    // The owner of a limited backend server knows all of its load. Of other backend servers a balancer sees a part.
+    const double unseen_load = warmup_.is_limited(backend, now) ? 0.0 : 1.0;
+    const double cost = (load + unseen_load) * (is_warming_up ? warmup_factor : 1.0) / slots;
     return backend.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
 }
 
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -10,6 +10,7 @@
 
 #include "entry/flow_tracker.h"
 #include "entry/replica.h"
+#include "entry/warmup_limit.h"
 #include "tamarack/resilience.h"
 
 namespace tamarack::entry {
@@ -20,6 +21,7 @@
     evacuated,          // the operator has evacuated its failure domain
     returning,          // the evacuation of its failure domain has just ended, and flows return gradually
     region_not_allowed, // the route allows other regions only
+    warmup_limit,       // it is warming up, and this balancer may place no further flow on it now
     tried_before,       // a SYN of this flow went there and was not answered
     unresponsive,       // it has not responded lately; chosen if there is no other candidate
 };
@@ -37,8 +39,9 @@
 using region_map = std::map<std::string, std::string, std::less<>>;
 
 struct placement_settings {
-    std::string failure_domain; // of this balancer
-    region_map  regions;        // by failure domain; a failure domain without an entry is in no region
+    std::string           failure_domain; // of this balancer
+    region_map            regions;        // by failure domain; a failure domain without an entry is in no region
+    warmup_limit_settings warmup{};
 };
 
 class placement {
@@ -54,6 +57,12 @@
     // All candidates of all services of the route, those that would be chosen first.
     std::vector<backend_candidate> explain(const route& matched_route, steady_time now) const;
 
+    // The SYN of a new flow, or of one that moves, is delivered to the backend server.
+    void note_placed(const known_backend& backend, steady_time now) { warmup_.note_placed(backend, now); }
+    // To be called regularly, so that changes of the registered feeders are noticed without new flows.
+    void note_feeders(steady_time now) { warmup_.observe_feeders(now); }
+    const warmup_limit& warmup() const { return warmup_; }
+
     // The backend server has not answered a SYN or a request in time.
     void     note_unresponsive(backend_reference reference, steady_time now);
     // Time after which a SYN that has not been answered counts as a failure of the backend server.
@@ -78,6 +87,7 @@
     placement_settings settings_;
     const replica&     store_replica_;
     flow_tracker&      flows_;
+    warmup_limit       warmup_;
     random_source      random_;
     std::uint64_t      tie_break_seed_; // gives each balancer its own order of equal backend servers
 };
--- a/entry/replica_evacuation.cpp
+++ b/entry/replica_evacuation.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-// Flows return to a failure domain within a fraction of this time.
-constexpr duration evacuation_end_retention = std::chrono::minutes(2);
+// Backend servers may warm up for up to ten minutes after an evacuation.
+constexpr duration evacuation_end_retention = std::chrono::minutes(11);
 
 } // namespace
 
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -26,7 +26,7 @@
 
 steering::steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed)
     : settings_(settings), store_replica_(store_replica), flows_(settings.flow_capacity),
-      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed) {}
+      placement_({settings.failure_domain, settings.regions, settings.warmup}, store_replica, flows_, random_seed) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
@@ -86,6 +86,7 @@
         flows_.start(packet, chosen->reference, now);
     }
     flows_.note_syn(chosen->reference, now);
+    placement_.note_placed(*chosen, now);
     return {packet_action::deliver, is_retransmission ? decision_reason::placed_elsewhere : decision_reason::placed,
             chosen};
 }
@@ -183,6 +184,7 @@
     const routing_table* routing = store_replica_.routing();
     flows_.expire(now, routing == nullptr ? std::chrono::seconds(15) : routing->idle_timeout);
     unknown_flows_.expire(now);
+    placement_.note_feeders(now);
 }
 
 } // namespace tamarack::entry
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -50,12 +50,13 @@
 };
 
 struct steering_settings {
-    std::string failure_domain; // of this balancer
-    region_map  regions{};      // by failure domain
-    std::size_t flow_capacity = 65'536;
+    std::string           failure_domain; // of this balancer
+    region_map            regions{};      // by failure domain
+    std::size_t           flow_capacity = 65'536;
+    warmup_limit_settings warmup{};
     // After the first synchronization and after an outage of the store, no flow is reset for an unknown reference or a
     // removed backend server during this time.
-    duration    settle_time = std::chrono::seconds(4);
+    duration              settle_time = std::chrono::seconds(4);
 };
 
 class steering {
@@ -68,6 +69,7 @@
     flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
     void                expire(steady_time now);
     const flow_tracker& flows() const { return flows_; }
+    const warmup_limit& warmup() const { return placement_.warmup(); }
 
 private:
     steering_decision decide_syn(const segment& packet, steady_time now);
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -362,6 +362,69 @@
     BOOST_TEST(other_count < 150);
 }
 
+// Guards against flows that leave their route's regions when the backend servers there are gone, evacuated or silent.
+struct regions_fixture : balancer_fixture {
+    steering regional_decisions{
+        {.failure_domain = "north", .regions = {{"north", "upland"}, {"south", "coast"}, {"east", "coast"}}},
+        store_replica,
+        1};
+
+    regions_fixture() {
+        route coastal{"coastal", service_address, {{"desk", 1}}, request_kind::idempotent};
+        coastal.allowed_regions = {"coast"};
+        load_records({configuration_record(1, 1, {coastal}), backend_record(2, registration_of(1)),
+                      backend_record(3, registration_of(2, "south")), backend_record(4, registration_of(3, "east")),
+                      backend_record(5, registration_of(4, "unmapped"))},
+                     5);
+    }
+    // The failure domain of the chosen backend server; empty: the caller got a reset.
+    std::string domain_of(const segment& packet) {
+        const auto decision = regional_decisions.decide(packet, time.steady_now());
+        BOOST_TEST((decision.action != packet_action::drop));
+        return decision.backend == nullptr ? "" : decision.backend->registration.failure_domain;
+    }
+    void evacuate(std::uint64_t revision, const std::string& domain) {
+        store_replica.apply({"evacuation/" + domain, at_revision(revision), evacuation{domain}, "{}"},
+                            time.steady_now());
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(a_flow_stays_in_the_regions_of_its_route, regions_fixture) {
+    for (std::uint16_t port = 1; port <= 50; ++port) { // unanswered, so that the allowed servers look unresponsive
+        const std::string domain = domain_of(syn_packet(port));
+        BOOST_TEST((domain == "south" || domain == "east"), domain);
+        time.advance(20ms);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_retransmitted_syn_stays_in_the_regions_of_its_route, regions_fixture) {
+    const std::string first = domain_of(syn_packet(1));
+    time.advance(200ms);
+    const std::string second = domain_of(syn_packet(1, 1));
+    time.advance(400ms);
+    const std::string third = domain_of(syn_packet(1, 2));
+    BOOST_TEST(first != second);
+    BOOST_TEST((second == "south" || second == "east"), second);
+    BOOST_TEST((third == "south" || third == "east"), third);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_flow_is_reset_if_its_regions_have_no_backend_server_left, regions_fixture) {
+    const std::string first = domain_of(syn_packet(1));
+    evacuate(6, first);
+    const std::string other = domain_of(syn_packet(1, 1));
+    BOOST_TEST(other == (first == "south" ? "east" : "south"));
+    evacuate(7, other);
+    BOOST_TEST(domain_of(syn_packet(1, 2)).empty());
+    BOOST_TEST(domain_of(syn_packet(2)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_flow_is_reset_if_the_backend_servers_of_its_regions_are_removed, regions_fixture) {
+    time.advance(10s); // removals just after the start are held
+    store_replica.apply(removal_record(6, 2), time.steady_now());
+    store_replica.apply(removal_record(7, 3), time.steady_now());
+    BOOST_TEST(domain_of(syn_packet(1)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(waiting_requests_are_counted_until_the_caller_acknowledges_an_answer) {
     flow_tracker      flows(4);
     const steady_time now{};
