Explain where the next new flow would go and why

An operator could see the candidates of a flow, but not the outcome: draws between services, returning failure domains and refusals were left out. The status page now tries the decision on a copy of the balancer's state and shows the route, the decision, the services' shares, and each candidate with the rule against it.

--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -31,6 +31,27 @@
     return shares;
 }
 
+std::string_view name_of(request_kind kind) {
+    switch (kind) {
+    case request_kind::idempotent:
+        return "idempotent";
+    case request_kind::non_idempotent:
+        return "non_idempotent";
+    case request_kind::upload:
+        return "upload";
+    case request_kind::download:
+        return "download";
+    }
+    return "unknown";
+}
+
+std::string format_regions(const route& configured_route) {
+    std::string regions;
+    for (const std::string& region : configured_route.allowed_regions)
+        regions += (regions.empty() ? "" : ",") + region;
+    return regions.empty() ? "all" : regions;
+}
+
 std::string format_hundredths(double value) {
     constexpr int hundred = 100;
     const auto    rounded_hundredths = std::lround(value * hundred);
@@ -38,6 +59,27 @@
     return std::to_string(rounded_hundredths / hundred) + "." + (fraction.size() < 2 ? "0" : "") + fraction;
 }
 
+// A line for each service of the route, with the number of its candidates.
+std::string shares(const flow_explanation& explanation) {
+    const auto count_of = [&explanation](const auto& matches) {
+        return static_cast<std::uint64_t>(std::ranges::count_if(explanation.candidates, matches));
+    };
+    std::string text;
+    for (const service_share& share : explanation.matched_route->services) {
+        const auto is_of_service = [&share](const backend_candidate& candidate) {
+            return candidate.backend->registration.service == share.service;
+        };
+        const auto is_eligible = [&](const backend_candidate& candidate) {
+            return is_of_service(candidate) && candidate.excluded == exclusion::none;
+        };
+        text += format_line("share", {{"service", share.service},
+                                      {"weight", share.weight},
+                                      {"candidates", count_of(is_of_service)},
+                                      {"eligible", count_of(is_eligible)}});
+    }
+    return text;
+}
+
 } // namespace
 
 std::optional<std::string> status_page::render(std::string_view target, steady_time now) const {
@@ -60,11 +102,12 @@
                                       {"address", configured_route.address.to_string()},
                                       {"services", format_shares(configured_route)}});
     }
-    for (const auto& [key, evacuated] : store_replica_.evacuations())
+    for (const auto& [key, evacuated] : store_replica_.evacuations()) {
         text += format_line("evacuation", {{"failure_domain", evacuated.failure_domain},
                                            {"epoch", evacuated.revision.epoch},
                                            {"revision", evacuated.revision.number},
                                            {"held", evacuated.held_removal_due ? "yes" : "no"}});
+    }
     return text;
 }
 
@@ -110,11 +153,18 @@
     const auto caller = endpoint::parse(platform::query_parameter(target, "caller").value_or(""));
     const auto route_address = endpoint::parse(platform::query_parameter(target, "route").value_or(""));
     if (!caller || !route_address) return std::nullopt;
-    const flow_explanation explanation = steering_.explain(*caller, *route_address, now);
+    const flow_explanation   explanation = steering_.explain(*caller, *route_address, now);
+    const steering_decision& next = explanation.next_decision;
     if (explanation.matched_route == nullptr)
-        return format_line("flow", {{"outcome", "reset"}, {"reason", to_string(decision_reason::no_route)}});
-    std::string text = format_line(
-        "route", {{"name", explanation.matched_route->name}, {"services", format_shares(*explanation.matched_route)}});
+        return format_line("flow", {{"outcome", to_string(next.action)}, {"reason", to_string(next.reason)}});
+    const route& matched_route = *explanation.matched_route;
+    std::string  text = format_line("route", {{"name", matched_route.name},
+                                              {"services", format_shares(matched_route)},
+                                              {"kind", name_of(matched_route.kind)},
+                                              {"priority", matched_route.priority},
+                                              {"response_goal_ms", to_milliseconds(matched_route.response_goal)},
+                                              {"time_limit_ms", to_milliseconds(matched_route.time_limit)},
+                                              {"regions", format_regions(matched_route)}});
     if (explanation.flow != nullptr) {
         const known_backend* backend = store_replica_.find_backend(explanation.flow->reference);
         text += format_line(
@@ -128,12 +178,21 @@
         text += format_line("flow",
                             {{"state", "not tracked here"}, {"goes_to", "where the reference in its packets points"}});
     }
+    text += format_line("new_flow",
+                        {{"outcome", to_string(next.action)},
+                         {"reason", to_string(next.reason)},
+                         {"backend_server", next.backend == nullptr ? "none" : next.backend->registration.name}});
+    text += shares(explanation);
     for (const backend_candidate& candidate : explanation.candidates) {
-        text += format_line("candidate", {{"backend_server", candidate.backend->registration.name},
-                                          {"service", candidate.backend->registration.service},
+        const backend_registration& registration = candidate.backend->registration;
+        text += format_line("candidate", {{"backend_server", registration.name},
+                                          {"service", registration.service},
                                           {"cost", format_hundredths(candidate.cost)},
                                           {"avoided", candidate.excluded == exclusion::unresponsive ? "yes" : "no"},
-                                          {"excluded", to_string(candidate.excluded)}});
+                                          {"excluded", to_string(candidate.excluded)},
+                                          {"chosen", candidate.backend == next.backend ? "yes" : "no"},
+                                          {"failure_domain", registration.failure_domain},
+                                          {"region", candidate.region.empty() ? "none" : candidate.region}});
     }
     return text;
 }
--- a/daemons/entry/status_page.h
+++ b/daemons/entry/status_page.h
@@ -17,7 +17,7 @@
     //   /backend-servers[?service=NAME]    the registered backend servers with the load that this balancer sees
     //   /balancers                         the feeders: balancers that read the store for others
     //   /flow?caller=ADDRESS:PORT&route=ADDRESS:PORT
-    //                                      the explanation of a flow
+    //                                      the explanation of a flow, and where a new one would go now and why
     // Returns nullopt for other targets and for invalid addresses.
     std::optional<std::string> render(std::string_view target, steady_time now) const;
 
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -50,18 +50,6 @@
     return store_replica.routing() == nullptr ? 0 : store_replica.routing()->version;
 }
 
-std::string_view outcome_of(packet_action action) {
-    switch (action) {
-    case packet_action::deliver:
-        return "delivered";
-    case packet_action::reset:
-        return "reset";
-    case packet_action::drop:
-        return "dropped";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 event_log::event_log(const clock& time, std::string balancer)
@@ -275,7 +263,7 @@
           {{"request", request.empty() ? "unknown" : request},
            {"flow", flow_name(packet)},
            {"reason", to_string(decision.reason)},
-           {"outcome", outcome_of(decision.action)},
+           {"outcome", to_string(decision.action)},
            {"backend_server", is_delivered ? decision.backend->registration.name : std::string("none")},
            {"copy", packet.syn ? packet.acknowledged : 0},
            {"version", version_of(store_replica)},
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -55,6 +55,13 @@
     return found == nullptr ? no_activity : *found;
 }
 
+flow_tracker flow_tracker::without_flows() const {
+    flow_tracker copy(capacity_);
+    copy.activity_ = activity_;
+    copy.handshake_time_ = handshake_time_;
+    return copy;
+}
+
 tracked_flow* flow_tracker::start(const segment& packet, backend_reference reference, steady_time now) {
     const flow_key key = key_of(packet);
     const auto     existing = flows_.find(key);
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -51,6 +51,8 @@
 class flow_tracker {
 public:
     explicit flow_tracker(std::size_t capacity) : capacity_(capacity) {}
+    // A copy that knows the activity of the backend servers, but no flow.
+    flow_tracker without_flows() const;
 
     tracked_flow*       find(const segment& packet);
     const tracked_flow* find(const segment& packet) const;
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -41,6 +41,8 @@
         return "tried_before";
     case exclusion::unresponsive:
         return "unresponsive";
+    case exclusion::other_service:
+        return "other_service";
     }
     return "unknown";
 }
@@ -50,15 +52,24 @@
     : settings_(std::move(settings)), store_replica_(store_replica), flows_(flows),
       warmup_(settings_.warmup, store_replica), random_(random_seed), tie_break_seed_(random_()) {}
 
+placement::placement(const placement& other, flow_tracker& flows)
+    : settings_(other.settings_), store_replica_(other.store_replica_), flows_(flows), warmup_(other.warmup_),
+      random_(other.random_), tie_break_seed_(other.tie_break_seed_) {}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Rules
 //----------------------------------------------------------------------------------------------------------------------
 
+std::string_view placement::region_of(const known_backend& backend) const {
+    const auto region = settings_.regions.find(backend.registration.failure_domain);
+    return region == settings_.regions.end() ? std::string_view() : region->second;
+}
+
 bool placement::is_in_allowed_region(const known_backend& backend, const route& matched_route) const {
     if (matched_route.allowed_regions.empty()) return true;
-    const auto region = settings_.regions.find(backend.registration.failure_domain);
-    return region != settings_.regions.end() &&
-           std::ranges::find(matched_route.allowed_regions, region->second) != matched_route.allowed_regions.end();
+    const std::string_view region = region_of(backend);
+    return !region.empty() &&
+           std::ranges::find(matched_route.allowed_regions, region) != matched_route.allowed_regions.end();
 }
 
 bool placement::is_returning(const known_backend& backend, double position, steady_time now) const {
@@ -96,21 +107,31 @@
     return handshake_factor * flows_.handshake_time() + handshake_margin;
 }
 
+// Whether choose takes the backend server for unresponsive, also if it has not noticed yet.
+bool placement::is_avoided(const backend_activity& activity, steady_time now) const {
+    const bool is_answer_missing =
+        activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout();
+    return is_answer_missing || now < activity.avoid_until;
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Choice
 //----------------------------------------------------------------------------------------------------------------------
 
-std::string_view placement::choose_service(const route& matched_route) {
+placement::flow_draw placement::draw_for(const route& matched_route, random_source& random) {
+    flow_draw     drawn{.returning_position = std::uniform_real_distribution<double>()(random),
+                        .service = matched_route.services.front().service};
     std::uint32_t total_weight = 0;
     for (const service_share& share : matched_route.services)
         total_weight += share.weight;
-    if (total_weight == 0 || matched_route.services.size() == 1) return matched_route.services.front().service;
-    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random_);
+    if (total_weight == 0 || matched_route.services.size() == 1) return drawn;
+    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random);
     for (const service_share& share : matched_route.services) {
-        if (position < share.weight) return share.service;
+        drawn.service = share.service;
+        if (position < share.weight) break;
         position -= share.weight;
     }
-    return matched_route.services.back().service;
+    return drawn;
 }
 
 const known_backend* placement::choose(const route& matched_route, backend_reference tried, steady_time now) {
@@ -118,9 +139,9 @@
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
-    const double         returning_position = std::uniform_real_distribution<double>()(random_);
-    for (const known_backend* candidate : store_replica_.available_backends(choose_service(matched_route))) {
-        const exclusion rule = rule_against(*candidate, matched_route, returning_position, now);
+    const flow_draw      drawn = draw_for(matched_route, random_);
+    for (const known_backend* candidate : store_replica_.available_backends(drawn.service)) {
+        const exclusion rule = rule_against(*candidate, matched_route, drawn.returning_position, now);
         if (rule != exclusion::none && rule != exclusion::returning) continue;
         const backend_activity& activity = flows_.activity(candidate->reference);
         if (activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout())
@@ -165,18 +186,22 @@
 }
 
 std::vector<backend_candidate> placement::explain(const route& matched_route, steady_time now) const {
+    random_source                  next_random = random_;
+    const flow_draw                drawn = draw_for(matched_route, next_random);
     std::vector<backend_candidate> candidates;
     for (const service_share& share : matched_route.services) {
         for (const known_backend* backend : store_replica_.available_backends(share.service)) {
-            exclusion rule = rule_against(*backend, matched_route, 0.5, now);
-            if (rule == exclusion::none && now < flows_.activity(backend->reference).avoid_until)
+            exclusion rule = rule_against(*backend, matched_route, drawn.returning_position, now);
+            if (rule == exclusion::none && share.service != drawn.service) rule = exclusion::other_service;
+            if (rule == exclusion::none && is_avoided(flows_.activity(backend->reference), now))
                 rule = exclusion::unresponsive;
-            candidates.push_back({backend, cost_of(*backend, now), rule});
+            candidates.push_back({backend, cost_of(*backend, now), rule, region_of(*backend)});
         }
     }
-    std::ranges::sort(candidates, [](const backend_candidate& left, const backend_candidate& right) {
-        return std::pair(left.excluded != exclusion::none, left.cost) <
-               std::pair(right.excluded != exclusion::none, right.cost);
+    std::ranges::sort(candidates, [this](const backend_candidate& left, const backend_candidate& right) {
+        const std::pair left_rank(left.excluded != exclusion::none, left.cost);
+        const std::pair right_rank(right.excluded != exclusion::none, right.cost);
+        return left_rank != right_rank ? left_rank < right_rank : wins_tie(*left.backend, *right.backend);
     });
     return candidates;
 }
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -24,6 +24,7 @@
     warmup_limit,       // it is warming up, and this balancer may place no further flow on it now
     tried_before,       // a SYN of this flow went there and was not answered
     unresponsive,       // it has not responded lately; chosen if there is no other candidate
+    other_service,      // the route is split, and this flow falls to another service
 };
 
 std::string_view to_string(exclusion reason);
@@ -33,6 +34,7 @@
     const known_backend* backend = nullptr;
     double               cost = 0; // waiting requests per slot, plus a surcharge for another failure domain
     exclusion            excluded = exclusion::none;
+    std::string_view     region{}; // of its failure domain; empty: none
 };
 
 // Regions of the failure domains, by name.
@@ -49,12 +51,16 @@
     placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
               std::uint64_t random_seed);
 
+    // A copy that decides as the other one would, with its own counts.
+    placement(const placement& other, flow_tracker& flows);
+
     // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
     // and was not answered; 0: none.
     const known_backend*           choose(const route& matched_route, backend_reference tried, steady_time now);
     // Whether a retransmitted SYN may still go to the backend server that was chosen for the first one.
     bool                           allows(const known_backend& backend, const route& matched_route) const;
-    // All candidates of all services of the route, those that would be chosen first.
+    // All candidates of all services of the route, as the next flow finds them: those that may be chosen first, the
+    // cheapest at the head.
     std::vector<backend_candidate> explain(const route& matched_route, steady_time now) const;
 
     // The SYN of a new flow, or of one that moves, is delivered to the backend server.
@@ -74,9 +80,17 @@
         double               cost = 0;
     };
 
+    // The random part of a choice.
+    struct flow_draw {
+        double           returning_position = 0; // 0 to 1; the flow goes to domains that have returned this far
+        std::string_view service;
+    };
+
+    static flow_draw draw_for(const route& matched_route, random_source& random);
     void             offer(choice& best, const known_backend& candidate, steady_time now) const;
-    std::string_view choose_service(const route& matched_route);
+    std::string_view region_of(const known_backend& backend) const; // empty: none
     bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
+    bool             is_avoided(const backend_activity& activity, steady_time now) const;
     // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
     exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
                                   steady_time now) const;
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -17,6 +17,18 @@
 
 } // namespace
 
+std::string_view to_string(packet_action action) {
+    switch (action) {
+    case packet_action::deliver:
+        return "delivered";
+    case packet_action::reset:
+        return "reset";
+    case packet_action::drop:
+        return "dropped";
+    }
+    return "unknown";
+}
+
 std::string_view to_string(decision_reason reason) {
     static constexpr std::array<std::string_view, decision_reason_count> names = {
         "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",     "by_flow",
@@ -28,6 +40,10 @@
     : settings_(settings), store_replica_(store_replica), flows_(settings.flow_capacity),
       placement_({settings.failure_domain, settings.regions, settings.warmup}, store_replica, flows_, random_seed) {}
 
+steering::steering(const steering& other, without_flows)
+    : settings_(other.settings_), store_replica_(other.store_replica_), flows_(other.flows_.without_flows()),
+      placement_(other.placement_, flows_) {}
+
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
 }
@@ -91,14 +107,18 @@
             chosen};
 }
 
+// The decision is tried on a copy, so that it follows the same rules as the next one and changes nothing.
 flow_explanation steering::explain(const endpoint& caller, const endpoint& route_address, steady_time now) const {
     segment packet;
     packet.source = caller;
     packet.destination = route_address;
-    flow_explanation explanation{
-        .matched_route = store_replica_.find_route(route_address), .flow = flows_.find(packet), .candidates = {}};
-    if (explanation.matched_route == nullptr) return explanation;
-    explanation.candidates = placement_.explain(*explanation.matched_route, now);
+    packet.syn = true;
+    flow_explanation explanation{.matched_route = store_replica_.find_route(route_address),
+                                 .flow = flows_.find(packet)};
+    if (explanation.matched_route != nullptr)
+        explanation.candidates = placement_.explain(*explanation.matched_route, now);
+    steering trial(*this, without_flows{});
+    explanation.next_decision = trial.decide(packet, now);
     return explanation;
 }
 
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -32,6 +32,7 @@
 };
 inline constexpr std::size_t decision_reason_count = 11;
 
+std::string_view to_string(packet_action action); // past tense, as the outcome of a packet
 std::string_view to_string(decision_reason reason);
 
 struct steering_decision {
@@ -46,7 +47,8 @@
 struct flow_explanation {
     const route*                   matched_route = nullptr; // null: no route has the address
     const tracked_flow*            flow = nullptr;          // null: this balancer does not track the flow
-    std::vector<backend_candidate> candidates;              // for a new flow; those that may be chosen first
+    steering_decision              next_decision{};         // if the next packet is the SYN of a new flow on the route
+    std::vector<backend_candidate> candidates{};            // for that flow; those that may be chosen first
 };
 
 struct steering_settings {
@@ -72,6 +74,11 @@
     const warmup_limit& warmup() const { return placement_.warmup(); }
 
 private:
+    // A copy for trying a decision. All parts that decide on new flows are copied; the flows are not, since they are
+    // many and concern other packets only.
+    struct without_flows {};
+    steering(const steering& other, without_flows);
+
     steering_decision decide_syn(const segment& packet, steady_time now);
     steering_decision decide_later_packet(const segment& packet, steady_time now);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
