--- a/entry/steering.h
+++ b/entry/steering.h
@@ -5,6 +5,7 @@
 // its reference to the caller, which adds it to the flow's packets.
 #pragma once
 
+#include "entry/orphaned_flows.h"
 #include "entry/placement.h"
 #include "entry/unknown_flows.h"
 
@@ -67,11 +68,14 @@
     steering(const steering&) = delete; // placement_ refers to flows_
     steering& operator=(const steering&) = delete;
 
-    steering_decision   decide(const segment& packet, steady_time now);
-    flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
-    void                expire(steady_time now);
-    const flow_tracker& flows() const { return flows_; }
-    const warmup_limit& warmup() const { return placement_.warmup(); }
+    steering_decision    decide(const segment& packet, steady_time now);
+    flow_explanation     explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
+    // Idle flows whose backend server has ended, to be reset now: the segments name the caller, the route and the
+    // caller's last acknowledgement. To be called at every tick.
+    std::vector<segment> end_orphaned_flows(steady_time now);
+    void                 expire(steady_time now);
+    const flow_tracker&  flows() const { return flows_; }
+    const warmup_limit&  warmup() const { return placement_.warmup(); }
 
 private:
     // A copy for trying a decision. All parts that decide on new flows are copied; the flows are not, since they are
@@ -96,6 +100,7 @@
     const replica&    store_replica_;
     flow_tracker      flows_;
     placement         placement_;
+    orphaned_flows    orphaned_flows_;
     unknown_flows     unknown_flows_; // whose route or backend server the replica lacks
 };
 
