Hold SYNs that arrive before the first listing, and place them with it

A host that starts read no packets before its first listing, so that it did not know their age: after 190 ms it dropped all SYNs that had waited, and their callers waited for the next copy.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -16,6 +16,16 @@
     }
 }
 
+void add_pending_counts(const pending_syns& pending, counter_map& metrics) {
+    metrics["entry_syns_held"] = pending.syns().held;
+    metrics["entry_syns_released"] = pending.syns().released;
+    metrics["entry_syns_expired"] = pending.syns().expired;
+    metrics["entry_syns_replaced"] = pending.syns().replaced;
+    metrics["entry_packets_held"] = pending.later_packets().held;
+    metrics["entry_packets_released"] = pending.later_packets().released;
+    metrics["entry_packets_not_held"] = pending.refused_count();
+}
+
 // Bytes of physical memory that the process has used at most; nullopt if the host does not tell.
 std::optional<std::uint64_t> peak_memory() {
     constexpr std::uint64_t bytes_per_kilobyte = 1'024;
@@ -26,8 +36,8 @@
 
 } // namespace
 
-std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
-                           steady_time now) {
+std::string format_metrics(const packet_counters& packets, const pending_syns& pending, const process_status& status,
+                           const replica& store_replica, steady_time now) {
     counter_map metrics;
     for (std::size_t i = 0; i < decision_reason_count; ++i) {
         metrics["entry_decisions_" + std::string(to_string(static_cast<decision_reason>(i)))] =
@@ -35,6 +45,7 @@
     }
     metrics["entry_packets_malformed"] = packets.malformed;
     metrics["entry_syns_stale"] = packets.stale_syns;
+    add_pending_counts(pending, metrics);
     metrics["entry_packets_unsent"] = packets.send_failures;
     metrics["entry_ready"] = status.is_ready ? 1 : 0;
     metrics["entry_feeding"] = status.is_feeder ? 1 : 0;
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -20,7 +20,7 @@
     std::map<std::string, std::uint64_t> calls_by_kind;         // by source and kind of call
 };
 
-std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
-                           steady_time now);
+std::string format_metrics(const packet_counters& packets, const pending_syns& pending, const process_status& status,
+                           const replica& store_replica, steady_time now);
 
 } // namespace tamarack::entry
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -22,9 +22,6 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds tick_interval(100);
-// The longest time that packets wait in the socket's buffer for the first synchronization. Callers repeat their SYN
-// after 200 ms and 600 ms.
-constexpr duration                  max_first_sync_wait = std::chrono::milliseconds(1'500);
 constexpr std::size_t               receive_buffer_size = 1'048'576; // bytes
 constexpr duration                  settings_check_interval = std::chrono::seconds(2);
 
@@ -154,6 +151,7 @@
     std::filesystem::file_time_type      settings_modified_at; // of the settings file when it was last read
     steady_time                          next_settings_check{};
     bool                                 was_store_available = false;
+    bool                                 was_synchronized = false;
     bool                                 was_feeder = false;
     std::map<std::string, std::uint64_t> calls_by_result;
     std::map<std::string, std::uint64_t> calls_by_kind;
@@ -179,6 +177,7 @@
       settings_modified_at(initial_settings.modified_at), restarts(restart_count) {}
 
 void entry_process::impl::start() {
+    packets.start();
     read_store();
     schedule_tick();
 }
@@ -218,10 +217,11 @@
         log.note_store_state(was_store_available, outcome ? "" : to_string(outcome.error().error));
     }
     if (store_replica.routing() != nullptr && store_replica.is_complete()) process_lifecycle.note_synchronized();
-    if (process_lifecycle.is_ready() && !packets.is_started()) {
+    if (process_lifecycle.is_ready() && !was_synchronized) {
+        was_synchronized = true;
         log.note_synchronized(received_at - started_at, store_replica);
-        packets.start();
     }
+    packets.release_pending();
     follower_feed.poll(received_at);
     read_store();
     update_feeder_slot();
@@ -314,7 +314,7 @@
     http_listeners.retry(current_time);
     check_settings_file_for_changes();
     log.flush();
-    if (current_time - started_at >= max_first_sync_wait) packets.start();
+    packets.release_pending();
     process_lifecycle.note_packet(packets.last_packet_at());
     if (process_lifecycle.may_exit(current_time)) {
         context.stop();
@@ -416,7 +416,7 @@
                                  .missing_listeners = http_listeners.missing(),
                                  .calls_by_result = calls_by_result,
                                  .calls_by_kind = calls_by_kind};
-    respond({.body = format_metrics(packets.counters(), process, store_replica, now()),
+    respond({.body = format_metrics(packets.counters(), packets.pending(), process, store_replica, now()),
              .content_type = "text/plain; version=0.0.4"});
 }
 
--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -9,29 +9,34 @@
 
 // Packets that are read within this time after a pause are treated as if they had waited during the pause.
 constexpr duration stale_packet_window = std::chrono::milliseconds(20);
-// A SYN that waited longer than this for the first synchronization may have been repeated by its caller already.
-constexpr duration max_startup_wait = std::chrono::milliseconds(190);
 // Packets that arrive faster than they are handled must not keep the event loop from readiness checks and timers.
 constexpr unsigned max_batches_per_turn = 16;
 
+// Of the backend servers that accept new flows.
+std::size_t count_slots(const replica& store_replica) {
+    std::size_t slots = 0;
+    for (const auto& [key, backend] : store_replica.backends()) {
+        const bool accepts_flows = !backend.removed_at && backend.registration.state == backend_state::active;
+        slots += accepts_flows ? backend.registration.slots : 0;
+    }
+    return slots;
+}
+
 } // namespace
 
 packet_handler::packet_handler(boost::asio::io_context& context, udp_socket socket, steering& flow_steering,
                                const replica& store_replica, event_log& log, const clock& time)
     : socket_(std::move(socket)), readable_(context, socket_.handle()), steering_(flow_steering),
-      store_replica_(store_replica), log_(log), time_(time), socket_opened_at_(time.steady_now()),
-      reset_port_(socket_.address().port) {}
+      store_replica_(store_replica), log_(log), time_(time), reset_port_(socket_.address().port) {
+    // Packets may wait in the socket's buffer until the first turn of the event loop, as during a pause.
+    pause_detector_.note_loop_iteration(time_.boot_now());
+}
 
 packet_handler::~packet_handler() {
     readable_.release();
 }
 
 void packet_handler::start() {
-    if (is_started_) return;
-    is_started_ = true;
-    // Packets may have waited in the socket's buffer since it was opened, as during a pause.
-    const steady_time now = time_.steady_now();
-    if (now - socket_opened_at_ >= max_startup_wait) last_pause_end_ = now;
     wait();
 }
 
@@ -75,6 +80,32 @@
         ++counters_.stale_syns;
         return;
     }
+    if (!is_synchronized()) {
+        pending_.hold(packet, bytes, now);
+        return;
+    }
+    if (packet.syn) pending_.forget(packet);
+    steer(packet, bytes, now);
+}
+
+bool packet_handler::is_synchronized() const {
+    return store_replica_.routing() != nullptr && store_replica_.is_complete();
+}
+
+// Copies of held SYNs may have arrived while the listing was decoded, and go first.
+void packet_handler::release_pending() {
+    if (pending_.is_empty()) return;
+    if (!is_synchronized()) return pending_.expire(time_.steady_now());
+    receive();
+    const steady_time now = time_.steady_now();
+    const auto        released = pending_.release(count_slots(store_replica_), now);
+    for (const pending_packet& held : released) {
+        if (const auto decoded = platform::decode_packet(held.bytes)) steer(decoded.value(), held.bytes, now);
+    }
+    flush();
+}
+
+void packet_handler::steer(const segment& packet, byte_view bytes, steady_time now) {
     const steering_decision decision = steering_.decide(packet, now);
     ++counters_.decisions_by_reason.at(static_cast<std::size_t>(decision.reason));
     record_progress(decision.progress);
--- a/daemons/entry/packet_handler.h
+++ b/daemons/entry/packet_handler.h
@@ -3,6 +3,7 @@
 
 #include "entry/event_log.h"
 #include "entry/lifecycle.h"
+#include "entry/pending_syns.h"
 #include "entry/steering.h"
 #include "tamarack/metrics.h"
 #include "tamarack/udp_socket.h"
@@ -29,18 +30,23 @@
     packet_handler(const packet_handler&) = delete;
     packet_handler& operator=(const packet_handler&) = delete;
 
-    // Begins to read packets. Packets that arrive earlier wait in the socket's buffer.
+    // Begins to read packets. Those that arrive before the replica is complete are held.
     void                   start();
+    // Forwards the held packets once the replica is complete. Must be called at every tick, and when the replica has
+    // become complete.
+    void                   release_pending();
     // Detects that the process was paused. Must be called at every tick.
     void                   check_for_pause();
-    bool                   is_started() const { return is_started_; }
     steady_time            last_packet_at() const { return last_packet_at_; }
     const packet_counters& counters() const { return counters_; }
+    const pending_syns&    pending() const { return pending_; }
 
 private:
     void wait();
     void receive();
     void handle(byte_view bytes, steady_time now);
+    void steer(const segment& packet, byte_view bytes, steady_time now);
+    bool is_synchronized() const;
     void record_progress(const flow_progress& progress);
     void flush();
 
@@ -50,17 +56,16 @@
     const replica&                        store_replica_;
     event_log&                            log_;
     const clock&                          time_;
-    steady_time                           socket_opened_at_;
     std::uint16_t                         reset_port_; // UDP port of callers' hosts, the same as of socket_
     receive_batch                         batch_;
     action_buffer                         outgoing_actions_;
     std::vector<outgoing_datagram>        outgoing_datagrams_;
+    pending_syns                          pending_;
     packet_counters                       counters_;
     steady_time                           last_packet_at_{};
     pause_detector                        pause_detector_;
     steady_time                           last_pause_end_{};
     bool                                  is_discarding_syns_ = false; // for the packets of the current batch
-    bool                                  is_started_ = false;
 };
 
 } // namespace tamarack::entry
