Complete the first listing without waiting for the tick or for feeders that just start

When all hosts start within 0.35 s, hosts waited up to 0.8 s for a feeder whose process had not started yet, and for the next tick of 0.1 s after each wait.

--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -22,6 +22,7 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds tick_interval(100);
+constexpr duration                  least_listing_pause = std::chrono::milliseconds(1);
 constexpr std::size_t               receive_buffer_size = 1'048'576; // bytes
 constexpr duration                  settings_check_interval = std::chrono::seconds(2);
 
@@ -103,6 +104,7 @@
     std::optional<std::string> open_listeners(); // the reason if a required one cannot be opened
     void                       start();
     void                       read_store();
+    void                       schedule_first_listing();
     void                       count_read(const read_call& call);
     void                       handle_read_outcome(const result<record_page, read_failure>& outcome);
     void                       handle_claim_outcome(const result<claim_answer, claim_error>& outcome);
@@ -146,6 +148,7 @@
     feed_server                          follower_feed;
     platform::store_client               store;
     asio::steady_timer                   tick_timer;
+    asio::steady_timer                   first_listing_timer;
     listeners                            http_listeners;
     steady_time                          started_at;
     std::filesystem::file_time_type      settings_modified_at; // of the settings file when it was last read
@@ -172,7 +175,7 @@
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
       follower_feed(feed(store_replica, make_feed_settings(initial_settings, own_feed_key), time_source.steady_now())),
-      store(context, initial_settings.store_address), tick_timer(context),
+      store(context, initial_settings.store_address), tick_timer(context), first_listing_timer(context),
       http_listeners(context, log, descriptor_limit()), started_at(time_source.steady_now()),
       settings_modified_at(initial_settings.modified_at), restarts(restart_count) {}
 
@@ -188,11 +191,21 @@
 
 void entry_process::impl::read_store() {
     const auto next_read = sync.next_call(now());
-    if (!next_read) return;
+    if (!next_read) return schedule_first_listing();
     count_read(*next_read);
     store.read(*next_read, [this](const result<record_page, read_failure>& outcome) { handle_read_outcome(outcome); });
 }
 
+// Callers wait for the first listing, so that its calls do not wait for the tick.
+void entry_process::impl::schedule_first_listing() {
+    const auto due = sync.first_listing_due();
+    if (!due) return;
+    first_listing_timer.expires_after(std::max<duration>(*due - now(), least_listing_pause));
+    first_listing_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error) read_store();
+    });
+}
+
 void entry_process::impl::count_read(const read_call& call) {
     ++calls_by_kind[std::string(to_string(call.source.kind)) + "_" + std::string(to_string(call.kind))];
 }
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -18,15 +18,15 @@
 constexpr backoff_settings feeder_backoff = {std::chrono::milliseconds(1'500), std::chrono::seconds(12)};
 // A balancer of the own tree that has lost the store: it may be current again as soon as one of its followers is.
 constexpr backoff_settings stale_backoff = {std::chrono::milliseconds(300), std::chrono::milliseconds(1'200)};
-// Before the first listing: a feeder that answers may have started at the same moment; one that does not answer must
-// not be tried again before all others have been.
+// Before the first listing: a feeder that answers, or whose host refuses the connection, may be starting at the same
+// moment; one that does not answer must not be tried again before all others have been.
 constexpr backoff_settings first_listing_backoff = {std::chrono::milliseconds(20), std::chrono::milliseconds(80)};
 constexpr backoff_settings unanswered_listing_backoff = {std::chrono::milliseconds(800), std::chrono::seconds(3)};
 constexpr duration         full_source_pause = std::chrono::seconds(2);
 
 // All hosts may start at the same time. In a large fleet the spread of the delays divides the listings that still reach
 // the store; in a small one the store serves them all, and callers wait.
-constexpr first_listing_limits large_fleet_limits = {std::chrono::milliseconds(200), std::chrono::milliseconds(800),
+constexpr first_listing_limits large_fleet_limits = {std::chrono::milliseconds(200), std::chrono::milliseconds(500),
                                                      std::chrono::milliseconds(100), std::chrono::milliseconds(400)};
 constexpr first_listing_limits small_fleet_limits = {std::chrono::milliseconds(10), std::chrono::milliseconds(40),
                                                      std::chrono::milliseconds(20), std::chrono::milliseconds(60)};
@@ -297,7 +297,7 @@
         return now > address_and_health.second.retry_at + health_retention;
     });
     balancer_health& health = balancer_health_[source.address];
-    health.has_answered = failure != source_failure::no_answer;
+    health.has_answered = failure == source_failure::not_current || failure == source_failure::full;
     if (failure == source_failure::full) {
         health.retry_at = now + full_source_pause;
         follow_branch(source, followers);
@@ -305,7 +305,7 @@
     }
     health.retry_at = now + retry_delay(backoff_of(source, failure), health.consecutive_failures++, random_);
     if (source.kind != source_kind::feeder) return;
-    if (failure == source_failure::no_answer) {
+    if (!health.has_answered) {
         ++unanswered_feeders_;
         return;
     }
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -45,7 +45,8 @@
 };
 
 enum class source_failure : std::uint8_t {
-    no_answer,   // unreachable, timed out, or without a valid answer
+    no_answer,   // timed out, or without a valid answer
+    unreachable, // the connection failed or broke
     not_current, // answers, but has no recent confirmation by the store
     full,        // accepts no further followers
 };
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -42,6 +42,7 @@
 
 source_failure to_source_failure(read_error error) {
     if (error == read_error::full) return source_failure::full;
+    if (error == read_error::unreachable) return source_failure::unreachable;
     return error == read_error::refused ? source_failure::not_current : source_failure::no_answer;
 }
 
@@ -164,6 +165,11 @@
     return latest_call_;
 }
 
+std::optional<steady_time> store_sync::first_listing_due() const {
+    if (is_call_pending_ || store_replica_.is_complete()) return std::nullopt;
+    return next_call_due_;
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Outcomes
 //----------------------------------------------------------------------------------------------------------------------
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -65,9 +65,11 @@
     store_sync(replica& store_replica, const source_settings& settings, std::uint64_t random_seed);
 
     // The call to make now. Nullopt: a call is pending, or the wait after a failure or a change is not over.
-    std::optional<read_call> next_call(steady_time now);
-    void                     succeeded(const record_page& page, steady_time now);
-    void                     failed(const read_failure& failure, steady_time now);
+    std::optional<read_call>   next_call(steady_time now);
+    // When the next call before the first complete listing is due. Nullopt: a call is pending, or the listing is read.
+    std::optional<steady_time> first_listing_due() const;
+    void                       succeeded(const record_page& page, steady_time now);
+    void                       failed(const read_failure& failure, steady_time now);
 
     // True after an answer of the store itself, or of a feeder with a recent confirmation by the store. False at the
     // start, and after two failures of any sources without such an answer in between (history_dropped is no failure).
--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -87,6 +87,46 @@
     }
 }
 
+struct restart_terms {
+    duration downtime = 1s; // shorter than the leases of the feeders, which are still registered
+    bool     lose_feeders = false;
+};
+
+// What a start of all hosts takes, and what it costs the store.
+struct restart_outcome {
+    duration      last{}; // from the end of the starts until all are complete
+    std::uint64_t listings = 0;
+};
+
+constexpr duration restart_spread = 350ms;
+
+restart_outcome restart_all(const fleet_options& options, const restart_terms& terms, std::uint64_t seed) {
+    fleet balancers(options, seed);
+    balancers.start_all();
+    balancers.run_for(10s);
+    std::set<fleet_host*> lost;
+    for (const auto& host : balancers.hosts()) {
+        if (terms.lose_feeders && balancers.is_feeder(*host)) lost.insert(host.get());
+        balancers.stop(*host);
+    }
+    for (fleet_host* host : lost)
+        host->is_dark = true;
+    balancers.run_for(terms.downtime);
+    const auto listings_before = balancers.store().listings;
+    balancers.start_all_within(restart_spread);
+    balancers.run_for(restart_spread);
+    const steady_time all_started = balancers.now();
+    balancers.run_for(4s);
+    restart_outcome outcome{.last = {}, .listings = balancers.store().listings - listings_before};
+    for (const auto& host : balancers.hosts()) {
+        if (lost.contains(host.get())) continue;
+        const steady_time complete_at = host->started_at + host->synchronized_after.time_since_epoch();
+        const bool        is_complete = host->synchronized_after != steady_time{};
+        outcome.last = std::max(outcome.last, is_complete ? complete_at - all_started : duration::max());
+    }
+    return outcome;
+}
+
 } // namespace
 
 // A calm fleet: one reader of the store in each failure domain, and each change reaches all balancers.
@@ -123,6 +163,46 @@
     BOOST_TEST(balancers.store().listings - listings_before <= 30U);
 }
 
+// Load: all hosts of four failure domains lose power and start within 0.35 s. Hosts waited up to 0.8 s for feeders that
+// had not started yet or have no power, and for the next tick. The target is 0.6 s after the start of the last host.
+BOOST_AUTO_TEST_CASE(all_hosts_that_start_at_once_are_complete_within_the_target) {
+    constexpr duration      target = 600ms;
+    constexpr std::uint64_t listings_target = 54; // 10 more than before the wait for the tick was removed
+    constexpr fleet_options fleet_of_80{
+        .failure_domains = 4, .hosts_per_domain = 20, .strong_per_domain = 3, .backend_servers = 150};
+    for (const duration deadline : {3s, 6s}) {
+        fleet_options options = fleet_of_80;
+        options.change_deadline = deadline;
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            const restart_outcome with_feeders = restart_all(options, {}, seed);
+            BOOST_TEST(with_feeders.last / 1ms <= target / 1ms, "seed " << seed);
+            BOOST_TEST(with_feeders.listings <= listings_target, "seed " << seed);
+            const restart_outcome without_feeders = restart_all(options, {.lose_feeders = true}, seed);
+            BOOST_TEST(without_feeders.last / 1ms <= target / 1ms, "seed " << seed);
+            const restart_outcome after_leases = restart_all(options, {.downtime = 10s}, seed);
+            BOOST_TEST(after_leases.last / 1ms <= target / 1ms, "seed " << seed);
+        }
+    }
+}
+
+// A restart of one host must not cost the store a listing.
+BOOST_AUTO_TEST_CASE(a_host_that_restarts_alone_lists_from_a_feeder) {
+    for (const duration deadline : {3s, 6s}) {
+        fleet balancers({.failure_domains = 4, .hosts_per_domain = 20, .change_deadline = deadline}, 4);
+        balancers.start_all();
+        balancers.run_for(10s);
+        fleet_host& host = *balancers.hosts().back();
+        BOOST_REQUIRE(!balancers.is_feeder(host));
+        balancers.stop(host);
+        balancers.run_for(200ms);
+        const auto listings_before = balancers.store().listings;
+        balancers.start(host);
+        balancers.run_for(200ms);
+        BOOST_TEST(host.records->is_complete());
+        BOOST_TEST(balancers.store().listings == listings_before);
+    }
+}
+
 // The same with feeders that stay without power: their followers find other trees.
 BOOST_AUTO_TEST_CASE(hosts_that_start_without_their_feeders_are_synchronized_within_two_seconds) {
     fleet balancers(large_fleet, 3);
--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -80,6 +80,7 @@
     fleet(const fleet_options& options, std::uint64_t seed);
 
     void start_all();
+    void start_all_within(duration spread); // but those without power
     void start(fleet_host& host);
     void stop(fleet_host& host); // without notice
     void run_for(duration time);
@@ -136,6 +137,7 @@
     steady_time    send(steady_time& link_free_at, std::size_t bytes, double mbps);
     void           tick(fleet_host& host);
     void           proceed(fleet_host& host);
+    void           schedule_first_listing(fleet_host& host);
     void           read(fleet_host& host, const read_call& call);
     void           read_store(fleet_host& host, const read_call& call, std::uint64_t number);
     void           read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
@@ -223,6 +225,14 @@
         at(now_ + delay() * 10, [this, each = host.get()] { start(*each); });
 }
 
+inline void fleet::start_all_within(duration spread) {
+    for (const auto& host : hosts_) {
+        if (host->is_dark) continue;
+        const auto step = std::uniform_int_distribution<duration::rep>(0, spread.count())(random_);
+        at(now_ + duration(step), [this, each = host.get()] { start(*each); });
+    }
+}
+
 inline void fleet::start(fleet_host& host) {
     ++host.lifetime;
     host.is_dark = false;
@@ -276,7 +286,11 @@
     if (host.records->is_complete() && host.synchronized_after == steady_time{})
         host.synchronized_after = steady_time(now_ - host.started_at);
     host.sync->set_own_followers(host.served_feed->followers(now_));
-    if (const auto call = host.sync->next_call(now_)) read(host, *call);
+    if (const auto call = host.sync->next_call(now_)) {
+        read(host, *call);
+    } else {
+        schedule_first_listing(host);
+    }
     auto permission =
         host.sync->may_replace_feeder() ? claim_permission::if_vacant_or_lost : claim_permission::if_vacant;
     if (!host.records->is_current(now_)) permission = claim_permission::none;
@@ -286,6 +300,14 @@
     check(host);
 }
 
+inline void fleet::schedule_first_listing(fleet_host& host) {
+    const auto due = host.sync->first_listing_due();
+    if (!due || *due <= now_) return;
+    at(*due, [this, &host, lifetime = host.lifetime] {
+        if (host.lifetime == lifetime && host.runs()) proceed(host);
+    });
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Reading
 //----------------------------------------------------------------------------------------------------------------------
