--- a/tests/entry_pending_syns_test.cpp
+++ b/tests/entry_pending_syns_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE entry_pending_syns
 #include "daemons/entry/packet_handler.h"
 #include "entry_fixture.h"
-#include "loopback_endpoint.h"
+#include "entry_program.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -181,6 +181,20 @@
 
 namespace {
 
+// The platform's example: a SYN from 100.64.0.7 to the service's address.
+void send_syn_to(const udp_socket& fabric, const endpoint& balancer, std::uint16_t port) {
+    std::vector<std::byte>                 bytes(36);
+    constexpr std::array<unsigned char, 6> destination = {0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01};
+    constexpr std::array<unsigned char, 4> source = {0x64, 0x40, 0x00, 0x07};
+    std::memcpy(&bytes[14], source.data(), source.size());
+    std::memcpy(&bytes[18], destination.data(), destination.size());
+    bytes[12] = std::byte(port >> 8U);
+    bytes[13] = std::byte(port);
+    bytes[30] = std::byte{128};
+    const outgoing_datagram datagram{balancer, bytes};
+    BOOST_TEST(fabric.send(std::span(&datagram, 1)) == 0U);
+}
+
 struct handler_fixture : balancer_fixture {
     boost::asio::io_context context;
     event_log               log{time, "one"};
@@ -196,19 +210,7 @@
     }
     handler_fixture() { handler.start(); }
 
-    // The platform's example: a SYN from 100.64.0.7 to the service's address.
-    void send_syn(std::uint16_t port) const {
-        std::vector<std::byte>                 bytes(36);
-        constexpr std::array<unsigned char, 6> destination = {0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01};
-        constexpr std::array<unsigned char, 4> source = {0x64, 0x40, 0x00, 0x07};
-        std::memcpy(&bytes[14], source.data(), source.size());
-        std::memcpy(&bytes[18], destination.data(), destination.size());
-        bytes[12] = std::byte(port >> 8U);
-        bytes[13] = std::byte(port);
-        bytes[30] = std::byte{128};
-        const outgoing_datagram datagram{address, bytes};
-        BOOST_TEST(fabric.send(std::span(&datagram, 1)) == 0U);
-    }
+    void send_syn(std::uint16_t port) const { send_syn_to(fabric, address, port); }
     void pass(duration step) {
         time.advance(step);
         handler.check_for_pause();
@@ -267,3 +269,25 @@
     pass(0ms);
     BOOST_TEST(handler.pending().size() == 1U);
 }
+
+// The process calls the handler at its start and with the listing. Its store is not there yet.
+BOOST_AUTO_TEST_CASE(a_process_forwards_the_syns_that_arrive_before_its_store) {
+    const temporary_folder folder;
+    const endpoint         host = loopback_endpoint(131, 0);
+    const endpoint         store_address = loopback_endpoint(132, 8'169);
+    std::ofstream(folder.file("one.ini")) << settings_text("one", host, store_address);
+    entry_program program(folder.file("one.ini"), folder.file("one.log"));
+    program.start();
+    const auto metrics = [&] { return http_get(with_port(host, metrics_port), "/metrics"); };
+    BOOST_REQUIRE(wait_until(5s, [&] { return metrics().find("entry_syns_held 0") != std::string::npos; }));
+    const udp_socket            fabric = udp_socket::open(loopback_endpoint(133, 0)).value();
+    std::optional<store_thread> store;
+    std::uint16_t               port = 1;
+    const bool                  is_ready_in_time = wait_until(5s, [&] {
+        send_syn_to(fabric, with_port(host, packets_port), ++port);
+        if (port == 30) store.emplace(store_address);
+        return is_ready(host);
+    });
+    BOOST_TEST(is_ready_in_time, program.log());
+    BOOST_TEST(metrics().find("entry_syns_released 0") == std::string::npos);
+}
