--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -21,7 +21,7 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
 // A balancer is asked only briefly for changes if it has not answered the last call, or after another source has
 // failed: other sources wait, and little is left of the deadline of a change. A listing, which may be large, follows
-// only when it has answered.
+// only when it has answered. A contact may have no power, and must not keep a start from other sources.
 constexpr duration brief_connect_timeout = std::chrono::milliseconds(200);
 constexpr duration brief_timeout = std::chrono::milliseconds(400);
 // A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
@@ -125,6 +125,7 @@
     const bool                 is_first_listing = is_feeder_call && !store_replica_.is_complete();
     const first_listing_limits limits = sources_.limits_of_first_listing();
     latest_call_.connect_timeout = is_first_listing ? limits.connect_timeout : connect_timeout;
+    if (latest_call_.source.kind == source_kind::contact) latest_call_.connect_timeout = brief_connect_timeout;
     if (latest_call_.kind == read_kind::watch) {
         latest_call_.max_wait = is_feeder_call ? feeder_watch_wait : store_watch_wait_at(now);
         if (probes_source_) latest_call_.max_wait = {};
--- a/tests/entry_pending_syns_test.cpp
+++ b/tests/entry_pending_syns_test.cpp
@@ -73,7 +73,7 @@
 
 // A flood of SYNs must not use up the memory of a host.
 BOOST_FIXTURE_TEST_CASE(the_number_and_the_bytes_of_held_packets_are_bounded, pending_fixture) {
-    pending = pending_syns({.max_packets = 8, .max_bytes = 6 * 36});
+    pending = pending_syns({.max_packets = 8, .max_bytes = 216});
     for (std::uint16_t port = 0; port < 8; ++port)
         (void)pending.hold(later_packet(port, 1, 1), syn_bytes, start);
     BOOST_TEST(pending.size() == 3U);
@@ -154,7 +154,8 @@
     std::set<std::uint16_t>         placed;
     for (const auto& host : hosts) {
         host->load();
-        for (const pending_packet& held : host->pending.release(2 * backend_servers, start + listing_time)) {
+        for (const pending_packet& held :
+             host->pending.release(std::size_t{2} * backend_servers, start + listing_time)) {
             const auto caller = read_caller(held.bytes);
             BOOST_TEST(placed.insert(caller).second);
             BOOST_TEST((held.useful_until > start + listing_time));
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -387,6 +387,33 @@
 
 BOOST_FIXTURE_TEST_SUITE(reading_from_feeders, sync_fixture)
 
+// All hosts start together: one whose process has not started yet was asked again only after 0.4 s, and a contact
+// without power kept a host from its other sources for 0.7 s.
+BOOST_FIXTURE_TEST_CASE(a_feeder_that_refuses_the_connection_is_asked_again_soon, large_fleet_fixture) {
+    const auto wait_for_call_to = [&](source_kind kind) {
+        for (read_call call = wait_for_next(); call.source.kind != kind; call = wait_for_next())
+            fail(read_error::timed_out);
+    };
+    look_up_feeders({near_feeder});
+    BOOST_TEST(is_sent_to(next(), own_domain_feeder));
+    BOOST_TEST(!sync.first_listing_due().has_value()); // a call is pending
+    const steady_time refused_at = now;
+    fail(read_error::unreachable);
+    const read_call call = next();
+    BOOST_TEST(is_sent_to(call, contact_address));
+    BOOST_TEST((call.connect_timeout == 200ms));
+    fail(read_error::timed_out);
+    BOOST_TEST(!sync.next_call(now).has_value());
+    BOOST_TEST((sync.first_listing_due().value() <= refused_at + 20ms));
+    wait_for_call_to(source_kind::feeder);
+    BOOST_TEST((now <= refused_at + 20ms));
+    fail(read_error::timed_out); // it has no power
+    wait_for_call_to(source_kind::store);
+    BOOST_TEST((now >= refused_at + 200ms && now <= refused_at + 510ms));
+    answer({configuration_record(1, 1)}, 5, 5);
+    BOOST_TEST(!sync.first_listing_due().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_follows_the_feeder_of_its_failure_domain) {
     complete_listing({near_feeder, far_feeder});
     const read_call first = wait_for_next();
--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -22,6 +22,7 @@
     unsigned    backend_servers = 3;
     std::size_t record_size = 700; // bytes of one record in an answer of the store
     duration    change_deadline = std::chrono::seconds(3);
+    bool        has_contacts = false; // the settings name the first host of each failure domain
 };
 
 struct fleet_host {
@@ -132,29 +133,30 @@
     };
     using outcome = result<record_page, read_failure>;
 
-    void           at(steady_time time, std::function<void()> action);
-    duration       delay();
-    steady_time    send(steady_time& link_free_at, std::size_t bytes, double mbps);
-    void           tick(fleet_host& host);
-    void           proceed(fleet_host& host);
-    void           schedule_first_listing(fleet_host& host);
-    void           read(fleet_host& host, const read_call& call);
-    void           read_store(fleet_host& host, const read_call& call, std::uint64_t number);
-    void           read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
-    static outcome to_outcome(const feed_answer& answer);
-    void           answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer);
-    void           finish(fleet_host& host, std::uint64_t call, const outcome& read_outcome);
-    void           make_claim(fleet_host& host, const claim_call& call);
-    void           poll_feed(fleet_host& host);
-    void           poll_store();
-    void           expire_leases();
-    void           remove(const std::string& key);
-    void           write_again();
-    void           expire_restored_registrations();
-    read_failure   store_failure(read_error error) const;
-    outcome        watch_outcome(const store_watch& watch) const;
-    store_revision store_revision_now() const { return {store_.epoch, store_.revision}; }
-    record_page    page_after(std::uint64_t revision) const;
+    void                  at(steady_time time, std::function<void()> action);
+    duration              delay();
+    steady_time           send(steady_time& link_free_at, std::size_t bytes, double mbps);
+    std::vector<endpoint> contacts_of(const fleet_host& host) const;
+    void                  tick(fleet_host& host);
+    void                  proceed(fleet_host& host);
+    void                  schedule_first_listing(fleet_host& host);
+    void                  read(fleet_host& host, const read_call& call);
+    void                  read_store(fleet_host& host, const read_call& call, std::uint64_t number);
+    void                  read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
+    static outcome        to_outcome(const feed_answer& answer);
+    void                  answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer);
+    void                  finish(fleet_host& host, std::uint64_t call, const outcome& read_outcome);
+    void                  make_claim(fleet_host& host, const claim_call& call);
+    void                  poll_feed(fleet_host& host);
+    void                  poll_store();
+    void                  expire_leases();
+    void                  remove(const std::string& key);
+    void                  write_again();
+    void                  expire_restored_registrations();
+    read_failure          store_failure(read_error error) const;
+    outcome               watch_outcome(const store_watch& watch) const;
+    store_revision        store_revision_now() const { return {store_.epoch, store_.revision}; }
+    record_page           page_after(std::uint64_t revision) const;
 
     fleet_options                                                     options_;
     random_source                                                     random_;
@@ -249,7 +251,7 @@
                       source_settings{.name = host.name,
                                       .failure_domain = host.failure_domain,
                                       .address = host.address,
-                                      .contacts = {},
+                                      .contacts = contacts_of(host),
                                       .change_deadline = options_.change_deadline},
                       random_());
     using std::chrono::milliseconds;
@@ -264,6 +266,14 @@
     tick(host);
 }
 
+inline std::vector<endpoint> fleet::contacts_of(const fleet_host& host) const {
+    std::vector<endpoint> contacts;
+    for (std::size_t i = 0; options_.has_contacts && i < hosts_.size(); i += options_.hosts_per_domain) {
+        if (hosts_[i].get() != &host) contacts.push_back(hosts_[i]->address);
+    }
+    return contacts;
+}
+
 inline void fleet::stop(fleet_host& host) {
     ++host.lifetime;
     host.served_feed.reset();
@@ -369,13 +379,15 @@
         at(now_ + std::chrono::milliseconds(50), [this, &host, call, number] { read_balancer(host, call, number); });
         return;
     }
-    bool is_authenticated = server.key == call.source.key;
+    const bool is_contact = call.source.kind == source_kind::contact;
+    bool       is_authenticated = is_contact || server.key == call.source.key;
     for (const auto& [domain_and_slot, feeder] : server.records->feeders())
         is_authenticated = is_authenticated || feeder.registration.key == call.source.key;
     if (!is_authenticated) return finish(host, number, read_failure{read_error::unproved, {}});
     const feed_call            received{number, host.address.address};
     std::optional<feed_answer> answer;
-    if (call.kind == read_kind::list) answer = server.served_feed->list(received, now_);
+    if (call.kind == read_kind::list)
+        answer = is_contact ? server.served_feed->list_unauthenticated(now_) : server.served_feed->list(received, now_);
     if (call.kind == read_kind::resume) answer = server.served_feed->resume(received, call.after_revision, now_);
     if (call.kind == read_kind::watch)
         answer = server.served_feed->watch(received, call.after_position, call.max_wait, now_);
