--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -22,6 +22,7 @@
     unsigned    backend_servers = 3;
     std::size_t record_size = 700; // bytes of one record in an answer of the store
     duration    change_deadline = std::chrono::seconds(3);
+    bool        has_contacts = false; // the settings name the first host of each failure domain
 };
 
 struct fleet_host {
@@ -80,6 +81,7 @@
     fleet(const fleet_options& options, std::uint64_t seed);
 
     void start_all();
+    void start_all_within(duration spread); // but those without power
     void start(fleet_host& host);
     void stop(fleet_host& host); // without notice
     void run_for(duration time);
@@ -131,28 +133,30 @@
     };
     using outcome = result<record_page, read_failure>;
 
-    void           at(steady_time time, std::function<void()> action);
-    duration       delay();
-    steady_time    send(steady_time& link_free_at, std::size_t bytes, double mbps);
-    void           tick(fleet_host& host);
-    void           proceed(fleet_host& host);
-    void           read(fleet_host& host, const read_call& call);
-    void           read_store(fleet_host& host, const read_call& call, std::uint64_t number);
-    void           read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
-    static outcome to_outcome(const feed_answer& answer);
-    void           answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer);
-    void           finish(fleet_host& host, std::uint64_t call, const outcome& read_outcome);
-    void           make_claim(fleet_host& host, const claim_call& call);
-    void           poll_feed(fleet_host& host);
-    void           poll_store();
-    void           expire_leases();
-    void           remove(const std::string& key);
-    void           write_again();
-    void           expire_restored_registrations();
-    read_failure   store_failure(read_error error) const;
-    outcome        watch_outcome(const store_watch& watch) const;
-    store_revision store_revision_now() const { return {store_.epoch, store_.revision}; }
-    record_page    page_after(std::uint64_t revision) const;
+    void                  at(steady_time time, std::function<void()> action);
+    duration              delay();
+    steady_time           send(steady_time& link_free_at, std::size_t bytes, double mbps);
+    std::vector<endpoint> contacts_of(const fleet_host& host) const;
+    void                  tick(fleet_host& host);
+    void                  proceed(fleet_host& host);
+    void                  schedule_first_listing(fleet_host& host);
+    void                  read(fleet_host& host, const read_call& call);
+    void                  read_store(fleet_host& host, const read_call& call, std::uint64_t number);
+    void                  read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
+    static outcome        to_outcome(const feed_answer& answer);
+    void                  answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer);
+    void                  finish(fleet_host& host, std::uint64_t call, const outcome& read_outcome);
+    void                  make_claim(fleet_host& host, const claim_call& call);
+    void                  poll_feed(fleet_host& host);
+    void                  poll_store();
+    void                  expire_leases();
+    void                  remove(const std::string& key);
+    void                  write_again();
+    void                  expire_restored_registrations();
+    read_failure          store_failure(read_error error) const;
+    outcome               watch_outcome(const store_watch& watch) const;
+    store_revision        store_revision_now() const { return {store_.epoch, store_.revision}; }
+    record_page           page_after(std::uint64_t revision) const;
 
     fleet_options                                                     options_;
     random_source                                                     random_;
@@ -223,6 +227,14 @@
         at(now_ + delay() * 10, [this, each = host.get()] { start(*each); });
 }
 
+inline void fleet::start_all_within(duration spread) {
+    for (const auto& host : hosts_) {
+        if (host->is_dark) continue;
+        const auto step = std::uniform_int_distribution<duration::rep>(0, spread.count())(random_);
+        at(now_ + duration(step), [this, each = host.get()] { start(*each); });
+    }
+}
+
 inline void fleet::start(fleet_host& host) {
     ++host.lifetime;
     host.is_dark = false;
@@ -239,7 +251,7 @@
                       source_settings{.name = host.name,
                                       .failure_domain = host.failure_domain,
                                       .address = host.address,
-                                      .contacts = {},
+                                      .contacts = contacts_of(host),
                                       .change_deadline = options_.change_deadline},
                       random_());
     using std::chrono::milliseconds;
@@ -254,6 +266,14 @@
     tick(host);
 }
 
+inline std::vector<endpoint> fleet::contacts_of(const fleet_host& host) const {
+    std::vector<endpoint> contacts;
+    for (std::size_t i = 0; options_.has_contacts && i < hosts_.size(); i += options_.hosts_per_domain) {
+        if (hosts_[i].get() != &host) contacts.push_back(hosts_[i]->address);
+    }
+    return contacts;
+}
+
 inline void fleet::stop(fleet_host& host) {
     ++host.lifetime;
     host.served_feed.reset();
@@ -276,7 +296,11 @@
     if (host.records->is_complete() && host.synchronized_after == steady_time{})
         host.synchronized_after = steady_time(now_ - host.started_at);
     host.sync->set_own_followers(host.served_feed->followers(now_));
-    if (const auto call = host.sync->next_call(now_)) read(host, *call);
+    if (const auto call = host.sync->next_call(now_)) {
+        read(host, *call);
+    } else {
+        schedule_first_listing(host);
+    }
     auto permission =
         host.sync->may_replace_feeder() ? claim_permission::if_vacant_or_lost : claim_permission::if_vacant;
     if (!host.records->is_current(now_)) permission = claim_permission::none;
@@ -286,6 +310,14 @@
     check(host);
 }
 
+inline void fleet::schedule_first_listing(fleet_host& host) {
+    const auto due = host.sync->first_listing_due();
+    if (!due || *due <= now_) return;
+    at(*due, [this, &host, lifetime = host.lifetime] {
+        if (host.lifetime == lifetime && host.runs()) proceed(host);
+    });
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Reading
 //----------------------------------------------------------------------------------------------------------------------
@@ -347,13 +379,15 @@
         at(now_ + std::chrono::milliseconds(50), [this, &host, call, number] { read_balancer(host, call, number); });
         return;
     }
-    bool is_authenticated = server.key == call.source.key;
+    const bool is_contact = call.source.kind == source_kind::contact;
+    bool       is_authenticated = is_contact || server.key == call.source.key;
     for (const auto& [domain_and_slot, feeder] : server.records->feeders())
         is_authenticated = is_authenticated || feeder.registration.key == call.source.key;
     if (!is_authenticated) return finish(host, number, read_failure{read_error::unproved, {}});
     const feed_call            received{number, host.address.address};
     std::optional<feed_answer> answer;
-    if (call.kind == read_kind::list) answer = server.served_feed->list(received, now_);
+    if (call.kind == read_kind::list)
+        answer = is_contact ? server.served_feed->list_unauthenticated(now_) : server.served_feed->list(received, now_);
     if (call.kind == read_kind::resume) answer = server.served_feed->resume(received, call.after_revision, now_);
     if (call.kind == read_kind::watch)
         answer = server.served_feed->watch(received, call.after_position, call.max_wait, now_);
