Exchange condition reports between balancers over UDP

What one balancer learns of a backend server was known to it alone until every other host had run into the same fault. Reports now spread along the tree in which balancers read records, and between the feeders of the failure domains: entry/condition_reports decides who receives what, platform/report_format is the authenticated datagram, and daemons/entry/report_socket the optional UDP socket on the peer address. No report is produced yet: entry_process has a stand-in for backend_conditions.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -16,6 +16,21 @@
     }
 }
 
+void add_report_counts(const process_status& status, counter_map& metrics) {
+    metrics["entry_reports_sent"] = status.reports.sent;
+    metrics["entry_reports_received"] = status.reports.received;
+    metrics["entry_reports_accepted"] = status.reports.accepted;
+    metrics["entry_report_bytes_sent"] = status.reports.bytes_sent;
+    for (std::size_t i = 0; i < report_drop_count; ++i) {
+        metrics["entry_reports_dropped_" + std::string(to_string(static_cast<report_drop>(i)))] =
+            status.reports.dropped.at(i);
+    }
+    metrics["entry_report_datagrams_malformed"] = status.report_datagrams.malformed;
+    metrics["entry_report_datagrams_unauthenticated"] = status.report_datagrams.unauthenticated;
+    metrics["entry_report_datagrams_stale"] = status.report_datagrams.stale;
+    metrics["entry_report_datagrams_unsent"] = status.report_datagrams.unsent;
+}
+
 // Bytes of physical memory that the process has used at most; nullopt if the host does not tell.
 std::optional<std::uint64_t> peak_memory() {
     constexpr std::uint64_t bytes_per_kilobyte = 1'024;
@@ -57,6 +72,7 @@
         metrics["entry_calls_" + call_result] = count;
     for (const auto& [kind, count] : status.calls_by_kind)
         metrics["entry_calls_to_" + kind] = count;
+    add_report_counts(status, metrics);
     add_backend_server_counts(store_replica, metrics);
     return exposition_text(metrics, {{"entry_handshake_seconds", packets.handshake_seconds.snapshot()},
                                      {"entry_answer_seconds", packets.response_seconds.snapshot()}});
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemons/entry/packet_handler.h"
+#include "daemons/entry/report_socket.h"
 
 namespace tamarack::entry {
 
@@ -16,8 +17,10 @@
     std::uint64_t                        omitted_log_lines = 0;
     std::uint64_t                        failed_accepts = 0;
     std::size_t                          missing_listeners = 0; // optional ones that are not open
-    std::map<std::string, std::uint64_t> calls_by_result;       // by outcome of a read, or "claim_" + that of a claim
-    std::map<std::string, std::uint64_t> calls_by_kind;         // by source and kind of call
+    report_counters                      reports;
+    report_datagram_counters             report_datagrams;
+    std::map<std::string, std::uint64_t> calls_by_result; // by outcome of a read, or "claim_" + that of a claim
+    std::map<std::string, std::uint64_t> calls_by_kind;   // by source and kind of call
 };
 
 std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -6,9 +6,11 @@
 #include "daemons/entry/feed_server.h"
 #include "daemons/entry/listeners.h"
 #include "daemons/entry/packet_handler.h"
+#include "daemons/entry/report_socket.h"
 #include "daemons/entry/status_page.h"
 #include "entry/lifecycle.h"
 #include "platform/http_status.h"
+#include "platform/report_format.h"
 #include "platform/store_client.h"
 #include "tamarack/process_environment.h"
 
@@ -97,6 +99,20 @@
             .spread = is_strong ? strong_host_claim_spread : weak_host_claim_spread};
 }
 
+report_socket_settings make_report_settings(const settings& initial_settings, const feed_key& key) {
+    return {
+        .address = initial_settings.peer_address,
+        .own_key = key,
+        .reports = {.origin = static_cast<std::uint32_t>(random_number()), .sizes = platform::report_datagram_sizes},
+        .is_enabled = descriptor_limit() >= reserved_descriptors};
+}
+
+// Stands in for backend_conditions, which has the same functions.
+struct unobserved_conditions {
+    static std::vector<condition_report> take_reports(steady_time /*now*/) { return {}; }
+    static void                          accept(const condition_report& /*report*/, steady_time /*now*/) {}
+};
+
 } // namespace
 
 struct entry_process::impl {
@@ -113,6 +129,8 @@
     void                       log_source_change();
     void                       log_store_epoch(std::uint64_t epoch, std::string_view call_result);
     void                       log_ignored_records();
+    tree_position              position_in_tree() const;
+    void                       send_condition_reports();
     claim_permission           permission_to_claim() const;
     void                       update_feeder_slot();
     void                       schedule_tick();
@@ -147,6 +165,8 @@
     lifecycle                            process_lifecycle;
     packet_handler                       packets;
     feed_server                          follower_feed;
+    unobserved_conditions                conditions;
+    report_socket                        peer_reports;
     platform::store_client               store;
     asio::steady_timer                   tick_timer;
     listeners                            http_listeners;
@@ -174,11 +194,17 @@
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
       follower_feed(feed(store_replica, make_feed_settings(initial_settings, own_feed_key), time_source.steady_now())),
+      peer_reports(
+          context, make_report_settings(initial_settings, own_feed_key), store_replica, log, time_source,
+          {.position = [this] { return position_in_tree(); },
+           .accept = [this](const condition_report& report, steady_time now) { conditions.accept(report, now); }}),
       store(context, initial_settings.store_address), tick_timer(context),
       http_listeners(context, log, descriptor_limit()), started_at(time_source.steady_now()),
       settings_modified_at(initial_settings.modified_at), restarts(restart_count) {}
 
 void entry_process::impl::start() {
+    packets.set_after_batches([this] { send_condition_reports(); });
+    peer_reports.tick();
     read_store();
     schedule_tick();
 }
@@ -289,6 +315,23 @@
     update_feeder_slot();
 }
 
+//----------------------------------------------------------------------------------------------------------------------
+// Condition reports
+//----------------------------------------------------------------------------------------------------------------------
+
+tree_position entry_process::impl::position_in_tree() const {
+    return {.address = current_settings.peer_address,
+            .failure_domain = current_settings.failure_domain,
+            .source = sync.source(),
+            .followers = follower_feed.followers(now()),
+            .own_key = own_feed_key,
+            .is_feeder = slot_claim.holds_slot()};
+}
+
+void entry_process::impl::send_condition_reports() {
+    peer_reports.send(conditions.take_reports(now()));
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Timer and signals
 //----------------------------------------------------------------------------------------------------------------------
@@ -312,6 +355,8 @@
     update_feeder_slot();
     follower_feed.poll(current_time);
     http_listeners.retry(current_time);
+    peer_reports.tick();
+    send_condition_reports();
     check_settings_file_for_changes();
     log.flush();
     if (current_time - started_at >= max_first_sync_wait) packets.start();
@@ -413,7 +458,9 @@
                                  .restarts = restarts,
                                  .omitted_log_lines = log.omitted_lines(),
                                  .failed_accepts = http_listeners.failed_accepts(),
-                                 .missing_listeners = http_listeners.missing(),
+                                 .missing_listeners = http_listeners.missing() + (peer_reports.is_open() ? 0 : 1),
+                                 .reports = peer_reports.counters(),
+                                 .report_datagrams = peer_reports.datagram_counters(),
                                  .calls_by_result = calls_by_result,
                                  .calls_by_kind = calls_by_kind};
     respond({.body = format_metrics(packets.counters(), process, store_replica, now()),
--- a/daemons/entry/listeners.cpp
+++ b/daemons/entry/listeners.cpp
@@ -9,8 +9,6 @@
 
 constexpr duration    retry_interval = std::chrono::seconds(1);
 constexpr duration    report_interval = std::chrono::minutes(1); // of the same reason
-// Descriptors that are left to all else: standard files, event loop, signals, sockets, the store and the settings.
-constexpr std::size_t reserved_descriptors = 20;
 constexpr std::size_t listener_count = 4;
 constexpr std::size_t most_sessions = 64; // of each server
 
--- a/daemons/entry/listeners.h
+++ b/daemons/entry/listeners.h
@@ -8,6 +8,9 @@
 
 namespace tamarack::entry {
 
+// Descriptors that are left to all else: standard files, event loop, signals, sockets, the store and the settings.
+inline constexpr std::size_t reserved_descriptors = 20;
+
 class listeners {
 public:
     // Descriptors: how many the process may have open. Connections leave some of them to the store and to new files.
--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -60,8 +60,9 @@
         for (const receive_batch::item& item : batch_.items())
             handle(item.bytes, last_packet_at_);
         flush();
-        if (received.datagrams < receive_batch::max_datagrams) return;
+        if (received.datagrams < receive_batch::max_datagrams) break;
     }
+    after_batches_();
 }
 
 void packet_handler::handle(byte_view bytes, steady_time now) {
--- a/daemons/entry/packet_handler.h
+++ b/daemons/entry/packet_handler.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <functional>
 
 namespace tamarack::entry {
 
@@ -31,6 +32,8 @@
 
     // Begins to read packets. Packets that arrive earlier wait in the socket's buffer.
     void                   start();
+    // Called after each series of batches of packets has been handled.
+    void                   set_after_batches(std::function<void()> callback) { after_batches_ = std::move(callback); }
     // Detects that the process was paused. Must be called at every tick.
     void                   check_for_pause();
     bool                   is_started() const { return is_started_; }
@@ -61,6 +64,7 @@
     steady_time                           last_pause_end_{};
     bool                                  is_discarding_syns_ = false; // for the packets of the current batch
     bool                                  is_started_ = false;
+    std::function<void()>                 after_batches_ = [] {};
 };
 
 } // namespace tamarack::entry
--- a/entry/feed_key.h
+++ b/entry/feed_key.h
@@ -21,7 +21,7 @@
 // Message authentication code.
 using feed_mac = std::array<std::uint8_t, 16>;
 
-enum class feed_message : std::uint8_t { request = 1, answer = 2 };
+enum class feed_message : std::uint8_t { request = 1, answer = 2, report = 3 };
 
 // Keyed BLAKE2b over the kind of message, the nonce of the call and the text.
 feed_mac compute_mac(const feed_key& key, feed_message kind, std::uint64_t nonce, std::string_view text);
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -88,9 +88,9 @@
      "Entry balancer: the balancer stops, lost its lease, or was replaced after it had lost the store; others of its "
      "failure domain read from other failure domains until there is a new feeder."},
     {event::follower_rejected, severity::warning, "follower rejected",
-     "Entry balancer: a host requested records without proof that it knows the key of a feeder, which the store holds. "
-     "A "
-     "follower may do so shortly after a change of the feeder; otherwise look for another program."},
+     "Entry balancer: a host requested records, or sent condition reports, without proof that it knows the key of a "
+     "feeder, which the store holds. A follower may do so shortly after a change of the feeder; otherwise look for "
+     "another program."},
     {event::source_changed, severity::info, "source changed",
      "Entry balancer: records come from another `source` now: the store, or the balancer at `address`. `distance` "
      "counts "
