--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -16,7 +16,10 @@
     unsigned                             restarts = 0;          // of this process, after exceptions
     std::uint64_t                        omitted_log_lines = 0;
     std::uint64_t                        failed_accepts = 0;
-    std::size_t                          missing_listeners = 0; // optional ones that are not open
+    std::size_t                          missing_listeners = 0;    // optional ones that are not open
+    std::uint64_t                        warmup_flows = 0;         // placed on backend servers under a warm-up limit
+    std::size_t                          warmup_servers = 0;       // backend servers under a warm-up limit
+    std::size_t                          warmup_servers_owned = 0; // of these: the balancer may place flows on them
     report_counters                      reports;
     report_datagram_counters             report_datagrams;
     std::map<std::string, std::uint64_t> calls_by_result; // by outcome of a read, or "claim_" + that of a claim
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -189,7 +189,10 @@
       slot_claim(make_claim_settings(initial_settings, own_feed_key), store_replica, random_number()),
       flow_steering({.failure_domain = initial_settings.failure_domain,
                      .regions = initial_settings.regions,
-                     .flow_capacity = flow_capacity(initial_settings)},
+                     .flow_capacity = flow_capacity(initial_settings),
+                     .warmup = {.balancer = initial_settings.name,
+                                .overrun = initial_settings.warmup_overrun,
+                                .slack = initial_settings.warmup_slack}},
                     store_replica, random_number()),
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
@@ -349,6 +352,7 @@
     const steady_time current_time = now();
     store_replica.expire(current_time);
     log_new_changes();
+    packets.reset_orphaned_flows();
     flow_steering.expire(current_time);
     sync.set_own_followers(follower_feed.followers(current_time));
     read_store();
@@ -459,6 +463,9 @@
                                  .omitted_log_lines = log.omitted_lines(),
                                  .failed_accepts = http_listeners.failed_accepts(),
                                  .missing_listeners = http_listeners.missing() + (peer_reports.is_open() ? 0 : 1),
+                                 .warmup_flows = flow_steering.warmup().placed_count(),
+                                 .warmup_servers = flow_steering.warmup().limited_count(now()),
+                                 .warmup_servers_owned = flow_steering.warmup().owned_count(now()),
                                  .reports = peer_reports.counters(),
                                  .report_datagrams = peer_reports.datagram_counters(),
                                  .calls_by_result = calls_by_result,
