--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemons/entry/packet_handler.h"
+#include "daemons/entry/report_socket.h"
 
 namespace tamarack::entry {
 
@@ -19,6 +20,8 @@
     std::uint64_t                        warmup_flows = 0;         // placed on backend servers under a warm-up limit
     std::size_t                          warmup_servers = 0;       // backend servers under a warm-up limit
     std::size_t                          warmup_servers_owned = 0; // of these: the balancer may place flows on them
+    report_counters                      reports;
+    report_datagram_counters             report_datagrams;
     std::map<std::string, std::uint64_t> calls_by_result; // by outcome of a read, or "claim_" + that of a claim
     std::map<std::string, std::uint64_t> calls_by_kind;   // by source and kind of call
 };
--- a/daemons/entry/packet_handler.h
+++ b/daemons/entry/packet_handler.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <functional>
 
 namespace tamarack::entry {
 
@@ -36,6 +37,8 @@
     // Forwards the held packets once the replica is complete. Must be called at every tick, and when the replica has
     // become complete.
     void                   release_pending();
+    // Called after each series of batches of packets has been handled.
+    void                   set_after_batches(std::function<void()> callback) { after_batches_ = std::move(callback); }
     // Detects that the process was paused. Must be called at every tick.
     void                   check_for_pause();
     // Resets idle flows whose backend server has ended. Must be called at every tick.
@@ -69,6 +72,7 @@
     pause_detector                        pause_detector_;
     steady_time                           last_pause_end_{};
     bool                                  is_discarding_syns_ = false; // for the packets of the current batch
+    std::function<void()>                 after_batches_ = [] {};
 };
 
 } // namespace tamarack::entry
