--- a/tests/feed_tree.h
+++ b/tests/feed_tree.h
@@ -133,30 +133,31 @@
     };
     using outcome = result<record_page, read_failure>;
 
-    void                  at(steady_time time, std::function<void()> action);
-    duration              delay();
-    steady_time           send(steady_time& link_free_at, std::size_t bytes, double mbps);
     std::vector<endpoint> contacts_of(const fleet_host& host) const;
-    void                  tick(fleet_host& host);
-    void                  proceed(fleet_host& host);
-    void                  schedule_first_listing(fleet_host& host);
-    void                  read(fleet_host& host, const read_call& call);
-    void                  read_store(fleet_host& host, const read_call& call, std::uint64_t number);
-    void                  read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
-    static outcome        to_outcome(const feed_answer& answer);
-    void                  answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer);
-    void                  finish(fleet_host& host, std::uint64_t call, const outcome& read_outcome);
-    void                  make_claim(fleet_host& host, const claim_call& call);
-    void                  poll_feed(fleet_host& host);
-    void                  poll_store();
-    void                  expire_leases();
-    void                  remove(const std::string& key);
-    void                  write_again();
-    void                  expire_restored_registrations();
-    read_failure          store_failure(read_error error) const;
-    outcome               watch_outcome(const store_watch& watch) const;
-    store_revision        store_revision_now() const { return {store_.epoch, store_.revision}; }
-    record_page           page_after(std::uint64_t revision) const;
+
+    void           at(steady_time time, std::function<void()> action);
+    duration       delay();
+    steady_time    send(steady_time& link_free_at, std::size_t bytes, double mbps);
+    void           tick(fleet_host& host);
+    void           proceed(fleet_host& host);
+    void           schedule_first_listing(fleet_host& host);
+    void           read(fleet_host& host, const read_call& call);
+    void           read_store(fleet_host& host, const read_call& call, std::uint64_t number);
+    void           read_balancer(fleet_host& host, const read_call& call, std::uint64_t number);
+    static outcome to_outcome(const feed_answer& answer);
+    void           answer_follower(fleet_host& server, const feed_watch& call, const feed_answer& answer);
+    void           finish(fleet_host& host, std::uint64_t call, const outcome& read_outcome);
+    void           make_claim(fleet_host& host, const claim_call& call);
+    void           poll_feed(fleet_host& host);
+    void           poll_store();
+    void           expire_leases();
+    void           remove(const std::string& key);
+    void           write_again();
+    void           expire_restored_registrations();
+    read_failure   store_failure(read_error error) const;
+    outcome        watch_outcome(const store_watch& watch) const;
+    store_revision store_revision_now() const { return {store_.epoch, store_.revision}; }
+    record_page    page_after(std::uint64_t revision) const;
 
     fleet_options                                                     options_;
     random_source                                                     random_;
