--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -47,6 +47,7 @@
 void packet_handler::check_for_pause() {
     if (!pause_detector_.note_loop_iteration(time_.boot_now())) return;
     last_pause_end_ = time_.steady_now();
+    steering_.note_pause(last_pause_end_);
     log_.note_pause();
 }
 
--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -74,7 +74,8 @@
         const backend_registration& registration = backend.registration;
         if (service && registration.service != *service) continue;
         const backend_activity& activity = steering_.flows().activity(backend.reference);
-        const duration          avoided_for = std::max(activity.avoid_until - now, duration::zero());
+        const duration          avoided_for =
+            std::max(steering_.conditions().avoided_until(backend.reference) - now, duration::zero());
         text += format_line("backend_server", {{"name", registration.name},
                                                {"service", registration.service},
                                                {"address", registration.address.to_string()},
--- /dev/null
+++ b/entry/backend_condition.h
@@ -0,0 +1,119 @@
+// Conditions of backend servers: unresponsive, slow or well, as observed by this balancer and reported by others.
+//
+// A balancer sees one flow of a backend server every other second. Its own observations are certain, but late; the
+// reports of the other balancers of the failure domain are early, but may come from a balancer whose own link is at
+// fault. Own observations therefore precede reports, and reports affect at most half of a service.
+//
+// Load pattern: a few backend servers of a service stop responding or become slow while the others respond as usual,
+// and come back at a moment that all balancers see at once.
+#pragma once
+
+#include "entry/condition_report.h"
+#include "entry/flow_tracker.h"
+#include "entry/replica.h"
+#include "tamarack/resilience.h"
+
+namespace tamarack::entry {
+
+// How strongly the silence of a backend server is attested. Losses on this balancer's own link look like a silence of a
+// single packet.
+enum class silence_evidence : std::uint8_t {
+    single_packet,
+    repeated_packet, // retransmitted, or on different flows
+};
+
+class backend_conditions {
+public:
+    backend_conditions(const replica& store_replica, flow_tracker& flows, std::uint64_t random_seed);
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Observations
+    //------------------------------------------------------------------------------------------------------------------
+
+    // The backend server has not answered a SYN or a request in time. Silent_since: when the SYN was forwarded, or the
+    // request.
+    void note_unresponsive(backend_reference reference, silence_evidence evidence, steady_time silent_since,
+                           steady_time now);
+    // A request on the flow was retransmitted and is stalled.
+    void note_stalled(backend_reference reference, flow_key flow, steady_time silent_since, steady_time now);
+    // The backend server answers, but a packet went unanswered: it was lost, maybe on this balancer's own link.
+    void note_loss(steady_time now);
+    // The process was paused: packets that arrived meanwhile are handled late.
+    void note_pause(steady_time now) { last_pause_end_ = now; }
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Reports
+    //------------------------------------------------------------------------------------------------------------------
+
+    // Conditions that this balancer has observed itself and not yet handed out.
+    std::vector<condition_report> take_reports(steady_time now);
+    // A condition that another balancer has observed.
+    void                          accept(const condition_report& report, steady_time now);
+
+    //------------------------------------------------------------------------------------------------------------------
+    // Effects
+    //------------------------------------------------------------------------------------------------------------------
+
+    // Gets no new flows if there are other candidates.
+    bool        is_avoided(backend_reference reference, steady_time now) const;
+    // End of the avoidance; in the past or the epoch: not avoided.
+    steady_time avoided_until(backend_reference reference) const;
+    // By which the cost of a new flow is multiplied; at least 1.
+    double      cost_factor(backend_reference reference, steady_time now) const;
+    // The backend server does not respond although this balancer and the network work, so that an open flow whose
+    // request may run twice loses nothing by a reset.
+    bool        is_proven_unresponsive(const known_backend& backend, steady_time now) const;
+
+    void        expire(steady_time now);
+    std::size_t tracked_count() const { return states_.size(); }
+
+private:
+    struct stalled_flow {
+        flow_key    flow = 0;
+        steady_time silent_since{}; // when its request was forwarded
+        steady_time last_seen{};    // last retransmission; the epoch: none
+    };
+
+    struct backend_state {
+        // Own observation, valid until a response that is not older.
+        bool             is_unresponsive = false;
+        silence_evidence evidence = silence_evidence::single_packet;
+        steady_time      silent_since{};
+        steady_time      observed_at{};
+        duration         validity{};
+        bool             must_report = false; // the observation was not handed out yet
+        bool             must_report_well = false;
+        // Report of another balancer, valid until a response that is not older.
+        steady_time      reported_at{};    // of the observation; the epoch: none
+        steady_time      reported_until{}; // end of the avoidance
+        // All balancers see the end of the condition at once; this one waits until then with new flows.
+        steady_time      returning_until{};
+
+        std::array<stalled_flow, 2> stalled_flows{}; // different flows, the latest ones
+    };
+
+    backend_state*       find_state(backend_reference reference);
+    const backend_state* find_state(backend_reference reference) const;
+    steady_time          last_response(backend_reference reference) const;
+    // Ends the conditions of backend servers that have responded.
+    void                 end_conditions(steady_time now);
+    void                 end_condition(backend_state& state, steady_time now);
+    bool                 has_responded(backend_reference reference, const backend_state& state) const;
+    // The silence of a backend server may be a fault of this balancer's link or process.
+    bool                 is_own_fault_likely(steady_time now) const;
+    // This balancer's link and process work, as responses of other backend servers of the service show.
+    bool                 may_report(backend_reference reference, const backend_state& state, steady_time now) const;
+    void     accept_unresponsive(const known_backend& backend, const condition_report& report, steady_time now);
+    void     accept_well(backend_reference reference, const condition_report& report, steady_time now);
+    bool     would_exceed_limit(const known_backend& backend, steady_time now) const;
+    duration random_part(duration limit);
+
+    const replica&                                       store_replica_;
+    flow_tracker&                                        flows_;
+    random_source                                        random_;
+    std::unordered_map<backend_reference, backend_state> states_; // of registered backend servers only
+    steady_time                                          last_pause_end_{};
+    std::array<steady_time, 3>                           losses_{}; // the latest ones, in order
+};
+
+} // namespace tamarack::entry
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -276,7 +276,7 @@
            {"flow", flow_name(packet)},
            {"reason", to_string(decision.reason)},
            {"outcome", outcome_of(decision.action)},
-           {"backend_server", is_delivered ? decision.backend->registration.name : std::string("none")},
+           {"backend_server", decision.backend != nullptr ? decision.backend->registration.name : std::string("none")},
            {"copy", packet.syn ? packet.acknowledged : 0},
            {"version", version_of(store_replica)},
            {"store_revision", store_replica.complete_revision().number},
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -61,6 +61,9 @@
     // Assigns a flow that is not open to another backend server.
     void                reassign(tracked_flow& flow, backend_reference reference);
 
+    // The flow is reset: its request waits for no answer any more.
+    void end(tracked_flow& flow) { close(flow); }
+
     // A SYN is forwarded to the backend server.
     void     note_syn(backend_reference reference, steady_time now);
     // Smoothed time from a SYN to the caller's answer to the SYN+ACK.
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -9,19 +9,17 @@
 
 // Waiting requests per slot that a backend server of another failure domain must save: requests and answers that cross
 // domains take longer and are charged.
-constexpr double           other_domain_cost = 1.5;
+constexpr double   other_domain_cost = 1.5;
 // Load of an open flow that waits for no answer, relative to a flow that waits for one.
-constexpr double           idle_flow_load = 0.1;
+constexpr double   idle_flow_load = 0.1;
 // How much longer requests take during the warm-up.
-constexpr double           warmup_factor = 1.6;
-// A backend server that does not respond is avoided for the base time, which doubles with each further failure.
-constexpr backoff_settings avoidance_backoff = {std::chrono::milliseconds(400), std::chrono::seconds(6)};
+constexpr double   warmup_factor = 1.6;
 // A handshake takes at most this many times the usual time, plus a margin for a busy host.
-constexpr int              handshake_factor = 3;
-constexpr duration         handshake_margin = std::chrono::milliseconds(25);
+constexpr int      handshake_factor = 3;
+constexpr duration handshake_margin = std::chrono::milliseconds(25);
 // The share of new flows that a failure domain takes grows evenly over this time after its evacuation: all balancers
 // see the end of the evacuation at the same moment, and its backend servers may have caches to fill.
-constexpr duration         evacuation_return_time = std::chrono::seconds(3);
+constexpr duration evacuation_return_time = std::chrono::seconds(3);
 
 } // namespace
 
@@ -44,9 +42,9 @@
 }
 
 placement::placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
-                     std::uint64_t random_seed)
-    : settings_(std::move(settings)), store_replica_(store_replica), flows_(flows), random_(random_seed),
-      tie_break_seed_(random_()) {}
+                     backend_conditions& conditions, std::uint64_t random_seed)
+    : settings_(std::move(settings)), store_replica_(store_replica), flows_(flows), conditions_(conditions),
+      random_(random_seed), tie_break_seed_(random_()) {}
 
 //----------------------------------------------------------------------------------------------------------------------
 // Rules
@@ -78,14 +76,6 @@
            is_in_allowed_region(backend, matched_route);
 }
 
-void placement::note_unresponsive(backend_reference reference, steady_time now) {
-    backend_activity& activity = flows_.activity(reference);
-    activity.unanswered_syns = 0;
-    if (now < activity.avoid_until) return;
-    activity.avoid_until = now + backoff_limit(avoidance_backoff, activity.consecutive_failures);
-    ++activity.consecutive_failures;
-}
-
 // Load pattern: a backend server that answers SYNs with a reset, or not at all, processes no request. It would look
 // idle and attract all new flows. Therefore a SYN without an answer counts as load, and after this timeout as a failure
 // of the backend server.
@@ -120,10 +110,11 @@
         if (rule != exclusion::none && rule != exclusion::returning) continue;
         const backend_activity& activity = flows_.activity(candidate->reference);
         if (activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout())
-            note_unresponsive(candidate->reference, now);
-        if (candidate->reference == tried || now < activity.avoid_until) {
+            note_overdue_syns(candidate->reference, activity, now);
+        const steady_time avoided_until = conditions_.avoided_until(candidate->reference);
+        if (candidate->reference == tried || now < avoided_until) {
             const bool ends_first =
-                unresponsive == nullptr || activity.avoid_until < flows_.activity(unresponsive->reference).avoid_until;
+                unresponsive == nullptr || avoided_until < conditions_.avoided_until(unresponsive->reference);
             if (ends_first) unresponsive = candidate;
             continue;
         }
@@ -133,6 +124,12 @@
     return returning.backend != nullptr ? returning.backend : unresponsive;
 }
 
+void placement::note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now) {
+    const auto evidence =
+        activity.unanswered_syns > 1 ? silence_evidence::repeated_packet : silence_evidence::single_packet;
+    conditions_.note_unresponsive(reference, evidence, activity.first_unanswered_syn, now);
+}
+
 void placement::offer(choice& best, const known_backend& candidate, steady_time now) const {
     const double cost = cost_of(candidate, now);
     const bool   is_better =
@@ -154,7 +151,8 @@
     const bool              is_warming_up = now < backend.registration_received + backend.registration.warmup_remaining;
     const double            slots = std::max(1U, backend.registration.slots);
     const double load = activity.waiting_flows + activity.unanswered_syns + idle_flow_load * activity.open_flows;
-    const double cost = (load + 1.0) * (is_warming_up ? warmup_factor : 1.0) / slots;
+    const double cost =
+        (load + 1.0) * (is_warming_up ? warmup_factor : 1.0) * conditions_.cost_factor(backend.reference, now) / slots;
     return backend.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
 }
 
@@ -163,7 +161,7 @@
     for (const service_share& share : matched_route.services) {
         for (const known_backend* backend : store_replica_.available_backends(share.service)) {
             exclusion rule = rule_against(*backend, matched_route, 0.5, now);
-            if (rule == exclusion::none && now < flows_.activity(backend->reference).avoid_until)
+            if (rule == exclusion::none && conditions_.is_avoided(backend->reference, now))
                 rule = exclusion::unresponsive;
             candidates.push_back({backend, cost_of(*backend, now), rule});
         }
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -8,6 +8,7 @@
 // cost: load reports lag, and health probes occupy slots.
 #pragma once
 
+#include "entry/backend_condition.h"
 #include "entry/flow_tracker.h"
 #include "entry/replica.h"
 #include "tamarack/resilience.h"
@@ -29,7 +30,7 @@
 // A backend server as a candidate for a new flow.
 struct backend_candidate {
     const known_backend* backend = nullptr;
-    double               cost = 0; // waiting requests per slot, plus a surcharge for another failure domain
+    double               cost = 0; // waiting requests per slot, plus surcharges
     exclusion            excluded = exclusion::none;
 };
 
@@ -44,7 +45,7 @@
 class placement {
 public:
     placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
-              std::uint64_t random_seed);
+              backend_conditions& conditions, std::uint64_t random_seed);
 
     // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
     // and was not answered; 0: none.
@@ -54,8 +55,6 @@
     // All candidates of all services of the route, those that would be chosen first.
     std::vector<backend_candidate> explain(const route& matched_route, steady_time now) const;
 
-    // The backend server has not answered a SYN or a request in time.
-    void     note_unresponsive(backend_reference reference, steady_time now);
     // Time after which a SYN that has not been answered counts as a failure of the backend server.
     duration syn_answer_timeout() const;
 
@@ -65,6 +64,7 @@
         double               cost = 0;
     };
 
+    void             note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now);
     void             offer(choice& best, const known_backend& candidate, steady_time now) const;
     std::string_view choose_service(const route& matched_route);
     bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
@@ -75,11 +75,12 @@
     double           cost_of(const known_backend& backend, steady_time now) const;
     bool             wins_tie(const known_backend& left, const known_backend& right) const;
 
-    placement_settings settings_;
-    const replica&     store_replica_;
-    flow_tracker&      flows_;
-    random_source      random_;
-    std::uint64_t      tie_break_seed_; // gives each balancer its own order of equal backend servers
+    placement_settings  settings_;
+    const replica&      store_replica_;
+    flow_tracker&       flows_;
+    backend_conditions& conditions_;
+    random_source       random_;
+    std::uint64_t       tie_break_seed_; // gives each balancer its own order of equal backend servers
 };
 
 } // namespace tamarack::entry
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -19,14 +19,15 @@
 
 std::string_view to_string(decision_reason reason) {
     static constexpr std::array<std::string_view, decision_reason_count> names = {
-        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",     "by_flow",
-        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone"};
+        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",      "by_flow",
+        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone", "backend_unresponsive"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
 steering::steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed)
     : settings_(settings), store_replica_(store_replica), flows_(settings.flow_capacity),
-      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed) {}
+      conditions_(store_replica, flows_, random_seed + 1),
+      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, conditions_, random_seed) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
@@ -71,9 +72,12 @@
         // A SYN and its retransmission that were queued on the way may arrive together, so that the backend server has
         // had no time to answer the first one.
         const bool           answer_may_follow = now - tracked->first_syn < placement_.syn_answer_timeout();
-        const bool           may_be_alive =
-            answer_may_follow || flows_.activity(tracked->reference).last_response > tracked->first_syn;
-        if (!may_be_alive) placement_.note_unresponsive(tracked->reference, now);
+        const bool           has_responded = flows_.activity(tracked->reference).last_response > tracked->first_syn;
+        const bool           may_be_alive = answer_may_follow || has_responded;
+        if (has_responded && !answer_may_follow) conditions_.note_loss(now);
+        if (!may_be_alive)
+            conditions_.note_unresponsive(tracked->reference, silence_evidence::repeated_packet, tracked->first_syn,
+                                          now);
         if (may_be_alive && first_backend != nullptr && placement_.allows(*first_backend, matched_route))
             return {packet_action::deliver, decision_reason::placed_again, first_backend};
         tried = tracked->reference;
@@ -109,7 +113,8 @@
     if (store_replica_.routing() == nullptr || !store_replica_.is_complete())
         return {packet_action::drop, decision_reason::not_synchronized};
     tracked_flow* flow = flows_.find(packet);
-    if (store_replica_.find_route(packet.destination) == nullptr) return refuse_unrouted(packet, flow, now);
+    const route*  matched_route = store_replica_.find_route(packet.destination);
+    if (matched_route == nullptr) return refuse_unrouted(packet, flow, now);
     backend_reference reference = packet.reference;
     // Two backend servers may have answered the SYN and its retransmission. The flow is pinned to the one whose answer
     // the caller acknowledged first; the reference in a later answer does not move it.
@@ -130,11 +135,24 @@
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
         decision.reason = decision_reason::stalled;
-        placement_.note_unresponsive(reference, now);
+        conditions_.note_stalled(reference, key_of(packet), flow->last_progress, now);
+    }
+    if (flow != nullptr && gains_by_reset(packet, *matched_route, *backend, now)) {
+        flows_.end(*flow);
+        decision.action = packet_action::reset;
+        decision.reason = decision_reason::backend_unresponsive;
     }
     return decision;
 }
 
+// Load pattern: the callers of a dark backend server have long flows, on which they begin requests with a time limit of
+// some seconds, until its registration ends after about as long.
+bool steering::gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
+                              steady_time now) const {
+    return packet.payload_size > 0 && !packet.rst && is_idempotent(matched_route.kind) &&
+           conditions_.is_proven_unresponsive(backend, now);
+}
+
 // A reset may break a flow that is alive, so that it takes a proof. Without it the packet is dropped, and the caller
 // retransmits it. A caller's reset is never answered.
 steering_decision steering::refuse(const segment& packet, decision_reason reason, bool is_proved) {
@@ -183,6 +201,7 @@
     const routing_table* routing = store_replica_.routing();
     flows_.expire(now, routing == nullptr ? std::chrono::seconds(15) : routing->idle_timeout);
     unknown_flows_.expire(now);
+    conditions_.expire(now);
 }
 
 } // namespace tamarack::entry
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -18,19 +18,20 @@
 
 // Reason for a decision; names a counter and is a log field.
 enum class decision_reason : std::uint8_t {
-    placed,            // new flow
-    placed_again,      // retransmitted SYN, delivered to the same backend server
-    placed_elsewhere,  // retransmitted SYN; the first backend server has not responded
-    by_reference,      // later packet
-    stalled,           // later packet that retransmits data; the backend server has not responded in the meantime
-    by_flow,           // later packet whose reference differs from the backend server that the flow is pinned to
-    no_route,          // no route has the address
-    no_backend,        // the service has no backend server that takes new flows
-    not_synchronized,  // the replica is not complete yet
-    unknown_reference, // no backend server has the reference; it may belong to one that is not known yet
-    backend_gone,      // the flow's backend server has been removed
+    placed,               // new flow
+    placed_again,         // retransmitted SYN, delivered to the same backend server
+    placed_elsewhere,     // retransmitted SYN; the first backend server has not responded
+    by_reference,         // later packet
+    stalled,              // later packet that retransmits data; the backend server has not responded in the meantime
+    by_flow,              // later packet whose reference differs from the backend server that the flow is pinned to
+    no_route,             // no route has the address
+    no_backend,           // the service has no backend server that takes new flows
+    not_synchronized,     // the replica is not complete yet
+    unknown_reference,    // no backend server has the reference; it may belong to one that is not known yet
+    backend_gone,         // the flow's backend server has been removed
+    backend_unresponsive, // idempotent request; the flow's backend server is proven not to respond
 };
-inline constexpr std::size_t decision_reason_count = 11;
+inline constexpr std::size_t decision_reason_count = 12;
 
 std::string_view to_string(decision_reason reason);
 
@@ -61,19 +62,27 @@
 class steering {
 public:
     steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed);
-    steering(const steering&) = delete; // placement_ refers to flows_
+    steering(const steering&) = delete; // conditions_ and placement_ refer to flows_
     steering& operator=(const steering&) = delete;
 
-    steering_decision   decide(const segment& packet, steady_time now);
-    flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
-    void                expire(steady_time now);
-    const flow_tracker& flows() const { return flows_; }
+    steering_decision         decide(const segment& packet, steady_time now);
+    flow_explanation          explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
+    void                      expire(steady_time now);
+    // The process was paused, and packets have waited meanwhile.
+    void                      note_pause(steady_time now) { conditions_.note_pause(now); }
+    const flow_tracker&       flows() const { return flows_; }
+    backend_conditions&       conditions() { return conditions_; }
+    const backend_conditions& conditions() const { return conditions_; }
 
 private:
     steering_decision decide_syn(const segment& packet, steady_time now);
     steering_decision decide_later_packet(const segment& packet, steady_time now);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
+    // A reset lets the caller repeat the request on another backend server at once, and nothing runs twice that must
+    // not.
+    bool              gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
+                                     steady_time now) const;
     bool              is_stalled(const tracked_flow& flow, steady_time now);
     bool              is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
@@ -83,11 +92,12 @@
     steering_decision refuse_removed(const segment& packet, const known_backend& backend, const tracked_flow* flow,
                                      steady_time now);
 
-    steering_settings settings_;
-    const replica&    store_replica_;
-    flow_tracker      flows_;
-    placement         placement_;
-    unknown_flows     unknown_flows_; // whose route or backend server the replica lacks
+    steering_settings  settings_;
+    const replica&     store_replica_;
+    flow_tracker       flows_;
+    backend_conditions conditions_;
+    placement          placement_;
+    unknown_flows      unknown_flows_; // whose route or backend server the replica lacks
 };
 
 } // namespace tamarack::entry
