Detect slow and hanging backend servers by response times

Slow and hanging servers got nearly as many new flows as the others. response_outliers compares each answer, and each request that waits for long, with the median of the service's backend servers; a cumulative score makes an outlier, with reports of other hosts when they have seen two slow answers. Outliers cost more, and get trials.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -40,6 +40,8 @@
     metrics["entry_feeding"] = status.is_feeder ? 1 : 0;
     metrics["entry_followers"] = status.follower_count;
     metrics["entry_flows"] = status.flow_count;
+    metrics["entry_backend_servers_avoided"] = status.avoided_backend_servers;
+    metrics["entry_backend_servers_slow"] = status.slow_backend_servers;
     metrics["entry_follower_calls_rejected"] = status.rejected_requests;
     metrics["entry_restarts"] = status.restarts;
     metrics["entry_log_lines_omitted"] = status.omitted_log_lines;
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -11,8 +11,10 @@
     bool                                 is_feeder = false;
     std::size_t                          follower_count = 0;
     std::size_t                          flow_count = 0;
-    std::uint64_t                        rejected_requests = 0; // of followers without the feeder's key
-    unsigned                             restarts = 0;          // of this process, after exceptions
+    std::size_t                          avoided_backend_servers = 0; // since they do not respond
+    std::size_t                          slow_backend_servers = 0;    // with fewer new flows for it
+    std::uint64_t                        rejected_requests = 0;       // of followers without the feeder's key
+    unsigned                             restarts = 0;                // of this process, after exceptions
     std::uint64_t                        omitted_log_lines = 0;
     std::uint64_t                        failed_accepts = 0;
     std::size_t                          missing_listeners = 0; // optional ones that are not open
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -409,6 +409,8 @@
                                  .is_feeder = slot_claim.holds_slot(),
                                  .follower_count = follower_feed.followers(now()).size(),
                                  .flow_count = flow_steering.flows().flow_count(),
+                                 .avoided_backend_servers = flow_steering.conditions().avoided_count(now()),
+                                 .slow_backend_servers = flow_steering.conditions().outlier_count(),
                                  .rejected_requests = rejected_requests,
                                  .restarts = restarts,
                                  .omitted_log_lines = log.omitted_lines(),
--- a/entry/backend_condition.cpp
+++ b/entry/backend_condition.cpp
@@ -12,8 +12,9 @@
 // A report holds at least this long: hosts learn of a condition when a part of the first avoidance is over.
 constexpr duration         min_report_validity = std::chrono::seconds(1);
 constexpr duration         max_report_validity = std::chrono::seconds(10);
-// Receivers avoid a backend server for up to this part longer, so that not all of them try it again at once.
-constexpr double           report_spread = 0.5;
+// Receivers avoid a backend server for up to this time longer. The few that try it again first report it again if it
+// is still unresponsive, before the others try it.
+constexpr duration         report_spread = std::chrono::seconds(3);
 
 // Responses this long after the beginning of a silence belong to packets that were forwarded after it. Earlier ones do
 // not show that this host's link still works.
@@ -23,7 +24,9 @@
 // After a pause, answers that wait in the socket look missing.
 constexpr duration pause_margin = std::chrono::seconds(1);
 // The host's own link is suspected if the losses that are remembered all fall into this time.
-constexpr duration loss_window = std::chrono::seconds(2);
+constexpr duration loss_window = std::chrono::seconds(5);
+// A silence that ends earlier was a loss rather than a condition.
+constexpr duration min_condition_time = std::chrono::seconds(2);
 
 // Callers retransmit data after 200 ms and after 400 ms and 800 ms more.
 constexpr duration proof_silence = std::chrono::milliseconds(450);
@@ -52,7 +55,10 @@
 } // namespace
 
 backend_conditions::backend_conditions(const replica& store_replica, flow_tracker& flows, std::uint64_t random_seed)
-    : store_replica_(store_replica), flows_(flows), random_(random_seed) {}
+    : store_replica_(store_replica), flows_(flows), random_(random_seed),
+      outliers_(
+          store_replica, flows,
+          [this](backend_reference reference, steady_time now) { return is_avoided(reference, now); }, random_()) {}
 
 backend_conditions::backend_state* backend_conditions::find_state(backend_reference reference) {
     const auto found = states_.find(reference);
@@ -113,6 +119,20 @@
     losses_.back() = now;
 }
 
+void backend_conditions::note_progress(const known_backend& backend, request_kind kind, const segment& packet,
+                                       const tracked_flow& flow, const flow_progress& progress, steady_time now) {
+    if (progress.starts_request) outliers_.note_request(backend, kind, key_of(packet), now);
+    backend_state* state = progress.answer_time ? find_state(backend.reference) : nullptr;
+    if (state != nullptr) state->last_answer = now;
+    if (progress.answer_time && now >= last_pause_end_ + pause_margin)
+        outliers_.note_answer(backend, kind, flow, *progress.answer_time, now);
+}
+
+void backend_conditions::note_pause(steady_time now) {
+    last_pause_end_ = now;
+    outliers_.forget_waiting_requests();
+}
+
 bool backend_conditions::is_own_fault_likely(steady_time now) const {
     return now < last_pause_end_ + pause_margin || now < losses_.front() + loss_window;
 }
@@ -137,10 +157,12 @@
 void backend_conditions::end_conditions(steady_time now) {
     for (auto& [reference, state] : states_) {
         if (!has_responded(reference, state)) continue;
-        // An observation that ends before it could be handed out was a loss rather than a condition.
-        const bool was_loss = state.is_unresponsive && state.must_report;
-        if (was_loss) note_loss(now);
-        state.must_report_well = state.reported_at != steady_time{} || !was_loss;
+        if (state.is_unresponsive && now < state.silent_since + min_condition_time) note_loss(now);
+        const bool is_known_to_others = state.reported_at != steady_time{} || !state.must_report;
+        // A backend server that hangs accepts flows, but answers no request.
+        const bool may_hang = outliers_.is_suspected(reference, now) &&
+                              state.last_answer < std::max(state.observed_at, state.reported_at);
+        state.must_report_well = is_known_to_others && !may_hang;
         end_condition(state, now);
     }
 }
@@ -149,12 +171,12 @@
 // Reports
 //----------------------------------------------------------------------------------------------------------------------
 
-bool backend_conditions::may_report(backend_reference reference, const backend_state& state, steady_time now) const {
-    if (state.evidence != silence_evidence::repeated_packet || is_own_fault_likely(now)) return false;
+bool backend_conditions::may_report(backend_reference reference, steady_time since, steady_time now) const {
+    if (is_own_fault_likely(now)) return false;
     const known_backend* backend = store_replica_.find_backend(reference);
     if (backend == nullptr || !backend->takes_new_flows()) return false;
-    const steady_time since = std::max(state.silent_since + response_margin, now - report_response_age);
-    return count_responding(store_replica_, flows_, *backend, since, [](const known_backend&) { return true; }) >=
+    const auto is_any = [](const known_backend&) { return true; };
+    return count_responding(store_replica_, flows_, *backend, std::max(since, now - report_response_age), is_any) >=
            min_responding_backends;
 }
 
@@ -167,11 +189,15 @@
             reports.push_back(
                 {reference, backend_condition::well, now - last_response(reference), min_report_validity});
         }
-        if (!state.must_report || !may_report(reference, state, now)) continue;
+        const bool is_attested = state.must_report && state.evidence == silence_evidence::repeated_packet;
+        if (!is_attested || !may_report(reference, state.silent_since + response_margin, now)) continue;
         state.must_report = false;
         if (now < state.observed_at + state.validity)
             reports.push_back({reference, backend_condition::unresponsive, now - state.observed_at, state.validity});
     }
+    outliers_.append_reports(
+        reports, [&](backend_reference reference) { return may_report(reference, now - report_response_age, now); },
+        now);
     return reports;
 }
 
@@ -181,6 +207,7 @@
     if (backend == nullptr || backend->removed_at) return;
     end_conditions(now);
     if (report.condition == backend_condition::unresponsive) accept_unresponsive(*backend, report, now);
+    if (report.condition == backend_condition::slow) outliers_.accept_slow(*backend, report, now);
     if (report.condition == backend_condition::well) accept_well(report.reference, report, now);
 }
 
@@ -191,15 +218,18 @@
     if (!is_avoided(backend.reference, now) && would_exceed_limit(backend, now)) return;
     backend_state& state = states_[backend.reference];
     if (observed_at <= state.reported_at) return;
-    const duration remaining = std::min(report.validity, max_report_validity) - report.age;
+    const duration validity = std::min(report.validity, max_report_validity);
     state.reported_at = observed_at;
-    state.reported_until =
-        std::max(state.reported_until,
-                 now + remaining + random_part(std::chrono::duration_cast<duration>(report_spread * remaining)));
+    state.reported_until = std::max(state.reported_until, now + validity - report.age + random_part(report_spread));
+    // A failure here continues the doubling of the other balancer.
+    unsigned& failures = flows_.activity(backend.reference).consecutive_failures;
+    while (backoff_limit(avoidance_backoff, failures) < std::min(validity, avoidance_backoff.cap))
+        ++failures;
     state.returning_until = {};
 }
 
 void backend_conditions::accept_well(backend_reference reference, const condition_report& report, steady_time now) {
+    outliers_.accept_well(reference, now);
     backend_state* state = find_state(reference);
     if (state == nullptr) return;
     const steady_time observed_at = now - report.age;
@@ -219,10 +249,11 @@
 // Own observations count, too, but are not limited: they are certain, and a service without any other backend server
 // still uses those that are avoided.
 bool backend_conditions::would_exceed_limit(const known_backend& backend, steady_time now) const {
-    const auto        candidates = store_replica_.available_backends(backend.registration.service);
-    const std::size_t avoided = static_cast<std::size_t>(std::ranges::count_if(
-        candidates, [&](const known_backend* candidate) { return is_avoided(candidate->reference, now); }));
-    return 2 * (avoided + 1) > candidates.size();
+    const auto candidates = store_replica_.available_backends(backend.registration.service);
+    const auto taken_out = std::ranges::count_if(candidates, [&](const known_backend* candidate) {
+        return candidate != &backend && (is_avoided(candidate->reference, now) || is_outlier(candidate->reference));
+    });
+    return 2 * (static_cast<std::size_t>(taken_out) + 1) > candidates.size();
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -242,11 +273,17 @@
     return now < avoided_until(reference);
 }
 
+std::size_t backend_conditions::avoided_count(steady_time now) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(states_, [&](const auto& item) { return is_avoided(item.first, now); }));
+}
+
 double backend_conditions::cost_factor(backend_reference reference, steady_time now) const {
+    const double         factor = outliers_.cost_factor(reference, now);
     const backend_state* state = find_state(reference);
-    if (state == nullptr) return 1.0;
+    if (state == nullptr) return factor;
     const bool is_returning = now < state->returning_until || has_responded(reference, *state);
-    return is_returning ? return_cost_factor : 1.0;
+    return is_returning ? std::max(factor, return_cost_factor) : factor;
 }
 
 bool backend_conditions::is_proven_unresponsive(const known_backend& backend, steady_time now) const {
@@ -270,6 +307,7 @@
 
 void backend_conditions::expire(steady_time now) {
     end_conditions(now);
+    outliers_.expire(now);
     std::erase_if(states_, [&](const auto& reference_and_state) {
         const auto& [reference, state] = reference_and_state;
         if (now < std::max(state.reported_until, state.returning_until)) return false;
--- a/entry/backend_condition.h
+++ b/entry/backend_condition.h
@@ -11,6 +11,7 @@
 #include "entry/condition_report.h"
 #include "entry/flow_tracker.h"
 #include "entry/replica.h"
+#include "entry/response_outliers.h"
 #include "tamarack/resilience.h"
 
 namespace tamarack::entry {
@@ -25,6 +26,8 @@
 class backend_conditions {
 public:
     backend_conditions(const replica& store_replica, flow_tracker& flows, std::uint64_t random_seed);
+    backend_conditions(const backend_conditions&) = delete; // outliers_ refers to it
+    backend_conditions& operator=(const backend_conditions&) = delete;
 
     //------------------------------------------------------------------------------------------------------------------
     // Observations
@@ -38,8 +41,13 @@
     void note_stalled(backend_reference reference, flow_key flow, steady_time silent_since, steady_time now);
     // The backend server answers, but a packet went unanswered: it was lost, maybe on this balancer's own link.
     void note_loss(steady_time now);
+    // What a packet of the flow has shown about its request.
+    void note_progress(const known_backend& backend, request_kind kind, const segment& packet, const tracked_flow& flow,
+                       const flow_progress& progress, steady_time now);
+    // A new flow goes to the backend server.
+    void note_placed(backend_reference reference, steady_time now) { outliers_.note_placed(reference, now); }
     // The process was paused: packets that arrived meanwhile are handled late.
-    void note_pause(steady_time now) { last_pause_end_ = now; }
+    void note_pause(steady_time now);
 
     //------------------------------------------------------------------------------------------------------------------
     // Reports
@@ -58,14 +66,20 @@
     bool        is_avoided(backend_reference reference, steady_time now) const;
     // End of the avoidance; in the past or the epoch: not avoided.
     steady_time avoided_until(backend_reference reference) const;
+    bool        is_outlier(backend_reference reference) const { return outliers_.is_outlier(reference); }
     // By which the cost of a new flow is multiplied; at least 1.
     double      cost_factor(backend_reference reference, steady_time now) const;
     // The backend server does not respond although this balancer and the network work, so that an open flow whose
     // request may run twice loses nothing by a reset.
     bool        is_proven_unresponsive(const known_backend& backend, steady_time now) const;
 
+    // Cheap unless an update is due. To be called before the effects are used.
+    void        update(steady_time now) { outliers_.update(now); }
     void        expire(steady_time now);
     std::size_t tracked_count() const { return states_.size(); }
+    std::size_t avoided_count(steady_time now) const;
+    // Backend servers whose response times are outliers.
+    std::size_t outlier_count() const { return outliers_.outlier_count(); }
 
 private:
     struct stalled_flow {
@@ -83,6 +97,7 @@
         duration         validity{};
         bool             must_report = false; // the observation was not handed out yet
         bool             must_report_well = false;
+        steady_time      last_answer{}; // to a request rather than a SYN, since the observation
         // Report of another balancer, valid until a response that is not older.
         steady_time      reported_at{};    // of the observation; the epoch: none
         steady_time      reported_until{}; // end of the avoidance
@@ -101,8 +116,8 @@
     bool                 has_responded(backend_reference reference, const backend_state& state) const;
     // The silence of a backend server may be a fault of this balancer's link or process.
     bool                 is_own_fault_likely(steady_time now) const;
-    // This balancer's link and process work, as responses of other backend servers of the service show.
-    bool                 may_report(backend_reference reference, const backend_state& state, steady_time now) const;
+    // This balancer's link and process work, as later responses of other backend servers of the service show.
+    bool                 may_report(backend_reference reference, steady_time since, steady_time now) const;
     void     accept_unresponsive(const known_backend& backend, const condition_report& report, steady_time now);
     void     accept_well(backend_reference reference, const condition_report& report, steady_time now);
     bool     would_exceed_limit(const known_backend& backend, steady_time now) const;
@@ -111,6 +126,7 @@
     const replica&                                       store_replica_;
     flow_tracker&                                        flows_;
     random_source                                        random_;
+    response_outliers                                    outliers_;
     std::unordered_map<backend_reference, backend_state> states_; // of registered backend servers only
     steady_time                                          last_pause_end_{};
     std::array<steady_time, 3>                           losses_{}; // the latest ones, in order
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -35,7 +35,11 @@
 }
 
 tracked_flow* flow_tracker::find(const segment& packet) {
-    const auto found = flows_.find(key_of(packet));
+    return find(key_of(packet));
+}
+
+tracked_flow* flow_tracker::find(flow_key key) {
+    const auto found = flows_.find(key);
     return found == flows_.end() ? nullptr : &found->second;
 }
 
@@ -105,6 +109,8 @@
         flow.last_progress = now;
         if (!flow.is_waiting && !flow.is_closing) {
             flow.is_waiting = true;
+            flow.is_overdue = false;
+            progress.starts_request = true;
             flow.request_received = now;
             ++activity.waiting_flows;
         }
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -38,6 +38,7 @@
     bool              syn_was_seen = false;          // the SYN passed this balancer
     bool              is_open = false;               // the caller has sent a packet after its SYN
     bool              is_waiting = false;            // a request has no answer yet
+    bool              is_overdue = false;            // its last request waited for much longer than usual
     bool              is_closing = false;            // FIN or RST seen
 };
 
@@ -45,6 +46,7 @@
 struct flow_progress {
     std::optional<duration> handshake_time;            // from the SYN to the caller's answer to the SYN+ACK
     std::optional<duration> answer_time;               // from the request to the first acknowledgement of an answer
+    bool                    starts_request = false;    // on a flow that waited for no answer
     bool                    is_retransmission = false; // it carries data that the caller has sent before
 };
 
@@ -54,6 +56,7 @@
 
     tracked_flow*       find(const segment& packet);
     const tracked_flow* find(const segment& packet) const;
+    tracked_flow*       find(flow_key key);
     // Starts or restarts a flow; null if the table is full.
     tracked_flow*       start(const segment& packet, backend_reference reference, steady_time now);
     // Updates the flow and its backend server's activity from a packet after the SYN.
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -104,7 +104,8 @@
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
-    const double         returning_position = std::uniform_real_distribution<double>()(random_);
+    conditions_.update(now);
+    const double returning_position = std::uniform_real_distribution<double>()(random_);
     for (const known_backend* candidate : store_replica_.available_backends(choose_service(matched_route))) {
         const exclusion rule = rule_against(*candidate, matched_route, returning_position, now);
         if (rule != exclusion::none && rule != exclusion::returning) continue;
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -90,6 +90,7 @@
         flows_.start(packet, chosen->reference, now);
     }
     flows_.note_syn(chosen->reference, now);
+    conditions_.note_placed(chosen->reference, now);
     return {packet_action::deliver, is_retransmission ? decision_reason::placed_elsewhere : decision_reason::placed,
             chosen};
 }
@@ -131,7 +132,10 @@
         flows_.reassign(*flow, reference);
     }
     steering_decision decision{packet_action::deliver, decision_reason::by_reference, backend, flow, {}};
-    if (flow != nullptr) decision.progress = flows_.note_packet(*flow, packet, now);
+    if (flow != nullptr) {
+        decision.progress = flows_.note_packet(*flow, packet, now);
+        conditions_.note_progress(*backend, matched_route->kind, packet, *flow, decision.progress, now);
+    }
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
         decision.reason = decision_reason::stalled;
