--- a/entry/backend_condition.cpp
+++ b/entry/backend_condition.cpp
@@ -115,7 +115,7 @@
 }
 
 void backend_conditions::note_loss(steady_time now) {
-    std::ranges::rotate(losses_, losses_.begin() + 1);
+    std::rotate(losses_.begin(), losses_.begin() + 1, losses_.end());
     losses_.back() = now;
 }
 
--- a/entry/response_outliers.cpp
+++ b/entry/response_outliers.cpp
@@ -41,6 +41,8 @@
 constexpr std::size_t max_waiting_requests = 4'096; // of a service and kind
 
 constexpr duration report_validity = std::chrono::seconds(6);
+// Copies of a report, which may come on different ways, differ by less in the time of the observation.
+constexpr duration duplicate_margin = std::chrono::milliseconds(20);
 constexpr double   min_cost_factor = 2.0;
 constexpr double   max_cost_factor = 30.0;
 constexpr double   reported_cost_factor = 4.0; // until a sample of this balancer tells more
@@ -122,15 +124,16 @@
     if (excess > 0) {
         state.last_slow_sample = now;
     } else if (excess < 0) {
-        drop_report(state);
+        drop_report(state, now);
         if (state.is_outlier) schedule_trial(state, confirming_trial_interval, now);
     }
 }
 
-// Drops the older report.
-void response_outliers::drop_report(backend_state& state) {
-    std::ranges::sort(state.reports_until);
-    state.reports_until.front() = {};
+// Drops the older report in force.
+void response_outliers::drop_report(backend_state& state, steady_time now) {
+    auto& [older, newer] = state.reports_until;
+    if (newer < older) std::swap(older, newer);
+    (now < older ? older : newer) = {};
 }
 
 bool response_outliers::is_suspected(backend_reference reference, steady_time now) const {
@@ -174,7 +177,8 @@
         flow->is_overdue = true;
         add_sample(state->second, kind, now - request.begun, is_first_count ? max_excess : max_long_overdue_excess,
                    now);
-        if (is_first_count) group.populations.at(kind).overdue.push_back(request);
+        auto& overdue = group.populations.at(kind).overdue;
+        if (is_first_count && overdue.size() < max_waiting_requests) overdue.push_back(request);
     }
 }
 
@@ -332,8 +336,12 @@
 }
 
 void response_outliers::accept_slow(const known_backend& backend, const condition_report& report, steady_time now) {
-    backend_state& state = state_of(backend);
-    steady_time&   first_to_end = *std::ranges::min_element(state.reports_until);
+    backend_state&    state = state_of(backend);
+    const steady_time observed_at = now - report.age;
+    const bool        is_duplicate = std::chrono::abs(observed_at - state.last_reported) < duplicate_margin;
+    state.last_reported = observed_at;
+    if (is_duplicate) return;
+    steady_time& first_to_end = *std::ranges::min_element(state.reports_until);
     first_to_end = std::max(first_to_end, now + std::min(report.validity, report_validity) - report.age);
 }
 
@@ -341,7 +349,7 @@
 void response_outliers::accept_well(backend_reference reference, steady_time now) {
     const auto found = states_.find(reference);
     if (found == states_.end()) return;
-    drop_report(found->second);
+    drop_report(found->second, now);
     found->second.score = std::max(0.0, found->second.score - max_excess);
     if (found->second.is_outlier) schedule_trial(found->second, confirming_trial_interval, now);
 }
--- a/entry/response_outliers.h
+++ b/entry/response_outliers.h
@@ -100,6 +100,7 @@
         double                                 cost_factor = 1.0;       // of an outlier
         steady_time                            next_trial{};            // of an outlier
         std::array<steady_time, 2>             reports_until{};         // validity of reports by others
+        steady_time                            last_reported{};         // observation of the last of them
         steady_time                            next_report{};           // of this balancer
         bool                                   was_reported = false;    // by this balancer, and not yet as well
         bool                                   must_report_well = false;
@@ -119,7 +120,7 @@
     // Most backend servers answer slowly: their scores tell nothing yet.
     static bool     is_common(const service_group& group);
     double          relative_score(const backend_state& state) const;
-    static void     drop_report(backend_state& state);
+    static void     drop_report(backend_state& state, steady_time now);
     static duration trial_interval(const backend_state& state);
     void            schedule_trial(backend_state& state, duration mean, steady_time now);
 
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -75,9 +75,10 @@
         const bool           has_responded = flows_.activity(tracked->reference).last_response > tracked->first_syn;
         const bool           may_be_alive = answer_may_follow || has_responded;
         if (has_responded && !answer_may_follow) conditions_.note_loss(now);
-        if (!may_be_alive)
+        if (!may_be_alive) {
             conditions_.note_unresponsive(tracked->reference, silence_evidence::repeated_packet, tracked->first_syn,
                                           now);
+        }
         if (may_be_alive && first_backend != nullptr && placement_.allows(*first_backend, matched_route))
             return {packet_action::deliver, decision_reason::placed_again, first_backend};
         tried = tracked->reference;
