--- a/entry/backend_condition.cpp
+++ b/entry/backend_condition.cpp
@@ -56,9 +56,16 @@
 
 backend_conditions::backend_conditions(const replica& store_replica, flow_tracker& flows, std::uint64_t random_seed)
     : store_replica_(store_replica), flows_(flows), random_(random_seed),
-      outliers_(
-          store_replica, flows,
-          [this](backend_reference reference, steady_time now) { return is_avoided(reference, now); }, random_()) {}
+      outliers_(store_replica, flows, avoidance(), random_()) {}
+
+backend_conditions::backend_conditions(const backend_conditions& other, flow_tracker& flows)
+    : store_replica_(other.store_replica_), flows_(flows), random_(other.random_),
+      outliers_(other.outliers_, flows, avoidance()), states_(other.states_), last_pause_end_(other.last_pause_end_),
+      losses_(other.losses_) {}
+
+response_outliers::avoidance_query backend_conditions::avoidance() const {
+    return [this](backend_reference reference, steady_time now) { return is_avoided(reference, now); };
+}
 
 backend_conditions::backend_state* backend_conditions::find_state(backend_reference reference) {
     const auto found = states_.find(reference);
@@ -308,6 +315,7 @@
 void backend_conditions::expire(steady_time now) {
     end_conditions(now);
     outliers_.expire(now);
+    outliers_.update(now);
     std::erase_if(states_, [&](const auto& reference_and_state) {
         const auto& [reference, state] = reference_and_state;
         if (now < std::max(state.reported_until, state.returning_until)) return false;
--- a/entry/backend_condition.h
+++ b/entry/backend_condition.h
@@ -26,6 +26,8 @@
 class backend_conditions {
 public:
     backend_conditions(const replica& store_replica, flow_tracker& flows, std::uint64_t random_seed);
+    // A copy with other counts, for trying a decision.
+    backend_conditions(const backend_conditions& other, flow_tracker& flows);
     backend_conditions(const backend_conditions&) = delete; // outliers_ refers to it
     backend_conditions& operator=(const backend_conditions&) = delete;
 
@@ -73,8 +75,9 @@
     // request may run twice loses nothing by a reset.
     bool        is_proven_unresponsive(const known_backend& backend, steady_time now) const;
 
-    // Cheap unless an update is due. To be called before the effects are used.
+    // Finds outliers. Part of expire and take_reports; does nothing unless an update is due.
     void        update(steady_time now) { outliers_.update(now); }
+    // To be called at every tick.
     void        expire(steady_time now);
     std::size_t tracked_count() const { return states_.size(); }
     std::size_t avoided_count(steady_time now) const;
@@ -118,10 +121,11 @@
     bool                 is_own_fault_likely(steady_time now) const;
     // This balancer's link and process work, as later responses of other backend servers of the service show.
     bool                 may_report(backend_reference reference, steady_time since, steady_time now) const;
-    void     accept_unresponsive(const known_backend& backend, const condition_report& report, steady_time now);
-    void     accept_well(backend_reference reference, const condition_report& report, steady_time now);
-    bool     would_exceed_limit(const known_backend& backend, steady_time now) const;
-    duration random_part(duration limit);
+    void accept_unresponsive(const known_backend& backend, const condition_report& report, steady_time now);
+    void accept_well(backend_reference reference, const condition_report& report, steady_time now);
+    response_outliers::avoidance_query avoidance() const;
+    bool                               would_exceed_limit(const known_backend& backend, steady_time now) const;
+    duration                           random_part(duration limit);
 
     const replica&                                       store_replica_;
     flow_tracker&                                        flows_;
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -7,6 +7,8 @@
 
 #include "entry/model.h"
 
+#include <unordered_set>
+
 namespace tamarack::entry {
 
 // Load and responsiveness of one backend server, as observed by this balancer.
@@ -26,6 +28,8 @@
 flow_key key_of(const segment& packet);
 
 struct tracked_flow {
+    endpoint          caller;
+    endpoint          route_address;
     backend_reference reference = 0;                 // of the flow's backend server
     std::uint32_t     next_sequence = 0;             // sequence number after the data that the caller has sent
     std::uint32_t     acknowledged = 0;              // by the caller
@@ -53,6 +57,8 @@
 class flow_tracker {
 public:
     explicit flow_tracker(std::size_t capacity) : capacity_(capacity) {}
+    // A copy that knows the activity of the backend servers, but no flow.
+    flow_tracker without_flows() const;
 
     tracked_flow*       find(const segment& packet);
     const tracked_flow* find(const segment& packet) const;
@@ -64,8 +70,10 @@
     // Assigns a flow that is not open to another backend server.
     void                reassign(tracked_flow& flow, backend_reference reference);
 
-    // The flow is reset: its request waits for no answer any more.
-    void end(tracked_flow& flow) { close(flow); }
+    // Open flows of these backend servers that wait for no answer. Checks the whole table.
+    std::vector<tracked_flow*> idle_flows(const std::unordered_set<backend_reference>& references);
+    // The flow has been reset.
+    void                       note_reset(tracked_flow& flow, steady_time now);
 
     // A SYN is forwarded to the backend server.
     void     note_syn(backend_reference reference, steady_time now);
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -2,6 +2,7 @@
 #include "entry/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::entry {
 
@@ -33,10 +34,14 @@
         return "returning";
     case exclusion::region_not_allowed:
         return "region_not_allowed";
+    case exclusion::warmup_limit:
+        return "warmup_limit";
     case exclusion::tried_before:
         return "tried_before";
     case exclusion::unresponsive:
         return "unresponsive";
+    case exclusion::other_service:
+        return "other_service";
     }
     return "unknown";
 }
@@ -44,17 +49,26 @@
 placement::placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
                      backend_conditions& conditions, std::uint64_t random_seed)
     : settings_(std::move(settings)), store_replica_(store_replica), flows_(flows), conditions_(conditions),
-      random_(random_seed), tie_break_seed_(random_()) {}
+      warmup_(settings_.warmup, store_replica), random_(random_seed), tie_break_seed_(random_()) {}
+
+placement::placement(const placement& other, flow_tracker& flows, backend_conditions& conditions)
+    : settings_(other.settings_), store_replica_(other.store_replica_), flows_(flows), conditions_(conditions),
+      warmup_(other.warmup_), random_(other.random_), tie_break_seed_(other.tie_break_seed_) {}
 
 //----------------------------------------------------------------------------------------------------------------------
 // Rules
 //----------------------------------------------------------------------------------------------------------------------
 
+std::string_view placement::region_of(const known_backend& backend) const {
+    const auto region = settings_.regions.find(backend.registration.failure_domain);
+    return region == settings_.regions.end() ? std::string_view() : region->second;
+}
+
 bool placement::is_in_allowed_region(const known_backend& backend, const route& matched_route) const {
     if (matched_route.allowed_regions.empty()) return true;
-    const auto region = settings_.regions.find(backend.registration.failure_domain);
-    return region != settings_.regions.end() &&
-           std::ranges::find(matched_route.allowed_regions, region->second) != matched_route.allowed_regions.end();
+    const std::string_view region = region_of(backend);
+    return !region.empty() &&
+           std::ranges::find(matched_route.allowed_regions, region) != matched_route.allowed_regions.end();
 }
 
 bool placement::is_returning(const known_backend& backend, double position, steady_time now) const {
@@ -67,6 +81,7 @@
                                   steady_time now) const {
     if (store_replica_.is_evacuated(backend.registration.failure_domain)) return exclusion::evacuated;
     if (!is_in_allowed_region(backend, matched_route)) return exclusion::region_not_allowed;
+    if (!warmup_.may_place(backend, now)) return exclusion::warmup_limit;
     if (is_returning(backend, returning_position, now)) return exclusion::returning;
     return exclusion::none;
 }
@@ -83,31 +98,43 @@
     return handshake_factor * flows_.handshake_time() + handshake_margin;
 }
 
+// Whether choose takes the backend server for unresponsive, also if it has not noticed yet.
+// Whether choose takes the backend server for unresponsive, also if it has not noticed yet.
+bool placement::is_avoided(backend_reference reference, steady_time now) const {
+    const backend_activity& activity = std::as_const(flows_).activity(reference);
+    const bool              is_answer_missing =
+        activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout();
+    return is_answer_missing || conditions_.is_avoided(reference, now);
+}
+
 //----------------------------------------------------------------------------------------------------------------------
 // Choice
 //----------------------------------------------------------------------------------------------------------------------
 
-std::string_view placement::choose_service(const route& matched_route) {
+placement::flow_draw placement::draw_for(const route& matched_route, random_source& random) {
+    flow_draw     drawn{.returning_position = std::uniform_real_distribution<double>()(random),
+                        .service = matched_route.services.front().service};
     std::uint32_t total_weight = 0;
     for (const service_share& share : matched_route.services)
         total_weight += share.weight;
-    if (total_weight == 0 || matched_route.services.size() == 1) return matched_route.services.front().service;
-    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random_);
+    if (total_weight == 0 || matched_route.services.size() == 1) return drawn;
+    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random);
     for (const service_share& share : matched_route.services) {
-        if (position < share.weight) return share.service;
+        drawn.service = share.service;
+        if (position < share.weight) break;
         position -= share.weight;
     }
-    return matched_route.services.back().service;
+    return drawn;
 }
 
 const known_backend* placement::choose(const route& matched_route, backend_reference tried, steady_time now) {
+    note_feeders(now);
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
-    conditions_.update(now);
-    const double returning_position = std::uniform_real_distribution<double>()(random_);
-    for (const known_backend* candidate : store_replica_.available_backends(choose_service(matched_route))) {
-        const exclusion rule = rule_against(*candidate, matched_route, returning_position, now);
+    const flow_draw      drawn = draw_for(matched_route, random_);
+    for (const known_backend* candidate : store_replica_.available_backends(drawn.service)) {
+        const exclusion rule = rule_against(*candidate, matched_route, drawn.returning_position, now);
         if (rule != exclusion::none && rule != exclusion::returning) continue;
         const backend_activity& activity = flows_.activity(candidate->reference);
         if (activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout())
@@ -152,24 +179,29 @@
     const bool              is_warming_up = now < backend.registration_received + backend.registration.warmup_remaining;
     const double            slots = std::max(1U, backend.registration.slots);
     const double load = activity.waiting_flows + activity.unanswered_syns + idle_flow_load * activity.open_flows;
-    const double cost =
-        (load + 1.0) * (is_warming_up ? warmup_factor : 1.0) * conditions_.cost_factor(backend.reference, now) / slots;
+    // The owner of a limited backend server knows all of its load. Of other backend servers a balancer sees a part.
+    const double unseen_load = warmup_.is_limited(backend, now) ? 0.0 : 1.0;
+    const double cost = (load + unseen_load) * (is_warming_up ? warmup_factor : 1.0) *
+                        conditions_.cost_factor(backend.reference, now) / slots;
     return backend.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
 }
 
 std::vector<backend_candidate> placement::explain(const route& matched_route, steady_time now) const {
+    random_source                  next_random = random_;
+    const flow_draw                drawn = draw_for(matched_route, next_random);
     std::vector<backend_candidate> candidates;
     for (const service_share& share : matched_route.services) {
         for (const known_backend* backend : store_replica_.available_backends(share.service)) {
-            exclusion rule = rule_against(*backend, matched_route, 0.5, now);
-            if (rule == exclusion::none && conditions_.is_avoided(backend->reference, now))
-                rule = exclusion::unresponsive;
-            candidates.push_back({backend, cost_of(*backend, now), rule});
+            exclusion rule = rule_against(*backend, matched_route, drawn.returning_position, now);
+            if (rule == exclusion::none && share.service != drawn.service) rule = exclusion::other_service;
+            if (rule == exclusion::none && is_avoided(backend->reference, now)) rule = exclusion::unresponsive;
+            candidates.push_back({backend, cost_of(*backend, now), rule, region_of(*backend)});
         }
     }
-    std::ranges::sort(candidates, [](const backend_candidate& left, const backend_candidate& right) {
-        return std::pair(left.excluded != exclusion::none, left.cost) <
-               std::pair(right.excluded != exclusion::none, right.cost);
+    std::ranges::sort(candidates, [this](const backend_candidate& left, const backend_candidate& right) {
+        const std::pair left_rank(left.excluded != exclusion::none, left.cost);
+        const std::pair right_rank(right.excluded != exclusion::none, right.cost);
+        return left_rank != right_rank ? left_rank < right_rank : wins_tie(*left.backend, *right.backend);
     });
     return candidates;
 }
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -11,6 +11,7 @@
 #include "entry/backend_condition.h"
 #include "entry/flow_tracker.h"
 #include "entry/replica.h"
+#include "entry/warmup_limit.h"
 #include "tamarack/resilience.h"
 
 namespace tamarack::entry {
@@ -21,8 +22,10 @@
     evacuated,          // the operator has evacuated its failure domain
     returning,          // the evacuation of its failure domain has just ended, and flows return gradually
     region_not_allowed, // the route allows other regions only
+    warmup_limit,       // it is warming up, and this balancer may place no further flow on it now
     tried_before,       // a SYN of this flow went there and was not answered
     unresponsive,       // it has not responded lately; chosen if there is no other candidate
+    other_service,      // the route is split, and this flow falls to another service
 };
 
 std::string_view to_string(exclusion reason);
@@ -32,14 +35,16 @@
     const known_backend* backend = nullptr;
     double               cost = 0; // waiting requests per slot, plus surcharges
     exclusion            excluded = exclusion::none;
+    std::string_view     region{}; // of its failure domain; empty: none
 };
 
 // Regions of the failure domains, by name.
 using region_map = std::map<std::string, std::string, std::less<>>;
 
 struct placement_settings {
-    std::string failure_domain; // of this balancer
-    region_map  regions;        // by failure domain; a failure domain without an entry is in no region
+    std::string           failure_domain; // of this balancer
+    region_map            regions;        // by failure domain; a failure domain without an entry is in no region
+    warmup_limit_settings warmup{};
 };
 
 class placement {
@@ -47,14 +52,24 @@
     placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
               backend_conditions& conditions, std::uint64_t random_seed);
 
+    // A copy that decides as the other one would, with its own counts.
+    placement(const placement& other, flow_tracker& flows, backend_conditions& conditions);
+
     // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
     // and was not answered; 0: none.
     const known_backend*           choose(const route& matched_route, backend_reference tried, steady_time now);
     // Whether a retransmitted SYN may still go to the backend server that was chosen for the first one.
     bool                           allows(const known_backend& backend, const route& matched_route) const;
-    // All candidates of all services of the route, those that would be chosen first.
+    // All candidates of all services of the route, as the next flow finds them: those that may be chosen first, the
+    // cheapest at the head.
     std::vector<backend_candidate> explain(const route& matched_route, steady_time now) const;
 
+    // The SYN of a new flow, or of one that moves, is delivered to the backend server.
+    void note_placed(const known_backend& backend, steady_time now) { warmup_.note_placed(backend, now); }
+    // To be called regularly, so that changes of the registered feeders are noticed without new flows.
+    void note_feeders(steady_time now) { warmup_.observe_feeders(now); }
+    const warmup_limit& warmup() const { return warmup_; }
+
     // Time after which a SYN that has not been answered counts as a failure of the backend server.
     duration syn_answer_timeout() const;
 
@@ -64,10 +79,18 @@
         double               cost = 0;
     };
 
+    // The random part of a choice.
+    struct flow_draw {
+        double           returning_position = 0; // 0 to 1; the flow goes to domains that have returned this far
+        std::string_view service;
+    };
+
+    static flow_draw draw_for(const route& matched_route, random_source& random);
     void             note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now);
     void             offer(choice& best, const known_backend& candidate, steady_time now) const;
-    std::string_view choose_service(const route& matched_route);
+    std::string_view region_of(const known_backend& backend) const; // empty: none
     bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
+    bool             is_avoided(backend_reference reference, steady_time now) const;
     // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
     exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
                                   steady_time now) const;
@@ -79,6 +102,7 @@
     const replica&      store_replica_;
     flow_tracker&       flows_;
     backend_conditions& conditions_;
+    warmup_limit        warmup_;
     random_source       random_;
     std::uint64_t       tie_break_seed_; // gives each balancer its own order of equal backend servers
 };
--- a/entry/response_outliers.cpp
+++ b/entry/response_outliers.cpp
@@ -79,6 +79,16 @@
                                      std::uint64_t random_seed)
     : store_replica_(store_replica), flows_(flows), is_avoided_(std::move(is_avoided)), random_(random_seed) {}
 
+response_outliers::response_outliers(const response_outliers& other, flow_tracker& flows, avoidance_query is_avoided)
+    : store_replica_(other.store_replica_), flows_(flows), is_avoided_(std::move(is_avoided)), random_(other.random_),
+      groups_(other.groups_), states_(other.states_), update_due_(other.update_due_) {
+    std::unordered_map<const service_group*, service_group*> copies;
+    for (const auto& [service, group] : other.groups_)
+        copies[&group] = &groups_.find(service)->second;
+    for (auto& [reference, state] : states_)
+        state.group = copies.at(state.group);
+}
+
 response_outliers::backend_state& response_outliers::state_of(const known_backend& backend) {
     backend_state& state = states_[backend.reference];
     if (state.group == nullptr) state.group = &groups_[backend.registration.service];
--- a/entry/response_outliers.h
+++ b/entry/response_outliers.h
@@ -28,6 +28,10 @@
     // Is_avoided tells which backend servers get no new flows for another reason: they count towards the limit.
     response_outliers(const replica& store_replica, flow_tracker& flows, avoidance_query is_avoided,
                       std::uint64_t random_seed);
+    // A copy with other counts, for trying a decision.
+    response_outliers(const response_outliers& other, flow_tracker& flows, avoidance_query is_avoided);
+    response_outliers(const response_outliers&) = delete; // states_ refers to groups_
+    response_outliers& operator=(const response_outliers&) = delete;
 
     // A request begins on the flow.
     void note_request(const known_backend& backend, request_kind kind, flow_key flow, steady_time now);
