--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemons/entry/packet_handler.h"
+#include "daemons/entry/report_socket.h"
 
 namespace tamarack::entry {
 
@@ -21,11 +22,13 @@
     std::uint64_t                        warmup_flows = 0;         // placed on backend servers under a warm-up limit
     std::size_t                          warmup_servers = 0;       // backend servers under a warm-up limit
     std::size_t                          warmup_servers_owned = 0; // of these: the balancer may place flows on them
+    report_counters                      reports;
+    report_datagram_counters             report_datagrams;
     std::map<std::string, std::uint64_t> calls_by_result; // by outcome of a read, or "claim_" + that of a claim
     std::map<std::string, std::uint64_t> calls_by_kind;   // by source and kind of call
 };
 
-std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
-                           steady_time now);
+std::string format_metrics(const packet_counters& packets, const pending_syns& pending, const process_status& status,
+                           const replica& store_replica, steady_time now);
 
 } // namespace tamarack::entry
