--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -105,12 +105,6 @@
         .is_enabled = descriptor_limit() >= reserved_descriptors};
 }
 
-// Stands in for backend_conditions, which has the same functions.
-struct unobserved_conditions {
-    static std::vector<condition_report> take_reports(steady_time /*now*/) { return {}; }
-    static void                          accept(const condition_report& /*report*/, steady_time /*now*/) {}
-};
-
 } // namespace
 
 struct entry_process::impl {
@@ -164,7 +158,6 @@
     lifecycle                            process_lifecycle;
     packet_handler                       packets;
     feed_server                          follower_feed;
-    unobserved_conditions                conditions;
     report_socket                        peer_reports;
     platform::store_client               store;
     asio::steady_timer                   tick_timer;
@@ -198,10 +191,10 @@
       process_lifecycle(initial_settings.stop_grace),
       packets(context, std::move(socket), flow_steering, store_replica, log, time_source),
       follower_feed(feed(store_replica, make_feed_settings(initial_settings, own_feed_key), time_source.steady_now())),
-      peer_reports(
-          context, make_report_settings(initial_settings, own_feed_key), store_replica, log, time_source,
-          {.position = [this] { return position_in_tree(); },
-           .accept = [this](const condition_report& report, steady_time now) { conditions.accept(report, now); }}),
+      peer_reports(context, make_report_settings(initial_settings, own_feed_key), store_replica, log, time_source,
+                   {.position = [this] { return position_in_tree(); },
+                    .accept = [this](const condition_report& report,
+                                     steady_time             now) { flow_steering.conditions().accept(report, now); }}),
       store(context, initial_settings.store_address), tick_timer(context), first_listing_timer(context),
       http_listeners(context, log, descriptor_limit()), started_at(time_source.steady_now()),
       settings_modified_at(initial_settings.modified_at), restarts(restart_count) {}
@@ -345,7 +338,7 @@
 }
 
 void entry_process::impl::send_condition_reports() {
-    peer_reports.send(conditions.take_reports(now()));
+    peer_reports.send(flow_steering.conditions().take_reports(now()));
 }
 
 //----------------------------------------------------------------------------------------------------------------------
