--- a/entry/placement.h
+++ b/entry/placement.h
@@ -8,6 +8,7 @@
 // cost: load reports lag, and health probes occupy slots.
 #pragma once
 
+#include "entry/backend_condition.h"
 #include "entry/flow_tracker.h"
 #include "entry/replica.h"
 #include "entry/warmup_limit.h"
@@ -32,7 +33,7 @@
 // A backend server as a candidate for a new flow.
 struct backend_candidate {
     const known_backend* backend = nullptr;
-    double               cost = 0; // waiting requests per slot, plus a surcharge for another failure domain
+    double               cost = 0; // waiting requests per slot, plus surcharges
     exclusion            excluded = exclusion::none;
     std::string_view     region{}; // of its failure domain; empty: none
 };
@@ -49,10 +50,10 @@
 class placement {
 public:
     placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
-              std::uint64_t random_seed);
+              backend_conditions& conditions, std::uint64_t random_seed);
 
     // A copy that decides as the other one would, with its own counts.
-    placement(const placement& other, flow_tracker& flows);
+    placement(const placement& other, flow_tracker& flows, backend_conditions& conditions);
 
     // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
     // and was not answered; 0: none.
@@ -69,8 +70,6 @@
     void note_feeders(steady_time now) { warmup_.observe_feeders(now); }
     const warmup_limit& warmup() const { return warmup_; }
 
-    // The backend server has not answered a SYN or a request in time.
-    void     note_unresponsive(backend_reference reference, steady_time now);
     // Time after which a SYN that has not been answered counts as a failure of the backend server.
     duration syn_answer_timeout() const;
 
@@ -87,10 +86,11 @@
     };
 
     static flow_draw draw_for(const route& matched_route, random_source& random);
+    void             note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now);
     void             offer(choice& best, const known_backend& candidate, steady_time now) const;
     std::string_view region_of(const known_backend& backend) const; // empty: none
     bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
-    bool             is_avoided(const backend_activity& activity, steady_time now) const;
+    bool             is_avoided(backend_reference reference, steady_time now) const;
     // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
     exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
                                   steady_time now) const;
@@ -98,12 +98,13 @@
     double           cost_of(const known_backend& backend, steady_time now) const;
     bool             wins_tie(const known_backend& left, const known_backend& right) const;
 
-    placement_settings settings_;
-    const replica&     store_replica_;
-    flow_tracker&      flows_;
-    warmup_limit       warmup_;
-    random_source      random_;
-    std::uint64_t      tie_break_seed_; // gives each balancer its own order of equal backend servers
+    placement_settings  settings_;
+    const replica&      store_replica_;
+    flow_tracker&       flows_;
+    backend_conditions& conditions_;
+    warmup_limit        warmup_;
+    random_source       random_;
+    std::uint64_t       tie_break_seed_; // gives each balancer its own order of equal backend servers
 };
 
 } // namespace tamarack::entry
