Reset idle flows of a backend server that is proven unresponsive

Cause: until the registration of a dark backend server ends, seconds after its failure, each caller with an idle flow to it loses a request to find out, and one that must not run twice is lost for good.

Change: idle flows are reset with the proof that a reset of an idempotent request needs: requests on two flows without an answer while others of the failure domain respond. Flows with a request in progress are left alone unless it is idempotent.

--- a/entry/backend_condition.cpp
+++ b/entry/backend_condition.cpp
@@ -312,6 +312,15 @@
            min_responding_backends;
 }
 
+std::vector<backend_reference> backend_conditions::proven_unresponsive(steady_time now) const {
+    std::vector<backend_reference> proven;
+    for (const auto& [reference, state] : states_) {
+        const known_backend* backend = store_replica_.find_backend(reference);
+        if (backend != nullptr && is_proven_unresponsive(*backend, now)) proven.push_back(reference);
+    }
+    return proven;
+}
+
 void backend_conditions::expire(steady_time now) {
     end_conditions(now);
     outliers_.expire(now);
--- a/entry/backend_condition.h
+++ b/entry/backend_condition.h
@@ -74,6 +74,8 @@
     // The backend server does not respond although this balancer and the network work, so that an open flow whose
     // request may run twice loses nothing by a reset.
     bool        is_proven_unresponsive(const known_backend& backend, steady_time now) const;
+    // All for which that holds.
+    std::vector<backend_reference> proven_unresponsive(steady_time now) const;
 
     // Finds outliers. Part of expire and take_reports; does nothing unless an update is due.
     void        update(steady_time now) { outliers_.update(now); }
--- a/entry/orphaned_flows.h
+++ b/entry/orphaned_flows.h
@@ -16,11 +16,10 @@
 public:
     explicit orphaned_flows(const replica& store_replica) : store_replica_(store_replica) {}
 
-    // Backend servers whose removal has been noticed since the last call of clear. Cheap unless the replica has
-    // changed.
-    const std::unordered_set<backend_reference>& ended_backends(steady_time now);
-    // The idle flows of these backend servers have been reset.
-    void                                         clear() { ended_backends_.clear(); }
+    // Notes removals. Cheap unless the replica has changed.
+    void                                  update(steady_time now);
+    // Backend servers that have been removed since the last call, and not registered again.
+    std::unordered_set<backend_reference> take_ended_backends();
 
 private:
     const replica&                        store_replica_;
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -205,14 +205,19 @@
     return refuse(packet, decision_reason::backend_gone, is_proved);
 }
 
-// The store has confirmed the removal, and it has been available for long enough: registrations may expire during an
-// outage although their backend servers live.
+// A removal counts when the store has confirmed it and has been available for long enough: registrations may expire
+// during an outage although their backend servers live. A backend server that is proven unresponsive is not waited for.
 std::vector<segment> steering::end_orphaned_flows(steady_time now) {
-    const auto& ended_backends = orphaned_flows_.ended_backends(now);
-    if (ended_backends.empty() || !is_settled(now)) return {};
+    orphaned_flows_.update(now);
+    std::unordered_set<backend_reference> lost_backends;
+    if (is_settled(now)) lost_backends = orphaned_flows_.take_ended_backends();
+    for (const backend_reference reference : conditions_.proven_unresponsive(now))
+        lost_backends.insert(reference);
+    if (lost_backends.empty()) return {};
     std::vector<segment> resets;
-    for (tracked_flow* flow : flows_.idle_flows(ended_backends)) {
-        if (flow->first_syn >= *store_replica_.find_backend(flow->reference)->removed_at) continue;
+    for (tracked_flow* flow : flows_.idle_flows(lost_backends)) {
+        const known_backend* backend = store_replica_.find_backend(flow->reference);
+        if (backend == nullptr || (backend->removed_at && flow->first_syn >= *backend->removed_at)) continue;
         segment reset;
         reset.source = flow->caller;
         reset.destination = flow->route_address;
@@ -220,7 +225,6 @@
         resets.push_back(reset);
         flows_.note_reset(*flow, now);
     }
-    orphaned_flows_.clear();
     return resets;
 }
 
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -71,8 +71,8 @@
 
     steering_decision         decide(const segment& packet, steady_time now);
     flow_explanation          explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
-    // Idle flows whose backend server has ended, to be reset now: the segments name the caller, the route and the
-    // caller's last acknowledgement. To be called at every tick.
+    // Idle flows whose backend server has ended or is proven unresponsive, to be reset now: the segments name the
+    // caller, the route and the caller's last acknowledgement. To be called at every tick.
     std::vector<segment>      end_orphaned_flows(steady_time now);
     void                      expire(steady_time now);
     const flow_tracker&       flows() const { return flows_; }
--- a/tests/entry_orphaned_flows_test.cpp
+++ b/tests/entry_orphaned_flows_test.cpp
@@ -97,4 +97,42 @@
     BOOST_TEST(resets().empty());
 }
 
+// A quarter of the servers goes dark; their registrations end seconds later. Requests on two flows stay without an
+// answer while others are answered: the idle flows need not lose a request each to find out.
+BOOST_AUTO_TEST_CASE(idle_flows_of_a_backend_server_that_is_proven_unresponsive_are_reset) {
+    for (std::uint64_t identity = 3; identity <= 4; ++identity)
+        store_replica.apply(backend_record(3 + identity, registration_of(identity)), time.steady_now());
+    std::map<backend_reference, std::vector<std::uint16_t>> ports;
+    for (std::uint16_t port = 1; port <= 24; ++port)
+        ports[open_idle_flow(port)].push_back(port);
+    const backend_reference           dark = reference_of(1);
+    const std::vector<std::uint16_t>& dark_ports = ports[dark];
+    BOOST_REQUIRE(dark_ports.size() >= 4U);
+    const auto request = [&](std::uint16_t port, backend_reference reference, std::uint32_t acknowledged) {
+        segment packet = later_packet(port, reference, acknowledged, 100);
+        packet.sequence += 100;
+        return decide(packet);
+    };
+    std::uint32_t acknowledged = 6'000;
+    const auto    others_respond = [&] {
+        for (const auto& [reference, other_ports] : ports) {
+            if (reference == dark) continue;
+            request(other_ports.front(), reference, acknowledged);
+            decide(later_packet(other_ports.front(), reference, acknowledged + 1'000));
+        }
+        acknowledged += 1'000;
+        store_replica.note_store_available(time.steady_now());
+    };
+    for (const duration wait : {0ms, 200ms, 400ms}) { // the request and its retransmissions
+        time.advance(wait);
+        others_respond();
+        request(dark_ports[0], dark, 6'000);
+        request(dark_ports[1], dark, 6'000);
+    }
+    const auto flows = resets();
+    BOOST_TEST(flows.size() == dark_ports.size() - 2U);
+    for (const segment& flow : flows)
+        BOOST_TEST(std::ranges::count(dark_ports, flow.source.port) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
