Admit new flows by priority while a service is short of capacity

At eight times the demand the backend servers refuse what arrives while they are full, whatever its priority. The balancer now estimates the delay at the backend servers from answer times, and refuses SYNs at a rate that follows the delay, the lowest priority first. New flows also leave a full failure domain in small steps; that part has no tests yet.

--- /dev/null
+++ b/entry/congestion.cpp
@@ -0,0 +1,155 @@
+// Quantiles of recent and usual answer times.
+#include "entry/congestion.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack::entry {
+
+namespace {
+
+constexpr double      quantile = 0.3;
+constexpr duration    short_window = std::chrono::milliseconds(400);
+constexpr duration    long_window = std::chrono::seconds(2); // if the short one has too few answers
+constexpr std::size_t min_samples = 16;
+// A refusal takes less time than any work of the services that are large enough to matter.
+constexpr duration    max_refusal_time = std::chrono::milliseconds(6);
+constexpr int         refusal_divisor = 4; // of the usual time
+// Delay that a share of refusals stands for: a quarter of the requests refused equals a delay of 50 ms.
+constexpr duration    delay_of_refusals = std::chrono::milliseconds(200);
+// Refusals count if more than this part of the backend servers has refused requests within this time.
+constexpr double      min_refusing_share = 0.55;
+constexpr duration    refusal_memory = std::chrono::seconds(2);
+constexpr std::size_t first_period_samples = 32;
+constexpr duration    first_period = std::chrono::seconds(2);
+constexpr duration    later_period = std::chrono::seconds(30);
+constexpr std::size_t low_periods_divisor = 4; // the usual time is the lower quartile of the periods
+constexpr duration    usual_retention = std::chrono::minutes(10);
+constexpr int         handshake_smoothing = 8;
+
+duration quantile_of(std::span<duration> values) {
+    const auto position = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(values.size() - 1));
+    std::ranges::nth_element(values, values.begin() + position);
+    return values[static_cast<std::size_t>(position)];
+}
+
+} // namespace
+
+answer_kind congestion::note_answer(const backend_registration& backend, const std::string& route, duration answer_time,
+                                    steady_time now) {
+    route_state&   usual = routes_[{backend.service, route}];
+    const duration refusal_limit = std::min(max_refusal_time, usual.usual / refusal_divisor);
+    const bool     was_refused = answer_time < refusal_limit;
+    const duration delay = usual.usual == duration::zero() ? duration::zero() : answer_time - usual.usual;
+    domain_state&  state = domains_[{backend.service, backend.failure_domain}];
+    state.recent.at(state.next) = {now, delay, was_refused};
+    state.next = (state.next + 1) % recent_capacity;
+    state.count = std::min(state.count + 1, recent_capacity);
+    state.last_used = now;
+    backend_answers& answers = state.backends[backend.identity];
+    answers.last_answer = now;
+    if (was_refused) answers.last_refused = now;
+    usual.last_used = now;
+    if (!was_refused) note_usual_time(usual, answer_time, now);
+    return was_refused ? answer_kind::refused : answer_kind::processed;
+}
+
+// Backend servers that are full because they are slow also refuse requests, while others have room.
+bool congestion::is_refusing(const domain_state& state, steady_time now) {
+    std::size_t answering = 0;
+    std::size_t refusing = 0;
+    for (const auto& [identity, answers] : state.backends) {
+        answering += now - answers.last_answer <= refusal_memory ? 1 : 0;
+        refusing += now - answers.last_refused <= refusal_memory ? 1 : 0;
+    }
+    return static_cast<double>(refusing) > min_refusing_share * static_cast<double>(answering);
+}
+
+void congestion::note_usual_time(route_state& state, duration answer_time, steady_time now) {
+    if (state.period.empty()) state.period_start = now;
+    state.period.push_back(answer_time);
+    const std::size_t enough = state.usual == duration::zero() ? first_period_samples : period_capacity;
+    if (state.period.size() < enough) return;
+    const duration period = state.usual == duration::zero() ? first_period : later_period;
+    if (now - state.period_start < period) { // only the latest answers of a period count
+        if (state.period.size() == period_capacity) state.period.erase(state.period.begin());
+        return;
+    }
+    std::vector<duration> values = std::exchange(state.period, {});
+    std::ranges::sort(values);
+    const auto processed = std::ranges::lower_bound(values, max_refusal_time);
+    if (values.end() - processed >= std::ssize(values) / refusal_divisor) values.erase(values.begin(), processed);
+    state.periods.at(state.next_period) = {quantile_of(values), now};
+    state.next_period = (state.next_period + 1) % period_count;
+    values.clear();
+    for (const usual_value& value : state.periods) {
+        if (value.time > duration::zero() && now - value.at <= usual_retention) values.push_back(value.time);
+    }
+    std::ranges::sort(values);
+    state.usual = values[values.size() / low_periods_divisor];
+}
+
+void congestion::note_handshake(const std::string& service, const std::string& failure_domain, duration handshake_time,
+                                steady_time now) {
+    domain_state& state = domains_[{service, failure_domain}];
+    state.last_used = now;
+    if (state.handshake_time == duration::zero()) state.handshake_time = handshake_time;
+    state.handshake_time += (handshake_time - state.handshake_time) / handshake_smoothing;
+}
+
+std::optional<queue_estimate> congestion::estimate(const std::string& service, const std::string& failure_domain,
+                                                   steady_time now) const {
+    const auto found = domains_.find({service, failure_domain});
+    if (found == domains_.end()) return std::nullopt;
+    const domain_state&                   state = found->second;
+    std::array<duration, recent_capacity> delays{};
+    std::size_t                           processed = 0;
+    std::size_t                           refused = 0;
+    for (std::size_t back = 1; back <= state.count; ++back) {
+        const sample&  item = state.recent.at((state.next + recent_capacity - back) % recent_capacity);
+        const duration age = now - item.at;
+        if (age > long_window || (age > short_window && processed + refused >= min_samples)) break;
+        if (item.was_refused) {
+            ++refused;
+        } else {
+            delays.at(processed++) = item.delay;
+        }
+    }
+    const std::size_t samples = processed + refused;
+    if (samples < min_samples) return std::nullopt;
+    const duration waiting = processed == 0 ? duration::zero() : quantile_of({delays.data(), processed});
+    duration       refusing{};
+    if (refused > 0 && is_refusing(state, now))
+        refusing = delay_of_refusals * static_cast<int>(refused) / static_cast<int>(samples);
+    return queue_estimate{std::max({waiting, refusing, duration::zero()}), samples};
+}
+
+std::optional<duration> congestion::lowest_delay(const std::string& service, steady_time now) const {
+    std::optional<duration> lowest;
+    for (auto at = domains_.lower_bound({service, {}}); at != domains_.end() && at->first.first == service; ++at) {
+        const auto domain = estimate(service, at->first.second, now);
+        if (domain && (!lowest || domain->delay < *lowest)) lowest = domain->delay;
+    }
+    return lowest;
+}
+
+duration congestion::handshake_time(const std::string& service, const std::string& failure_domain) const {
+    const auto found = domains_.find({service, failure_domain});
+    return found == domains_.end() ? duration::zero() : found->second.handshake_time;
+}
+
+duration congestion::usual_time(const std::string& service, const std::string& route) const {
+    const auto found = routes_.find({service, route});
+    return found == routes_.end() ? duration::zero() : found->second.usual;
+}
+
+void congestion::expire(steady_time now) {
+    const auto is_old = [&](const auto& item) { return now - item.second.last_used > usual_retention; };
+    std::erase_if(domains_, is_old);
+    for (auto& [name, state] : domains_) {
+        std::erase_if(state.backends, [&](const auto& item) { return now - item.second.last_answer > refusal_memory; });
+    }
+    std::erase_if(routes_, is_old);
+}
+
+} // namespace tamarack::entry
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -53,8 +53,12 @@
 //----------------------------------------------------------------------------------------------------------------------
 
 bool placement::is_in_allowed_region(const known_backend& backend, const route& matched_route) const {
+    return is_region_allowed(backend.registration.failure_domain, matched_route);
+}
+
+bool placement::is_region_allowed(const std::string& failure_domain, const route& matched_route) const {
     if (matched_route.allowed_regions.empty()) return true;
-    const auto region = settings_.regions.find(backend.registration.failure_domain);
+    const auto region = settings_.regions.find(failure_domain);
     return region != settings_.regions.end() &&
            std::ranges::find(matched_route.allowed_regions, region->second) != matched_route.allowed_regions.end();
 }
@@ -97,7 +101,7 @@
 // Choice
 //----------------------------------------------------------------------------------------------------------------------
 
-std::string_view placement::choose_service(const route& matched_route) {
+const std::string& placement::choose_service(const route& matched_route) {
     std::uint32_t total_weight = 0;
     for (const service_share& share : matched_route.services)
         total_weight += share.weight;
@@ -110,12 +114,13 @@
     return matched_route.services.back().service;
 }
 
-const known_backend* placement::choose(const route& matched_route, backend_reference tried, steady_time now) {
+const known_backend* placement::choose(const route& matched_route, const std::string& service,
+                                       std::string_view preferred_domain, backend_reference tried, steady_time now) {
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
     const double         returning_position = std::uniform_real_distribution<double>()(random_);
-    for (const known_backend* candidate : store_replica_.available_backends(choose_service(matched_route))) {
+    for (const known_backend* candidate : store_replica_.available_backends(service)) {
         const exclusion rule = rule_against(*candidate, matched_route, returning_position, now);
         if (rule != exclusion::none && rule != exclusion::returning) continue;
         const backend_activity& activity = flows_.activity(candidate->reference);
@@ -127,14 +132,15 @@
             if (ends_first) unresponsive = candidate;
             continue;
         }
-        offer(rule == exclusion::none ? best : returning, *candidate, now);
+        offer(rule == exclusion::none ? best : returning, *candidate, preferred_domain, now);
     }
     if (best.backend != nullptr) return best.backend;
     return returning.backend != nullptr ? returning.backend : unresponsive;
 }
 
-void placement::offer(choice& best, const known_backend& candidate, steady_time now) const {
-    const double cost = cost_of(candidate, now);
+void placement::offer(choice& best, const known_backend& candidate, std::string_view preferred_domain,
+                      steady_time now) const {
+    const double cost = cost_of(candidate, preferred_domain, now);
     const bool   is_better =
         best.backend == nullptr || cost < best.cost || (cost == best.cost && wins_tie(candidate, *best.backend));
     if (is_better) best = {&candidate, cost};
@@ -149,13 +155,13 @@
     return reference_of(left.reference ^ tie_break_seed_) < reference_of(right.reference ^ tie_break_seed_);
 }
 
-double placement::cost_of(const known_backend& backend, steady_time now) const {
+double placement::cost_of(const known_backend& backend, std::string_view preferred_domain, steady_time now) const {
     const backend_activity& activity = flows_.activity(backend.reference);
     const bool              is_warming_up = now < backend.registration_received + backend.registration.warmup_remaining;
     const double            slots = std::max(1U, backend.registration.slots);
     const double load = activity.waiting_flows + activity.unanswered_syns + idle_flow_load * activity.open_flows;
     const double cost = (load + 1.0) * (is_warming_up ? warmup_factor : 1.0) / slots;
-    return backend.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
+    return backend.registration.failure_domain == preferred_domain ? cost : cost + other_domain_cost;
 }
 
 std::vector<backend_candidate> placement::explain(const route& matched_route, steady_time now) const {
@@ -165,7 +171,7 @@
             exclusion rule = rule_against(*backend, matched_route, 0.5, now);
             if (rule == exclusion::none && now < flows_.activity(backend->reference).avoid_until)
                 rule = exclusion::unresponsive;
-            candidates.push_back({backend, cost_of(*backend, now), rule});
+            candidates.push_back({backend, cost_of(*backend, settings_.failure_domain, now), rule});
         }
     }
     std::ranges::sort(candidates, [](const backend_candidate& left, const backend_candidate& right) {
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -46,9 +46,12 @@
     placement(placement_settings settings, const replica& store_replica, flow_tracker& flows,
               std::uint64_t random_seed);
 
+    // One of the route's services, by their weights.
+    const std::string&             choose_service(const route& matched_route);
     // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
-    // and was not answered; 0: none.
-    const known_backend*           choose(const route& matched_route, backend_reference tried, steady_time now);
+    // and was not answered; 0: none. Backend servers of the preferred failure domain cost no surcharge.
+    const known_backend*           choose(const route& matched_route, const std::string& service,
+                                          std::string_view preferred_domain, backend_reference tried, steady_time now);
     // Whether a retransmitted SYN may still go to the backend server that was chosen for the first one.
     bool                           allows(const known_backend& backend, const route& matched_route) const;
     // All candidates of all services of the route, those that would be chosen first.
@@ -65,15 +68,15 @@
         double               cost = 0;
     };
 
-    void             offer(choice& best, const known_backend& candidate, steady_time now) const;
-    std::string_view choose_service(const route& matched_route);
-    bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
+    void offer(choice& best, const known_backend& candidate, std::string_view preferred_domain, steady_time now) const;
+    bool is_region_allowed(const std::string& failure_domain, const route& matched_route) const;
+    bool is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
     // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
-    exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
-                                  steady_time now) const;
-    bool             is_returning(const known_backend& backend, double position, steady_time now) const;
-    double           cost_of(const known_backend& backend, steady_time now) const;
-    bool             wins_tie(const known_backend& left, const known_backend& right) const;
+    exclusion rule_against(const known_backend& backend, const route& matched_route, double returning_position,
+                           steady_time now) const;
+    bool      is_returning(const known_backend& backend, double position, steady_time now) const;
+    double    cost_of(const known_backend& backend, std::string_view preferred_domain, steady_time now) const;
+    bool      wins_tie(const known_backend& left, const known_backend& right) const;
 
     placement_settings settings_;
     const replica&     store_replica_;
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -19,14 +19,16 @@
 
 std::string_view to_string(decision_reason reason) {
     static constexpr std::array<std::string_view, decision_reason_count> names = {
-        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",     "by_flow",
-        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone"};
+        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",      "by_flow",
+        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone", "not_admitted"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
 steering::steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed)
     : settings_(settings), store_replica_(store_replica), flows_(settings.flow_capacity),
-      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed) {}
+      placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed),
+      admission_(congestion_, random_seed),
+      spillover_(settings.failure_domain, store_replica, congestion_, random_seed) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
@@ -78,7 +80,12 @@
             return {packet_action::deliver, decision_reason::placed_again, first_backend};
         tried = tracked->reference;
     }
-    const known_backend* chosen = placement_.choose(matched_route, tried, now);
+    const std::string& service = placement_.choose_service(matched_route);
+    // A flow that is tracked may have been delivered before: it is never refused.
+    if (tracked == nullptr && !admission_.admit(matched_route, service, packet, now))
+        return {packet_action::reset, decision_reason::not_admitted};
+    const std::string&   preferred_domain = spillover_.choose_domain(service, now);
+    const known_backend* chosen = placement_.choose(matched_route, service, preferred_domain, tried, now);
     if (chosen == nullptr) return {packet_action::reset, decision_reason::no_backend};
     if (is_retransmission) {
         flows_.reassign(*tracked, chosen->reference);
@@ -98,6 +105,11 @@
         .matched_route = store_replica_.find_route(route_address), .flow = flows_.find(packet), .candidates = {}};
     if (explanation.matched_route == nullptr) return explanation;
     explanation.candidates = placement_.explain(*explanation.matched_route, now);
+    for (const service_share& share : explanation.matched_route->services) {
+        explanation.outlooks.push_back({share.service, admission_.status(share.service),
+                                        admission_.share(share.service, explanation.matched_route->name),
+                                        spillover_.shares(share.service)});
+    }
     return explanation;
 }
 
@@ -127,6 +139,7 @@
     }
     steering_decision decision{packet_action::deliver, decision_reason::by_reference, backend, flow, {}};
     if (flow != nullptr) decision.progress = flows_.note_packet(*flow, packet, now);
+    note_progress(packet, *backend, decision.progress, now);
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
         decision.reason = decision_reason::stalled;
@@ -135,6 +148,17 @@
     return decision;
 }
 
+void steering::note_progress(const segment& packet, const known_backend& backend, const flow_progress& progress,
+                             steady_time now) {
+    const backend_registration& registration = backend.registration;
+    if (progress.handshake_time)
+        congestion_.note_handshake(registration.service, registration.failure_domain, *progress.handshake_time, now);
+    if (!progress.answer_time) return;
+    const route&      matched_route = *store_replica_.find_route(packet.destination);
+    const answer_kind kind = congestion_.note_answer(registration, matched_route.name, *progress.answer_time, now);
+    admission_.note_answer(registration.service, matched_route.name, kind);
+}
+
 // A reset may break a flow that is alive, so that it takes a proof. Without it the packet is dropped, and the caller
 // retransmits it. A caller's reset is never answered.
 steering_decision steering::refuse(const segment& packet, decision_reason reason, bool is_proved) {
@@ -183,6 +207,9 @@
     const routing_table* routing = store_replica_.routing();
     flows_.expire(now, routing == nullptr ? std::chrono::seconds(15) : routing->idle_timeout);
     unknown_flows_.expire(now);
+    congestion_.expire(now);
+    admission_.expire(now);
+    spillover_.expire(now);
 }
 
 } // namespace tamarack::entry
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -5,7 +5,9 @@
 // its reference to the caller, which adds it to the flow's packets.
 #pragma once
 
+#include "entry/admission.h"
 #include "entry/placement.h"
+#include "entry/spillover.h"
 #include "entry/unknown_flows.h"
 
 namespace tamarack::entry {
@@ -29,8 +31,9 @@
     not_synchronized,  // the replica is not complete yet
     unknown_reference, // no backend server has the reference; it may belong to one that is not known yet
     backend_gone,      // the flow's backend server has been removed
+    not_admitted,      // the service has too little capacity, and others go first
 };
-inline constexpr std::size_t decision_reason_count = 11;
+inline constexpr std::size_t decision_reason_count = 12;
 
 std::string_view to_string(decision_reason reason);
 
@@ -42,11 +45,20 @@
     flow_progress        progress{};        // what the packet shows about its flow
 };
 
+// Whether a service takes new flows of a route, and where they go.
+struct service_outlook {
+    std::string                   service;
+    admission_status              status{};
+    double                        admitted_share = 1.0; // of the route's new flows
+    std::map<std::string, double> spilled{};            // part of the flows that goes to other failure domains, by name
+};
+
 // Explains the destination of a flow. The pointers are valid until the next packet or change of the replica.
 struct flow_explanation {
     const route*                   matched_route = nullptr; // null: no route has the address
     const tracked_flow*            flow = nullptr;          // null: this balancer does not track the flow
     std::vector<backend_candidate> candidates;              // for a new flow; those that may be chosen first
+    std::vector<service_outlook>   outlooks{};              // for a new flow, by service of the route
 };
 
 struct steering_settings {
@@ -68,12 +80,17 @@
     flow_explanation    explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
     void                expire(steady_time now);
     const flow_tracker& flows() const { return flows_; }
+    admission&          new_flow_admission() { return admission_; }
+    const admission&    new_flow_admission() const { return admission_; }
+    const spillover&    new_flow_spillover() const { return spillover_; }
 
 private:
     steering_decision decide_syn(const segment& packet, steady_time now);
     steering_decision decide_later_packet(const segment& packet, steady_time now);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
+    void              note_progress(const segment& packet, const known_backend& backend, const flow_progress& progress,
+                                    steady_time now);
     bool              is_stalled(const tracked_flow& flow, steady_time now);
     bool              is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
@@ -87,6 +104,9 @@
     const replica&    store_replica_;
     flow_tracker      flows_;
     placement         placement_;
+    congestion        congestion_;
+    admission         admission_;
+    spillover         spillover_;
     unknown_flows     unknown_flows_; // whose route or backend server the replica lacks
 };
 
--- /dev/null
+++ b/tests/entry_admission_test.cpp
@@ -0,0 +1,197 @@
+// Admission of new flows under overload, and its absence without.
+#define BOOST_TEST_MODULE entry_admission
+#include "entry_load_replay.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tamarack;
+using namespace tamarack::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+replay_settings with_demand(std::function<double(double)> demand) {
+    replay_settings settings;
+    settings.demand = [demand](double second, unsigned) { return demand(second); };
+    return settings;
+}
+
+// The usual demand for ten seconds, then eight times as much.
+double eightfold(double second) {
+    return second < 10 ? 1.0 : 8.0;
+}
+
+void print(std::string_view name, const load_replay& replay, std::size_t first, std::size_t last) {
+    std::string line(name);
+    for (const auto& result : replay.results)
+        line += " served=" + std::to_string(result.served_share()) + " late=" + std::to_string(result.late) +
+                " refused_by_hosts=" + std::to_string(result.refused_by_hosts) +
+                " refused_by_servers=" + std::to_string(result.refused_by_servers);
+    BOOST_TEST_MESSAGE(line << " busy=" << replay.busy_share(first, last));
+}
+
+} // namespace
+
+// Day of deployment A at eight times the demand: 12% was refused by the servers, priority 1 more than priority 2.
+BOOST_AUTO_TEST_CASE(eight_times_the_demand) {
+    load_replay replay(with_demand(eightfold));
+    replay.run_until(10);
+    replay.results.assign(2, {});
+    replay.run_until(110);
+    print("eightfold", replay, 12, 110);
+    const pattern_result& reports = replay.results[0];
+    const pattern_result& polls = replay.results[1];
+    const double worth = 2.0 * (static_cast<double>(reports.served) + 0.1 * static_cast<double>(reports.late)) +
+                         static_cast<double>(polls.served) + 0.1 * static_cast<double>(polls.late);
+    const double owed = 2.0 * static_cast<double>(reports.owed) + static_cast<double>(polls.owed);
+    BOOST_TEST_MESSAGE("worth=" << worth / owed);
+    BOOST_TEST(reports.served_share() >= 0.90);
+    BOOST_TEST(worth / owed >= 0.64); // 0.685 if every slot is always busy and all reports are served
+    BOOST_TEST(replay.busy_share(12, 110) >= 0.93);
+}
+
+// A rate that follows late answers too closely refuses too much and too little by turns.
+BOOST_AUTO_TEST_CASE(steady_overload_does_not_oscillate) {
+    load_replay replay(with_demand(eightfold));
+    replay.run_until(111);
+    double lowest = 1.0;
+    for (std::size_t at = 14; at < 110; ++at)
+        lowest = std::min(lowest, replay.busy_share(at, at + 1));
+    BOOST_TEST_MESSAGE("lowest busy share of a second " << lowest);
+    BOOST_TEST(lowest >= 0.80);
+}
+
+BOOST_AUTO_TEST_CASE(refusing_ends_soon_after_the_overload) {
+    load_replay replay(with_demand([](double second) { return second > 10 && second < 40 ? 8.0 : 1.0; }));
+    replay.run_until(42);
+    const auto refused = replay.refused_by_hosts();
+    BOOST_TEST(refused > 0);
+    replay.run_until(70);
+    BOOST_TEST_MESSAGE("refused later than 2 s after the overload " << replay.refused_by_hosts() - refused);
+    BOOST_TEST(replay.refused_by_hosts() - refused <= 20);
+    for (unsigned host = 0; host < 20; ++host)
+        BOOST_TEST(!replay.host(host).new_flow_admission().status("desk").is_refusing);
+}
+
+// After the loss of all hosts, none of them knows the usual time to an answer.
+BOOST_AUTO_TEST_CASE(hosts_that_start_during_an_overload_protect_the_high_priority) {
+    load_replay replay(with_demand([](double) { return 8.0; }));
+    replay.run_until(60);
+    print("started during the overload", replay, 5, 60);
+    BOOST_TEST(replay.results[0].served_share() >= 0.85);
+}
+
+BOOST_AUTO_TEST_SUITE(capacity_is_left)
+
+// A refusal without need fails a request that would have been served.
+void check_admits_all(const std::string& name, replay_settings settings) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        settings.seed = seed;
+        load_replay replay(settings);
+        replay.run_until(121);
+        print(name, replay, 1, 120);
+        BOOST_TEST(replay.refused_by_hosts() == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(usual_load) {
+    check_admits_all("usual", {});
+}
+
+BOOST_AUTO_TEST_CASE(three_times_the_usual_load) {
+    check_admits_all("threefold", with_demand([](double second) { return second < 20 ? 1.0 : 3.0; }));
+}
+
+BOOST_AUTO_TEST_CASE(slow_servers) {
+    replay_settings settings = with_demand([](double second) { return second < 20 ? 1.0 : 2.0; });
+    settings.slowness = [](unsigned server) { return server % 5 < 2 ? 4.0 : 1.0; };
+    check_admits_all("slow servers", settings);
+}
+
+BOOST_AUTO_TEST_CASE(dark_servers) {
+    replay_settings settings;
+    settings.is_dark = [](unsigned server) { return server % 4 == 0; };
+    check_admits_all("dark servers", settings);
+}
+
+BOOST_AUTO_TEST_CASE(warming_servers) {
+    replay_settings settings;
+    settings.slowness = [](unsigned server) { return server % 2 == 0 ? 1.6 : 1.0; };
+    check_admits_all("warming servers", settings);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct admission_fixture {
+    manual_clock time;
+    congestion   waiting;
+    admission    gate{waiting, 1};
+    route        report{"report", service_address, {{"desk", 1}}, request_kind::idempotent, 1, 500ms, 2s, {}};
+    route        poll{"poll", service_address, {{"desk", 1}}, request_kind::idempotent, 2, 400ms, 2s, {}};
+
+    // Flows of both routes arrive every 5 ms; their answers take the given time.
+    int run(duration length, duration answer_time) {
+        int refused = 0;
+        for (const steady_time end = time.steady_now() + length; time.steady_now() < end; time.advance(5ms)) {
+            for (const route* asked : {&report, &poll}) {
+                if (!gate.admit(*asked, "desk", syn_packet(++port), time.steady_now())) {
+                    ++refused;
+                    refused_port = port;
+                    continue;
+                }
+                const auto kind =
+                    waiting.note_answer(registration_of(port % 30), asked->name, answer_time, time.steady_now());
+                gate.note_answer("desk", asked->name, kind);
+            }
+        }
+        return refused;
+    }
+    std::uint16_t port = 0;
+    std::uint16_t refused_port = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(rules, admission_fixture)
+
+// The caller of a refused SYN relies on that nothing ran.
+BOOST_AUTO_TEST_CASE(copies_of_a_refused_syn_are_refused) {
+    run(10s, 30ms);
+    BOOST_TEST(run(10s, 150ms) > 0);
+    const std::uint16_t last = refused_port;
+    BOOST_TEST(!gate.admit(poll, "desk", syn_packet(last), time.steady_now()));
+    run(600ms, 30ms); // the overload ends
+    BOOST_TEST(!gate.admit(poll, "desk", syn_packet(last, 2), time.steady_now()));
+}
+
+// Another host may have delivered the first SYN.
+BOOST_AUTO_TEST_CASE(copies_of_an_unknown_syn_are_admitted) {
+    run(10s, 30ms);
+    run(10s, 150ms);
+    for (std::uint16_t other = 60'000; other < 60'100; ++other)
+        BOOST_TEST(gate.admit(poll, "desk", syn_packet(other, 1), time.steady_now()));
+}
+
+BOOST_AUTO_TEST_CASE(a_low_priority_keeps_a_small_share) {
+    run(10s, 30ms);
+    run(10s, 150ms);
+    BOOST_TEST(gate.share("desk", "poll") >= 0.05);
+    BOOST_TEST(gate.share("desk", "report") > gate.share("desk", "poll"));
+}
+
+BOOST_AUTO_TEST_CASE(without_answers_all_is_admitted_again) {
+    run(10s, 30ms);
+    run(10s, 150ms);
+    BOOST_TEST(gate.status("desk").is_refusing);
+    time.advance(3s);
+    BOOST_TEST(gate.admit(poll, "desk", syn_packet(60'000), time.steady_now()));
+    BOOST_TEST(!gate.status("desk").is_refusing);
+    BOOST_TEST(gate.take_changes().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(routes_without_goal_and_priority_are_never_refused) {
+    report.priority = poll.priority = 0;
+    report.response_goal = poll.response_goal = {};
+    run(10s, 30ms);
+    BOOST_TEST(run(10s, 150ms) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
