Test spillover, and show admission and spillover to operators

Failure domains that get few flows are judged by fewer answers, so that the share sent to them grows beyond the probe. Adds metrics, log events, lines of the status page and notes.

--- a/daemons/entry/entry_metrics.cpp
+++ b/daemons/entry/entry_metrics.cpp
@@ -1,6 +1,8 @@
 // Assigns the counters and distributions to the names of the metrics.
 #include "daemons/entry/entry_metrics.h"
 
+#include <algorithm>
+#include <cmath>
 #include <sys/resource.h>
 
 namespace tamarack::entry {
@@ -24,8 +26,34 @@
     return static_cast<std::uint64_t>(usage.ru_maxrss) * bytes_per_kilobyte;
 }
 
+std::uint64_t to_percent(double share) {
+    constexpr double hundred = 100.0;
+    return static_cast<std::uint64_t>(std::lround(hundred * share));
+}
+
 } // namespace
 
+counter_map load_metrics(const steering& flow_steering) {
+    counter_map metrics;
+    double      admitted = 1.0;
+    double      spilled = 0.0;
+    duration    delay{};
+    for (const std::string& service : flow_steering.new_flow_admission().services()) {
+        const admission_status status = flow_steering.new_flow_admission().status(service);
+        admitted = std::min(admitted, status.share);
+        delay = std::max(delay, status.delay);
+        spilled = std::max(spilled, flow_steering.new_flow_spillover().total_share(service));
+    }
+    metrics["entry_admitted_percent"] = to_percent(admitted);
+    metrics["entry_spilled_percent"] = to_percent(spilled);
+    metrics["entry_queue_delay_ms"] = static_cast<std::uint64_t>(to_milliseconds(delay));
+    for (const auto& [priority, counts] : flow_steering.new_flow_admission().counts_by_priority()) {
+        metrics["entry_flows_admitted_priority_" + std::to_string(priority)] = counts.admitted;
+        metrics["entry_flows_refused_priority_" + std::to_string(priority)] = counts.refused;
+    }
+    return metrics;
+}
+
 std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
                            steady_time now) {
     counter_map metrics;
@@ -57,6 +85,7 @@
         metrics["entry_calls_" + call_result] = count;
     for (const auto& [kind, count] : status.calls_by_kind)
         metrics["entry_calls_to_" + kind] = count;
+    metrics.insert(status.load_metrics.begin(), status.load_metrics.end());
     add_backend_server_counts(store_replica, metrics);
     return exposition_text(metrics, {{"entry_handshake_seconds", packets.handshake_seconds.snapshot()},
                                      {"entry_answer_seconds", packets.response_seconds.snapshot()}});
--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -18,8 +18,12 @@
     std::size_t                          missing_listeners = 0; // optional ones that are not open
     std::map<std::string, std::uint64_t> calls_by_result;       // by outcome of a read, or "claim_" + that of a claim
     std::map<std::string, std::uint64_t> calls_by_kind;         // by source and kind of call
+    counter_map                          load_metrics;          // see below
 };
 
+// Admission and spillover; of the shares and the delay that of the service with the least capacity.
+counter_map load_metrics(const steering& flow_steering);
+
 std::string format_metrics(const packet_counters& packets, const process_status& status, const replica& store_replica,
                            steady_time now);
 
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -307,6 +307,7 @@
     store_replica.expire(current_time);
     log_new_changes();
     flow_steering.expire(current_time);
+    log.note_admission(flow_steering.new_flow_admission().take_changes());
     sync.set_own_followers(follower_feed.followers(current_time));
     read_store();
     update_feeder_slot();
@@ -415,7 +416,8 @@
                                  .failed_accepts = http_listeners.failed_accepts(),
                                  .missing_listeners = http_listeners.missing(),
                                  .calls_by_result = calls_by_result,
-                                 .calls_by_kind = calls_by_kind};
+                                 .calls_by_kind = calls_by_kind,
+                                 .load_metrics = load_metrics(flow_steering)};
     respond({.body = format_metrics(packets.counters(), process, store_replica, now()),
              .content_type = "text/plain; version=0.0.4"});
 }
--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -60,11 +60,22 @@
                                       {"address", configured_route.address.to_string()},
                                       {"services", format_shares(configured_route)}});
     }
-    for (const auto& [key, evacuated] : store_replica_.evacuations())
+    for (const std::string& service : steering_.new_flow_admission().services()) {
+        const admission_status status = steering_.new_flow_admission().status(service);
+        text += format_line(
+            "load", {{"service", service},
+                     {"refusing", status.is_refusing ? "yes" : "no"},
+                     {"delay_ms", to_milliseconds(status.delay)},
+                     {"target_ms", to_milliseconds(status.target)},
+                     {"admitted_share", format_hundredths(status.share)},
+                     {"spilled_share", format_hundredths(steering_.new_flow_spillover().total_share(service))}});
+    }
+    for (const auto& [key, evacuated] : store_replica_.evacuations()) {
         text += format_line("evacuation", {{"failure_domain", evacuated.failure_domain},
                                            {"epoch", evacuated.revision.epoch},
                                            {"revision", evacuated.revision.number},
                                            {"held", evacuated.held_removal_due ? "yes" : "no"}});
+    }
     return text;
 }
 
@@ -128,6 +139,18 @@
         text += format_line("flow",
                             {{"state", "not tracked here"}, {"goes_to", "where the reference in its packets points"}});
     }
+    for (const service_outlook& outlook : explanation.outlooks) {
+        text += format_line("admission", {{"service", outlook.service},
+                                          {"refusing", outlook.status.is_refusing ? "yes" : "no"},
+                                          {"admitted_share", format_hundredths(outlook.admitted_share)},
+                                          {"delay_ms", to_milliseconds(outlook.status.delay)},
+                                          {"target_ms", to_milliseconds(outlook.status.target)}});
+        for (const auto& [failure_domain, share] : outlook.spilled) {
+            text += format_line("spillover", {{"service", outlook.service},
+                                              {"failure_domain", failure_domain},
+                                              {"share", format_hundredths(share)}});
+        }
+    }
     for (const backend_candidate& candidate : explanation.candidates) {
         text += format_line("candidate", {{"backend_server", candidate.backend->registration.name},
                                           {"service", candidate.backend->registration.service},
--- a/entry/congestion.cpp
+++ b/entry/congestion.cpp
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr double      quantile = 0.3;
-constexpr duration    short_window = std::chrono::milliseconds(400);
-constexpr duration    long_window = std::chrono::seconds(2); // if the short one has too few answers
-constexpr std::size_t min_samples = 16;
 // A refusal takes less time than any work of the services that are large enough to matter.
 constexpr duration    max_refusal_time = std::chrono::milliseconds(6);
 constexpr int         refusal_divisor = 4; // of the usual time
@@ -99,6 +96,16 @@
 
 std::optional<queue_estimate> congestion::estimate(const std::string& service, const std::string& failure_domain,
                                                    steady_time now) const {
+    return estimate_in(service, failure_domain, usual_window, now);
+}
+
+std::optional<queue_estimate> congestion::coarse_estimate(const std::string& service, const std::string& failure_domain,
+                                                          steady_time now) const {
+    return estimate_in(service, failure_domain, coarse_window, now);
+}
+
+std::optional<queue_estimate> congestion::estimate_in(const std::string& service, const std::string& failure_domain,
+                                                      const sample_window& window, steady_time now) const {
     const auto found = domains_.find({service, failure_domain});
     if (found == domains_.end()) return std::nullopt;
     const domain_state&                   state = found->second;
@@ -108,7 +115,8 @@
     for (std::size_t back = 1; back <= state.count; ++back) {
         const sample&  item = state.recent.at((state.next + recent_capacity - back) % recent_capacity);
         const duration age = now - item.at;
-        if (age > long_window || (age > short_window && processed + refused >= min_samples)) break;
+        const bool     has_enough = processed + refused >= window.min_samples;
+        if (age > window.longest || (age > window.preferred && has_enough)) break;
         if (item.was_refused) {
             ++refused;
         } else {
@@ -116,7 +124,7 @@
         }
     }
     const std::size_t samples = processed + refused;
-    if (samples < min_samples) return std::nullopt;
+    if (samples < window.min_samples) return std::nullopt;
     const duration waiting = processed == 0 ? duration::zero() : quantile_of({delays.data(), processed});
     duration       refusing{};
     if (refused > 0 && is_refusing(state, now))
@@ -125,12 +133,15 @@
 }
 
 std::optional<duration> congestion::lowest_delay(const std::string& service, steady_time now) const {
-    std::optional<duration> lowest;
+    duration lowest = duration::max();
+    bool     is_known = false;
     for (auto at = domains_.lower_bound({service, {}}); at != domains_.end() && at->first.first == service; ++at) {
-        const auto domain = estimate(service, at->first.second, now);
-        if (domain && (!lowest || domain->delay < *lowest)) lowest = domain->delay;
+        auto domain = estimate(service, at->first.second, now);
+        is_known = is_known || domain;
+        if (!domain) domain = coarse_estimate(service, at->first.second, now);
+        if (domain) lowest = std::min(lowest, domain->delay);
     }
-    return lowest;
+    return is_known ? std::optional(lowest) : std::nullopt;
 }
 
 duration congestion::handshake_time(const std::string& service, const std::string& failure_domain) const {
--- a/entry/congestion.h
+++ b/entry/congestion.h
@@ -31,10 +31,13 @@
     void        note_handshake(const std::string& service, const std::string& failure_domain, duration handshake_time,
                                steady_time now);
 
-    // Nullopt: there are too few recent answers. Failure domains that get few flows are judged over a longer time.
+    // Nullopt: there are too few recent answers.
     std::optional<queue_estimate> estimate(const std::string& service, const std::string& failure_domain,
                                            steady_time now) const;
-    // The lowest delay of the failure domains that have enough answers.
+    // The same from fewer answers of a longer time, for failure domains that get few flows.
+    std::optional<queue_estimate> coarse_estimate(const std::string& service, const std::string& failure_domain,
+                                                  steady_time now) const;
+    // The lowest delay of the failure domains; nullopt: none of them has enough answers for an estimate.
     std::optional<duration>       lowest_delay(const std::string& service, steady_time now) const;
     // Smoothed; zero: unknown.
     duration                      handshake_time(const std::string& service, const std::string& failure_domain) const;
@@ -80,8 +83,18 @@
     };
     using name_pair = std::pair<std::string, std::string>;
 
-    static bool is_refusing(const domain_state& state, steady_time now);
-    static void note_usual_time(route_state& state, duration answer_time, steady_time now);
+    struct sample_window {
+        duration    preferred{}; // long enough if it has enough answers
+        duration    longest{};
+        std::size_t min_samples = 0;
+    };
+    static constexpr sample_window usual_window = {std::chrono::milliseconds(400), std::chrono::seconds(2), 16};
+    static constexpr sample_window coarse_window = {std::chrono::milliseconds(800), std::chrono::seconds(4), 8};
+
+    std::optional<queue_estimate> estimate_in(const std::string& service, const std::string& failure_domain,
+                                              const sample_window& window, steady_time now) const;
+    static bool                   is_refusing(const domain_state& state, steady_time now);
+    static void                   note_usual_time(route_state& state, duration answer_time, steady_time now);
 
     std::map<name_pair, domain_state> domains_; // by service and failure domain
     std::map<name_pair, route_state>  routes_;  // by service and route
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -197,6 +197,13 @@
     }
 }
 
+void event_log::note_admission(std::span<const admission_change> changes) {
+    for (const admission_change& change : changes) {
+        write(change.is_refusing ? event::refusing_began : event::refusing_ended,
+              {{"service", change.service}, {"delay_ms", to_milliseconds(change.delay)}});
+    }
+}
+
 void event_log::note_unusable(std::span<const record> records) {
     for (const record& item : records) {
         const auto* unusable = std::get_if<unusable_record>(&item.content);
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -34,6 +34,7 @@
                           std::string_view result);
     void note_ignored(const replica& store_replica);      // the last record that was ignored
     void note_rejected_follower(std::string_view caller); // its call was not authenticated
+    void note_admission(std::span<const admission_change> changes);
     // Logs the records that cannot be used.
     void note_unusable(std::span<const record> records);
     // Logs what the first listing brought, without a line for each backend server: hundreds of lines would push out
--- a/entry/spillover.cpp
+++ b/entry/spillover.cpp
@@ -21,7 +21,7 @@
 constexpr double   max_gain = 2.5;          // units
 constexpr double   min_return_rate = 0.006; // per second
 // Share that goes to a failure domain whose delay is not known.
-constexpr double   probe_share = 0.03;
+constexpr double   probe_share = 0.04;
 constexpr double   max_domain_share = 0.3;
 constexpr duration retention = std::chrono::minutes(1);
 
@@ -62,7 +62,7 @@
 double spillover::changed_share(const std::string& service, const std::string& failure_domain, double share,
                                 double seconds, steady_time now) const {
     const auto     own = waiting_.estimate(service, own_domain_, now);
-    const auto     other = waiting_.estimate(service, failure_domain, now);
+    const auto     other = waiting_.coarse_estimate(service, failure_domain, now);
     const duration own_delay = own ? own->delay : duration::zero();
     const duration other_delay = other ? other->delay : duration::zero();
     const duration gain = own_delay - other_delay - price_of(service, failure_domain);
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -99,6 +99,12 @@
      "Entry balancer: a source delivered a state of `key` that differs from the known one and is older, by `revision` "
      "and "
      "`known_revision`. `count` counts all such records since the start; lines are rate-limited."},
+    {event::refusing_began, severity::warning, "refusing began",
+     "Entry balancer: `service` is short of capacity: requests wait for `delay_ms` at its backend servers, and a part "
+     "of "
+     "its new flows is answered with a reset, the lowest priority first."},
+    {event::refusing_ended, severity::info, "refusing ended",
+     "Entry balancer: all new flows of `service` are admitted again."},
 
     {event::call_refused, severity::warning, "administration call refused", "See `reason`; nothing was done."},
     {event::calls_overloaded, severity::warning, "administration calls overloaded",
--- a/tamarack/events.h
+++ b/tamarack/events.h
@@ -55,6 +55,8 @@
     follower_rejected = 6008,
     source_changed = 6009,
     record_ignored = 6010,
+    refusing_began = 6021,
+    refusing_ended = 6022,
 
     call_refused = 7001,
     calls_overloaded = 7002,
--- a/tests/entry_admission_test.cpp
+++ b/tests/entry_admission_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-replay_settings with_demand(std::function<double(double)> demand) {
+replay_settings with_demand(const std::function<double(double)>& demand) {
     replay_settings settings;
     settings.demand = [demand](double second, unsigned) { return demand(second); };
     return settings;
@@ -23,10 +23,11 @@
 
 void print(std::string_view name, const load_replay& replay, std::size_t first, std::size_t last) {
     std::string line(name);
-    for (const auto& result : replay.results)
+    for (const auto& result : replay.results) {
         line += " served=" + std::to_string(result.served_share()) + " late=" + std::to_string(result.late) +
                 " refused_by_hosts=" + std::to_string(result.refused_by_hosts) +
                 " refused_by_servers=" + std::to_string(result.refused_by_servers);
+    }
     BOOST_TEST_MESSAGE(line << " busy=" << replay.busy_share(first, last));
 }
 
@@ -61,6 +62,27 @@
     BOOST_TEST(lowest >= 0.80);
 }
 
+// A SYN that was delivered may have opened a flow: the refusal of its copy would tell the caller that nothing ran.
+BOOST_AUTO_TEST_CASE(copies_of_delivered_syns_are_not_refused) {
+    replay_settings settings = with_demand(eightfold);
+    settings.is_dark = [](unsigned server) { return server % 4 == 0; };
+    load_replay replay(settings);
+    replay.run_until(30);
+    BOOST_TEST(replay.refused_by_hosts() > 0U);
+    BOOST_TEST(replay.refused_copies == 0U);
+}
+
+// An operator asks why a caller was refused.
+BOOST_AUTO_TEST_CASE(explanation_tells_the_admitted_share) {
+    load_replay replay(with_demand(eightfold));
+    replay.run_until(30);
+    const endpoint poll_address{service_address.address, 1'001};
+    const auto     explanation = replay.host(0).explain({}, poll_address, {});
+    BOOST_TEST_REQUIRE(explanation.outlooks.size() == 1U);
+    BOOST_TEST(explanation.outlooks[0].status.is_refusing);
+    BOOST_TEST(explanation.outlooks[0].admitted_share < 0.6);
+}
+
 BOOST_AUTO_TEST_CASE(refusing_ends_soon_after_the_overload) {
     load_replay replay(with_demand([](double second) { return second > 10 && second < 40 ? 8.0 : 1.0; }));
     replay.run_until(42);
--- a/tests/entry_load_replay.h
+++ b/tests/entry_load_replay.h
@@ -52,18 +52,18 @@
         const unsigned server_count = settings_.domains * settings_.servers;
         servers_.resize(server_count);
         std::vector<record> records = {configuration_record(1, 1, routes_)};
-        for (unsigned server = 0; server < server_count; ++server)
+        for (unsigned server = 0; server < server_count; ++server) {
             records.push_back(
                 backend_record(server + 2, registration_of(server + 1, domain_name(server / settings_.servers))));
+        }
         store_.note_store_available(start_);
         store_.apply_listing(records, at_revision(server_count + 2), start_);
         for (unsigned host = 0; host < settings_.domains * settings_.hosts; ++host) {
             const steering_settings own{.failure_domain = domain_name(host / settings_.hosts)};
             hosts_.push_back(std::make_unique<steering>(own, store_, settings_.seed * 1'000 + host));
         }
-        for (unsigned domain = 0; domain < settings_.domains; ++domain)
-            for (std::size_t kind = 0; kind < settings_.patterns.size(); ++kind)
-                add(0, event_kind::demand, domain * settings_.patterns.size() + kind);
+        for (std::size_t subject = 0; subject < settings_.domains * settings_.patterns.size(); ++subject)
+            add(0, event_kind::demand, subject);
         add(100, event_kind::tick, 0);
     }
 
@@ -99,7 +99,8 @@
         return mean(first, last, [&](const second_result& second) { return second.busy_ms / slots_ms; });
     }
 
-    std::vector<pattern_result> results; // by pattern
+    std::vector<pattern_result> results;            // by pattern
+    std::uint64_t               refused_copies = 0; // of SYNs that were delivered
 
 private:
     enum class event_kind : std::uint8_t { demand, attempt, copy, request, finished, answer, refusal, tick };
@@ -194,6 +195,7 @@
         const auto decision = host.decide(syn, now());
         if (decision.action == packet_action::reset) {
             ++results[who.kind].refused_by_hosts;
+            refused_copies += syn.acknowledged > 0 && decision.reason == decision_reason::not_admitted ? 1 : 0;
             ++second().refused_by_hosts;
             return retry(id);
         }
