--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -27,8 +27,8 @@
 steering::steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed)
     : settings_(settings), store_replica_(store_replica), flows_(settings.flow_capacity),
       placement_({settings.failure_domain, settings.regions}, store_replica, flows_, random_seed),
-      admission_(congestion_, random_seed),
-      spillover_(settings.failure_domain, store_replica, congestion_, random_seed) {}
+      admission_(congestion_, random_seed + 1), // independent of the draws of placement
+      spillover_(settings.failure_domain, store_replica, congestion_, random_seed + 2) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
