--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -360,6 +360,7 @@
     log_new_changes();
     packets.reset_orphaned_flows();
     flow_steering.expire(current_time);
+    log.note_admission(flow_steering.new_flow_admission().take_changes());
     sync.set_own_followers(follower_feed.followers(current_time));
     read_store();
     update_feeder_slot();
@@ -477,7 +478,8 @@
                                  .reports = peer_reports.counters(),
                                  .report_datagrams = peer_reports.datagram_counters(),
                                  .calls_by_result = calls_by_result,
-                                 .calls_by_kind = calls_by_kind};
+                                 .calls_by_kind = calls_by_kind,
+                                 .load_metrics = load_metrics(flow_steering)};
     respond({.body = format_metrics(packets.counters(), packets.pending(), process, store_replica, now()),
              .content_type = "text/plain; version=0.0.4"});
 }
--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -80,6 +80,23 @@
     return text;
 }
 
+std::string format_outlooks(const flow_explanation& explanation) {
+    std::string text;
+    for (const service_outlook& outlook : explanation.outlooks) {
+        text += format_line("admission", {{"service", outlook.service},
+                                          {"refusing", outlook.status.is_refusing ? "yes" : "no"},
+                                          {"admitted_share", format_hundredths(outlook.admitted_share)},
+                                          {"delay_ms", to_milliseconds(outlook.status.delay)},
+                                          {"target_ms", to_milliseconds(outlook.status.target)}});
+        for (const auto& [failure_domain, share] : outlook.spilled) {
+            text += format_line("spillover", {{"service", outlook.service},
+                                              {"failure_domain", failure_domain},
+                                              {"share", format_hundredths(share)}});
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 std::optional<std::string> status_page::render(std::string_view target, steady_time now) const {
@@ -102,6 +119,16 @@
                                       {"address", configured_route.address.to_string()},
                                       {"services", format_shares(configured_route)}});
     }
+    for (const std::string& service : steering_.new_flow_admission().services()) {
+        const admission_status status = steering_.new_flow_admission().status(service);
+        text += format_line(
+            "load", {{"service", service},
+                     {"refusing", status.is_refusing ? "yes" : "no"},
+                     {"delay_ms", to_milliseconds(status.delay)},
+                     {"target_ms", to_milliseconds(status.target)},
+                     {"admitted_share", format_hundredths(status.share)},
+                     {"spilled_share", format_hundredths(steering_.new_flow_spillover().total_share(service))}});
+    }
     for (const auto& [key, evacuated] : store_replica_.evacuations()) {
         text += format_line("evacuation", {{"failure_domain", evacuated.failure_domain},
                                            {"epoch", evacuated.revision.epoch},
@@ -184,6 +211,7 @@
                          {"reason", to_string(next.reason)},
                          {"backend_server", next.backend == nullptr ? "none" : next.backend->registration.name}});
     text += shares(explanation);
+    text += format_outlooks(explanation);
     for (const backend_candidate& candidate : explanation.candidates) {
         const backend_registration& registration = candidate.backend->registration;
         text += format_line("candidate", {{"backend_server", registration.name},
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -111,14 +111,14 @@
 // Choice
 //----------------------------------------------------------------------------------------------------------------------
 
-placement::flow_draw placement::draw_for(const route& matched_route, random_source& random) {
-    flow_draw     drawn{.returning_position = std::uniform_real_distribution<double>()(random),
+placement::flow_draw placement::draw(const route& matched_route) {
+    flow_draw     drawn{.returning_position = std::uniform_real_distribution<double>()(random_),
                         .service = matched_route.services.front().service};
     std::uint32_t total_weight = 0;
     for (const service_share& share : matched_route.services)
         total_weight += share.weight;
     if (total_weight == 0 || matched_route.services.size() == 1) return drawn;
-    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random);
+    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random_);
     for (const service_share& share : matched_route.services) {
         drawn.service = share.service;
         if (position < share.weight) break;
@@ -127,12 +127,12 @@
     return drawn;
 }
 
-const known_backend* placement::choose(const route& matched_route, backend_reference tried, steady_time now) {
+const known_backend* placement::choose(const route& matched_route, const flow_draw& drawn,
+                                       std::string_view preferred_domain, backend_reference tried, steady_time now) {
     note_feeders(now);
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
-    const flow_draw      drawn = draw_for(matched_route, random_);
     for (const known_backend* candidate : store_replica_.available_backends(drawn.service)) {
         const exclusion rule = rule_against(*candidate, matched_route, drawn.returning_position, now);
         if (rule != exclusion::none && rule != exclusion::returning) continue;
@@ -146,7 +146,7 @@
             if (ends_first) unresponsive = candidate;
             continue;
         }
-        offer(rule == exclusion::none ? best : returning, *candidate, now);
+        offer(rule == exclusion::none ? best : returning, *candidate, preferred_domain, now);
     }
     if (best.backend != nullptr) return best.backend;
     return returning.backend != nullptr ? returning.backend : unresponsive;
@@ -158,8 +158,9 @@
     conditions_.note_unresponsive(reference, evidence, activity.first_unanswered_syn, now);
 }
 
-void placement::offer(choice& best, const known_backend& candidate, steady_time now) const {
-    const double cost = cost_of(candidate, now);
+void placement::offer(choice& best, const known_backend& candidate, std::string_view preferred_domain,
+                      steady_time now) const {
+    const double cost = cost_of(candidate, preferred_domain, now);
     const bool   is_better =
         best.backend == nullptr || cost < best.cost || (cost == best.cost && wins_tie(candidate, *best.backend));
     if (is_better) best = {&candidate, cost};
@@ -174,7 +175,7 @@
     return reference_of(left.reference ^ tie_break_seed_) < reference_of(right.reference ^ tie_break_seed_);
 }
 
-double placement::cost_of(const known_backend& backend, steady_time now) const {
+double placement::cost_of(const known_backend& backend, std::string_view preferred_domain, steady_time now) const {
     const backend_activity& activity = flows_.activity(backend.reference);
     const bool              is_warming_up = now < backend.registration_received + backend.registration.warmup_remaining;
     const double            slots = std::max(1U, backend.registration.slots);
@@ -183,19 +184,18 @@
     const double unseen_load = warmup_.is_limited(backend, now) ? 0.0 : 1.0;
     const double cost = (load + unseen_load) * (is_warming_up ? warmup_factor : 1.0) *
                         conditions_.cost_factor(backend.reference, now) / slots;
-    return backend.registration.failure_domain == settings_.failure_domain ? cost : cost + other_domain_cost;
+    return backend.registration.failure_domain == preferred_domain ? cost : cost + other_domain_cost;
 }
 
-std::vector<backend_candidate> placement::explain(const route& matched_route, steady_time now) const {
-    random_source                  next_random = random_;
-    const flow_draw                drawn = draw_for(matched_route, next_random);
+std::vector<backend_candidate> placement::explain(const route& matched_route, const flow_draw& drawn,
+                                                  std::string_view preferred_domain, steady_time now) const {
     std::vector<backend_candidate> candidates;
     for (const service_share& share : matched_route.services) {
         for (const known_backend* backend : store_replica_.available_backends(share.service)) {
             exclusion rule = rule_against(*backend, matched_route, drawn.returning_position, now);
             if (rule == exclusion::none && share.service != drawn.service) rule = exclusion::other_service;
             if (rule == exclusion::none && is_avoided(backend->reference, now)) rule = exclusion::unresponsive;
-            candidates.push_back({backend, cost_of(*backend, now), rule, region_of(*backend)});
+            candidates.push_back({backend, cost_of(*backend, preferred_domain, now), rule, region_of(*backend)});
         }
     }
     std::ranges::sort(candidates, [this](const backend_candidate& left, const backend_candidate& right) {
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -55,14 +55,22 @@
     // A copy that decides as the other one would, with its own counts.
     placement(const placement& other, flow_tracker& flows, backend_conditions& conditions);
 
-    // The backend server of a new flow; null: there is none that takes it. Tried: an earlier SYN of the flow went to it
-    // and was not answered; 0: none.
-    const known_backend*           choose(const route& matched_route, backend_reference tried, steady_time now);
+    // The random part of a choice.
+    struct flow_draw {
+        double      returning_position = 0; // 0 to 1; the flow goes to domains that have returned this far
+        std::string service;                // one of the route's services, by their weights
+    };
+    flow_draw            draw(const route& matched_route);
+    // The backend server of a new flow; null: there is none that takes it. Backend servers of the preferred failure
+    // domain cost no surcharge. Tried: an earlier SYN of the flow went to it and was not answered; 0: none.
+    const known_backend* choose(const route& matched_route, const flow_draw& drawn, std::string_view preferred_domain,
+                                backend_reference tried, steady_time now);
     // Whether a retransmitted SYN may still go to the backend server that was chosen for the first one.
-    bool                           allows(const known_backend& backend, const route& matched_route) const;
+    bool                 allows(const known_backend& backend, const route& matched_route) const;
     // All candidates of all services of the route, as the next flow finds them: those that may be chosen first, the
     // cheapest at the head.
-    std::vector<backend_candidate> explain(const route& matched_route, steady_time now) const;
+    std::vector<backend_candidate> explain(const route& matched_route, const flow_draw& drawn,
+                                           std::string_view preferred_domain, steady_time now) const;
 
     // The SYN of a new flow, or of one that moves, is delivered to the backend server.
     void note_placed(const known_backend& backend, steady_time now) { warmup_.note_placed(backend, now); }
@@ -79,15 +87,8 @@
         double               cost = 0;
     };
 
-    // The random part of a choice.
-    struct flow_draw {
-        double           returning_position = 0; // 0 to 1; the flow goes to domains that have returned this far
-        std::string_view service;
-    };
-
-    static flow_draw draw_for(const route& matched_route, random_source& random);
-    void             note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now);
-    void             offer(choice& best, const known_backend& candidate, steady_time now) const;
+    void note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now);
+    void offer(choice& best, const known_backend& candidate, std::string_view preferred_domain, steady_time now) const;
     std::string_view region_of(const known_backend& backend) const; // empty: none
     bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
     bool             is_avoided(backend_reference reference, steady_time now) const;
@@ -95,7 +96,7 @@
     exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
                                   steady_time now) const;
     bool             is_returning(const known_backend& backend, double position, steady_time now) const;
-    double           cost_of(const known_backend& backend, steady_time now) const;
+    double           cost_of(const known_backend& backend, std::string_view preferred_domain, steady_time now) const;
     bool             wins_tie(const known_backend& left, const known_backend& right) const;
 
     placement_settings  settings_;
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -31,8 +31,9 @@
 
 std::string_view to_string(decision_reason reason) {
     static constexpr std::array<std::string_view, decision_reason_count> names = {
-        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",      "by_flow",
-        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone", "backend_unresponsive"};
+        "placed",      "placed_again", "placed_elsewhere", "by_reference",      "stalled",      "by_flow",
+        "no_route",    "no_backend",   "not_synchronized", "unknown_reference", "backend_gone", "backend_unresponsive",
+        "not_admitted"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -41,12 +42,14 @@
       conditions_(store_replica, flows_, random_seed + 1),
       placement_({settings.failure_domain, settings.regions, settings.warmup}, store_replica, flows_, conditions_,
                  random_seed),
-      orphaned_flows_(store_replica) {}
+      admission_(congestion_, random_seed),
+      spillover_(settings.failure_domain, store_replica, congestion_, random_seed), orphaned_flows_(store_replica) {}
 
 steering::steering(const steering& other, without_flows)
     : settings_(other.settings_), store_replica_(other.store_replica_), flows_(other.flows_.without_flows()),
       conditions_(other.conditions_, flows_), placement_(other.placement_, flows_, conditions_),
-      orphaned_flows_(store_replica_) {}
+      congestion_(other.congestion_), admission_(other.admission_, congestion_),
+      spillover_(other.spillover_, congestion_), orphaned_flows_(store_replica_) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
@@ -102,7 +105,12 @@
             return {packet_action::deliver, decision_reason::placed_again, first_backend};
         tried = tracked->reference;
     }
-    const known_backend* chosen = placement_.choose(matched_route, tried, now);
+    const placement::flow_draw drawn = placement_.draw(matched_route);
+    // A flow that is tracked may have been delivered before: it is never refused.
+    if (tracked == nullptr && !admission_.admit(matched_route, drawn.service, packet, now))
+        return {packet_action::reset, decision_reason::not_admitted};
+    const std::string&   preferred_domain = spillover_.choose_domain(drawn.service, now);
+    const known_backend* chosen = placement_.choose(matched_route, drawn, preferred_domain, tried, now);
     if (chosen == nullptr) return {packet_action::reset, decision_reason::no_backend};
     if (is_retransmission) {
         flows_.reassign(*tracked, chosen->reference);
@@ -124,10 +132,19 @@
     packet.syn = true;
     flow_explanation explanation{.matched_route = store_replica_.find_route(route_address),
                                  .flow = flows_.find(packet)};
-    if (explanation.matched_route != nullptr)
-        explanation.candidates = placement_.explain(*explanation.matched_route, now);
-    steering trial(*this, without_flows{});
+    steering         trial(*this, without_flows{});
     explanation.next_decision = trial.decide(packet, now);
+    if (explanation.matched_route == nullptr) return explanation;
+    const route&               matched_route = *explanation.matched_route;
+    steering                   choice(*this, without_flows{}); // with the same random numbers
+    const placement::flow_draw drawn = choice.placement_.draw(matched_route);
+    const std::string&         preferred_domain = choice.spillover_.choose_domain(drawn.service, now);
+    explanation.candidates = placement_.explain(matched_route, drawn, preferred_domain, now);
+    for (const service_share& share : matched_route.services) {
+        explanation.outlooks.push_back({share.service, admission_.status(share.service),
+                                        admission_.share(share.service, matched_route.name),
+                                        spillover_.shares(share.service)});
+    }
     return explanation;
 }
 
@@ -160,6 +177,7 @@
     if (flow != nullptr) {
         decision.progress = flows_.note_packet(*flow, packet, now);
         conditions_.note_progress(*backend, matched_route->kind, packet, *flow, decision.progress, now);
+        note_progress(*matched_route, *backend, decision.progress, now);
     }
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
@@ -174,6 +192,16 @@
     return decision;
 }
 
+void steering::note_progress(const route& matched_route, const known_backend& backend, const flow_progress& progress,
+                             steady_time now) {
+    const backend_registration& registration = backend.registration;
+    if (progress.handshake_time)
+        congestion_.note_handshake(registration.service, registration.failure_domain, *progress.handshake_time, now);
+    if (!progress.answer_time) return;
+    const answer_kind kind = congestion_.note_answer(registration, matched_route.name, *progress.answer_time, now);
+    admission_.note_answer(registration.service, matched_route.name, kind);
+}
+
 // Load pattern: the callers of a dark backend server have long flows, on which they begin requests with a time limit of
 // some seconds, until its registration ends after about as long.
 bool steering::gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
@@ -255,6 +283,9 @@
     unknown_flows_.expire(now);
     conditions_.expire(now);
     placement_.note_feeders(now);
+    congestion_.expire(now);
+    admission_.expire(now);
+    spillover_.expire(now);
 }
 
 } // namespace tamarack::entry
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -5,8 +5,10 @@
 // its reference to the caller, which adds it to the flow's packets.
 #pragma once
 
+#include "entry/admission.h"
 #include "entry/orphaned_flows.h"
 #include "entry/placement.h"
+#include "entry/spillover.h"
 #include "entry/unknown_flows.h"
 
 namespace tamarack::entry {
@@ -31,8 +33,9 @@
     unknown_reference,    // no backend server has the reference; it may belong to one that is not known yet
     backend_gone,         // the flow's backend server has been removed
     backend_unresponsive, // idempotent request; the flow's backend server is proven not to respond
+    not_admitted,         // new flow; the service is short of capacity, and others go first
 };
-inline constexpr std::size_t decision_reason_count = 12;
+inline constexpr std::size_t decision_reason_count = 13;
 
 std::string_view to_string(packet_action action); // past tense, as the outcome of a packet
 std::string_view to_string(decision_reason reason);
@@ -45,12 +48,21 @@
     flow_progress        progress{};        // what the packet shows about its flow
 };
 
+// Whether a service takes new flows of a route, and where they go.
+struct service_outlook {
+    std::string                   service;
+    admission_status              status{};
+    double                        admitted_share = 1.0; // of the route's new flows
+    std::map<std::string, double> spilled{};            // part of the flows that goes to other failure domains, by name
+};
+
 // Explains the destination of a flow. The pointers are valid until the next packet or change of the replica.
 struct flow_explanation {
     const route*                   matched_route = nullptr; // null: no route has the address
     const tracked_flow*            flow = nullptr;          // null: this balancer does not track the flow
     steering_decision              next_decision{};         // if the next packet is the SYN of a new flow on the route
     std::vector<backend_candidate> candidates{};            // for that flow; those that may be chosen first
+    std::vector<service_outlook>   outlooks{};              // by service of the route
 };
 
 struct steering_settings {
@@ -66,7 +78,7 @@
 class steering {
 public:
     steering(const steering_settings& settings, const replica& store_replica, std::uint64_t random_seed);
-    steering(const steering&) = delete; // conditions_ and placement_ refer to flows_
+    steering(const steering&) = delete; // some members refer to others
     steering& operator=(const steering&) = delete;
 
     steering_decision         decide(const segment& packet, steady_time now);
@@ -81,6 +93,9 @@
     void                      note_pause(steady_time now) { conditions_.note_pause(now); }
     backend_conditions&       conditions() { return conditions_; }
     const backend_conditions& conditions() const { return conditions_; }
+    admission&                new_flow_admission() { return admission_; }
+    const admission&          new_flow_admission() const { return admission_; }
+    const spillover&          new_flow_spillover() const { return spillover_; }
 
 private:
     // A copy for trying a decision. All parts that decide on new flows are copied; the flows are not, since they are
@@ -92,14 +107,16 @@
     steering_decision decide_later_packet(const segment& packet, steady_time now);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
+    void note_progress(const route& matched_route, const known_backend& backend, const flow_progress& progress,
+                       steady_time now);
     // A reset lets the caller repeat the request on another backend server at once, and nothing runs twice that must
     // not.
-    bool              gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
-                                     steady_time now) const;
-    bool              is_stalled(const tracked_flow& flow, steady_time now);
-    bool              is_settled(steady_time now) const;
+    bool gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
+                        steady_time now) const;
+    bool is_stalled(const tracked_flow& flow, steady_time now);
+    bool is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
-    bool              is_confirmed_since_first_packet(const segment& packet, steady_time now);
+    bool is_confirmed_since_first_packet(const segment& packet, steady_time now);
     static steering_decision refuse(const segment& packet, decision_reason reason, bool is_proved);
     steering_decision        refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now);
     steering_decision refuse_removed(const segment& packet, const known_backend& backend, const tracked_flow* flow,
@@ -110,6 +127,9 @@
     flow_tracker       flows_;
     backend_conditions conditions_;
     placement          placement_;
+    congestion         congestion_;
+    admission          admission_;
+    spillover          spillover_;
     orphaned_flows     orphaned_flows_;
     unknown_flows      unknown_flows_; // whose route or backend server the replica lacks
 };
