Tell refusals of backend servers from answers by their size

Cause: backend servers that refuse a request only when it has waited for its turn answer as late as busy ones (130 ms).

Change: an answer whose first acknowledgement covers less than a quarter of what is usual on its route counts as a refusal while requests wait.

--- a/entry/congestion.cpp
+++ b/entry/congestion.cpp
@@ -12,6 +12,14 @@
 // A refusal takes less time than any work of the services that are large enough to matter.
 constexpr duration    max_refusal_time = std::chrono::milliseconds(6);
 constexpr int         refusal_divisor = 4; // of the usual time
+// The answer that refuses a request is much shorter than a usual one.
+constexpr double      short_answer_part = 0.25; // of the usual size
+constexpr double      size_quantile = 0.75;
+constexpr double      size_smoothing = 0.25;
+// Short answers are refusals only while requests wait: servers refuse them when their queue is full.
+constexpr duration    min_refusal_wait = std::chrono::milliseconds(10);
+// So many short answers in a row are the new usual ones.
+constexpr unsigned    max_short_answers = 256;
 // Delay that a share of refusals stands for: a fifth of the requests refused equals a delay of 50 ms.
 constexpr duration    delay_of_refusals = std::chrono::milliseconds(250);
 // Refusals count if more than this part of the backend servers has refused requests within this time.
@@ -32,14 +40,16 @@
 
 } // namespace
 
-answer_kind congestion::note_answer(const backend_registration& backend, const std::string& route, duration answer_time,
-                                    steady_time now) {
+answer_kind congestion::note_answer(const backend_registration& backend, const std::string& route,
+                                    const flow_progress& progress, steady_time now) {
+    const duration answer_time = *progress.answer_time;
     route_state&   usual = routes_[{backend.service, route}];
     const duration refusal_limit = std::min(max_refusal_time, usual.usual / refusal_divisor);
-    const bool     was_refused = answer_time < refusal_limit;
+    const bool     was_quick = answer_time < refusal_limit;
+    const bool     was_refused = is_short(usual, progress.answered_bytes) || was_quick;
     const duration delay = usual.usual == duration::zero() ? duration::zero() : answer_time - usual.usual;
     domain_state&  state = domains_[{backend.service, backend.failure_domain}];
-    state.recent.at(state.next) = {now, delay, was_refused};
+    state.recent.at(state.next) = {now, delay, was_refused, was_quick};
     state.next = (state.next + 1) % recent_capacity;
     state.count = std::min(state.count + 1, recent_capacity);
     state.last_used = now;
@@ -47,7 +57,7 @@
     answers.last_answer = now;
     if (was_refused) answers.last_refused = state.last_refused = now;
     usual.last_used = now;
-    if (!was_refused) note_usual_time(usual, answer_time, now);
+    if (!was_refused) note_usual(usual, answer_time, progress.answered_bytes, now);
     return was_refused ? answer_kind::refused : answer_kind::processed;
 }
 
@@ -62,16 +72,40 @@
     return static_cast<double>(refusing) > min_refusing_share * static_cast<double>(answering);
 }
 
-void congestion::note_usual_time(route_state& state, duration answer_time, steady_time now) {
+bool congestion::is_short(route_state& state, std::uint32_t answered_bytes) {
+    if (answered_bytes >= short_answer_part * state.usual_size) {
+        state.short_answers = 0;
+        return false;
+    }
+    if (++state.short_answers < max_short_answers) return true;
+    state.usual_size = 0;
+    state.short_answers = 0;
+    return false;
+}
+
+void congestion::note_usual_size(route_state& state) {
+    std::vector<std::uint32_t> sizes = std::exchange(state.period_sizes, {});
+    const auto position = static_cast<std::ptrdiff_t>(size_quantile * static_cast<double>(sizes.size() - 1));
+    std::ranges::nth_element(sizes, sizes.begin() + position);
+    const double size = sizes[static_cast<std::size_t>(position)];
+    state.usual_size = state.usual_size == 0 ? size : state.usual_size + size_smoothing * (size - state.usual_size);
+}
+
+void congestion::note_usual(route_state& state, duration answer_time, std::uint32_t answered_bytes, steady_time now) {
     if (state.period.empty()) state.period_start = now;
     state.period.push_back(answer_time);
+    state.period_sizes.push_back(answered_bytes);
     const std::size_t enough = state.usual == duration::zero() ? first_period_samples : period_capacity;
     if (state.period.size() < enough) return;
     const duration period = state.usual == duration::zero() ? first_period : later_period;
     if (now - state.period_start < period) { // only the latest answers of a period count
-        if (state.period.size() == period_capacity) state.period.erase(state.period.begin());
+        if (state.period.size() == period_capacity) {
+            state.period.erase(state.period.begin());
+            state.period_sizes.erase(state.period_sizes.begin());
+        }
         return;
     }
+    note_usual_size(state);
     std::vector<duration> values = std::exchange(state.period, {});
     std::ranges::sort(values);
     const auto processed = std::ranges::lower_bound(values, max_refusal_time);
@@ -112,6 +146,7 @@
     std::array<duration, recent_capacity> delays{};
     std::size_t                           processed = 0;
     std::size_t                           refused = 0;
+    std::size_t                           quick = 0; // of them
     for (std::size_t back = 1; back <= state.count; ++back) {
         const sample&  item = state.recent.at((state.next + recent_capacity - back) % recent_capacity);
         const duration age = now - item.at;
@@ -119,6 +154,7 @@
         if (age > window.longest || (age > window.preferred && has_enough)) break;
         if (item.was_refused) {
             ++refused;
+            quick += item.was_quick ? 1 : 0;
         } else {
             delays.at(processed++) = item.delay;
         }
@@ -126,9 +162,9 @@
     const std::size_t samples = processed + refused;
     if (samples < window.min_samples) return std::nullopt;
     const duration waiting = processed == 0 ? duration::zero() : quantile_of({delays.data(), processed});
+    const auto     counted = static_cast<int>(waiting >= min_refusal_wait ? refused : quick);
     duration       refusing{};
-    if (refused > 0 && is_refusing(state, now))
-        refusing = delay_of_refusals * static_cast<int>(refused) / static_cast<int>(samples);
+    if (counted > 0 && is_refusing(state, now)) refusing = delay_of_refusals * counted / static_cast<int>(samples);
     return queue_estimate{std::max({waiting, refusing, duration::zero()}), samples};
 }
 
--- a/entry/congestion.h
+++ b/entry/congestion.h
@@ -2,11 +2,12 @@
 //
 // Load pattern: answers bypass the balancers, so that a balancer knows the time from a request to the caller's first
 // acknowledgement only. The work of a request varies by a factor of three either way, and a full backend server refuses
-// further requests at once. The delay is therefore a quantile over many requests, less the usual value of the same
-// quantile. It is a low quantile: some slow backend servers must not look like a lack of capacity.
+// further requests, at once or after they have waited in vain, with a short answer. The delay is therefore a quantile
+// over many requests, less the usual value of the same quantile. It is a low quantile: some slow backend servers must
+// not look like a lack of capacity.
 #pragma once
 
-#include "entry/model.h"
+#include "entry/flow_tracker.h"
 
 #include <array>
 #include <map>
@@ -26,8 +27,9 @@
 
 class congestion {
 public:
-    answer_kind note_answer(const backend_registration& backend, const std::string& route, duration answer_time,
-                            steady_time now);
+    // The progress has an answer time.
+    answer_kind note_answer(const backend_registration& backend, const std::string& route,
+                            const flow_progress& progress, steady_time now);
     void        note_handshake(const std::string& service, const std::string& failure_domain, duration handshake_time,
                                steady_time now);
 
@@ -59,6 +61,7 @@
         steady_time at{};
         duration    delay{};
         bool        was_refused = false;
+        bool        was_quick = false; // the refusal took less time than any work
     };
     struct backend_answers {
         steady_time last_refused{};
@@ -79,7 +82,10 @@
     };
     // The usual time is a low value of several periods, so that it is not raised by an overload.
     struct route_state {
-        std::vector<duration>                 period{}; // answer times of the current period
+        std::vector<duration>                 period{};          // answer times of the current period
+        std::vector<std::uint32_t>            period_sizes{};    // bytes of the same answers
+        double                                usual_size = 0;    // bytes; 0: unknown
+        unsigned                              short_answers = 0; // in a row
         steady_time                           period_start{};
         std::array<usual_value, period_count> periods{}; // ring
         std::size_t                           next_period = 0;
@@ -99,7 +105,9 @@
     std::optional<queue_estimate> estimate_in(const std::string& service, const std::string& failure_domain,
                                               const sample_window& window, steady_time now) const;
     static bool                   is_refusing(const domain_state& state, steady_time now);
-    static void                   note_usual_time(route_state& state, duration answer_time, steady_time now);
+    static bool                   is_short(route_state& state, std::uint32_t answered_bytes);
+    static void note_usual(route_state& state, duration answer_time, std::uint32_t answered_bytes, steady_time now);
+    static void note_usual_size(route_state& state);
 
     std::map<name_pair, domain_state> domains_; // by service and failure domain
     std::map<name_pair, route_state>  routes_;  // by service and route
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -2,6 +2,7 @@
 #include "entry/flow_tracker.h"
 
 #include <algorithm>
+#include <utility>
 #define XXH_INLINE_ALL // the library is not linked
 #include <xxhash.h>
 
@@ -106,10 +107,14 @@
             progress.handshake_time = now - flow.first_syn;
             handshake_time_ += (now - flow.first_syn - handshake_time_) / handshake_smoothing;
         }
-        flow.acknowledged = packet.acknowledged;
+        const std::uint32_t acknowledged_bytes =
+            packet.acknowledged - std::exchange(flow.acknowledged, packet.acknowledged);
         flow.last_progress = now;
         note_response(activity, now);
-        if (flow.is_waiting) progress.answer_time = now - flow.request_received;
+        if (flow.is_waiting) {
+            progress.answer_time = now - flow.request_received;
+            progress.answered_bytes = acknowledged_bytes;
+        }
         stop_waiting(flow);
     }
     const std::uint32_t end = packet.sequence + packet.payload_size;
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -48,9 +48,10 @@
 
 // What a packet shows about its flow.
 struct flow_progress {
-    std::optional<duration> handshake_time;            // from the SYN to the caller's answer to the SYN+ACK
-    std::optional<duration> answer_time;               // from the request to the first acknowledgement of an answer
+    std::optional<duration> handshake_time{};          // from the SYN to the caller's answer to the SYN+ACK
+    std::optional<duration> answer_time{};             // from the request to the first acknowledgement of an answer
     bool                    starts_request = false;    // on a flow that waited for no answer
+    std::uint32_t           answered_bytes = 0;        // that the acknowledgement of answer_time covers
     bool                    is_retransmission = false; // it carries data that the caller has sent before
 };
 
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -198,7 +198,7 @@
     if (progress.handshake_time)
         congestion_.note_handshake(registration.service, registration.failure_domain, *progress.handshake_time, now);
     if (!progress.answer_time) return;
-    const answer_kind kind = congestion_.note_answer(registration, matched_route.name, *progress.answer_time, now);
+    const answer_kind kind = congestion_.note_answer(registration, matched_route.name, progress, now);
     admission_.note_answer(registration.service, matched_route.name, kind);
 }
 
--- a/tests/entry_admission_test.cpp
+++ b/tests/entry_admission_test.cpp
@@ -89,6 +89,17 @@
     BOOST_TEST(explanation.outlooks[0].admitted_share < 0.6);
 }
 
+// Backend servers that refuse a request only when it has waited for its turn answer as late as busy ones: taken for
+// answers, their refusals made the balancers admit twice what the servers could do, and after five seconds everything.
+BOOST_AUTO_TEST_CASE(refusals_after_a_wait_are_no_answers) {
+    replay_settings settings = with_demand(eightfold);
+    settings.refusal_wait_ms = 130;
+    load_replay replay(settings);
+    replay.run_until(110);
+    print("refusals after a wait", replay, 10, 110);
+    BOOST_TEST(replay.results[0].served_share() >= 0.90);
+}
+
 BOOST_AUTO_TEST_CASE(refusing_ends_soon_after_the_overload) {
     load_replay replay(with_demand([](double second) { return second > 10 && second < 40 ? 8.0 : 1.0; }));
     replay.run_until(42);
@@ -197,9 +208,10 @@
                     refused_port = port;
                     continue;
                 }
-                const bool is_refusal = answer_time > 100ms && port / 2 % 10 == 0;
-                const auto kind = waiting.note_answer(registration_of(port % 30), asked->name,
-                                                      is_refusal ? 2ms : answer_time, time.steady_now());
+                const bool          is_refusal = answer_time > 100ms && port / 2 % 10 == 0;
+                const flow_progress progress{.answer_time = is_refusal ? 2ms : answer_time};
+                const auto          kind =
+                    waiting.note_answer(registration_of(port % 30), asked->name, progress, time.steady_now());
                 gate.note_answer("desk", asked->name, kind);
             }
         }
--- a/tests/entry_load_replay.h
+++ b/tests/entry_load_replay.h
@@ -21,6 +21,8 @@
     unsigned      requests = 1; // of a flow, 500 ms apart; callers do not repeat those after the first
 };
 
+constexpr std::uint32_t short_answer_size = 130; // bytes; others have 1,000
+
 struct replay_settings {
     unsigned                     domains = 1;
     unsigned                     hosts = 20;   // per failure domain
@@ -30,7 +32,8 @@
     std::function<double(double, unsigned)> slowness = [](double, unsigned) { return 1.0; }; // at a second, of a server
     std::function<bool(unsigned)>           is_dark = [](unsigned) { return false; };        // never answers
     double                                  crossing_ms = 0.9;                               // one way
-    std::uint64_t                           seed = 1;
+    double        refusal_wait_ms = 0; // for which a request that is refused has waited; above 0 its answer is short
+    std::uint64_t seed = 1;
 };
 
 struct pattern_result {
@@ -238,7 +241,7 @@
         if (server.busy < 2) return process(id);
         if (server.waiting.size() < 8) return server.waiting.push(id);
         ++results[who.kind].refused_by_servers;
-        add(uniform(1, 4) + distance(who), event_kind::refusal, id, who.attempt);
+        add(settings_.refusal_wait_ms + uniform(1, 4) + distance(who), event_kind::refusal, id, who.attempt);
     }
 
     // The work varies by a factor of three either way.
@@ -268,6 +271,7 @@
         caller& who = callers_[id];
         segment packet = packet_of(who, who.sent, 0);
         packet.fin = who.sent == settings_.patterns[who.kind].requests || is_refusal;
+        if (is_refusal && settings_.refusal_wait_ms > 0) packet.acknowledged -= 1'000 - short_answer_size;
         hosts_[who.host]->decide(packet, now());
         if (is_refusal && who.sent > 1) {
             who.is_done = true;
