--- a/soak/flow_ends.h
+++ b/soak/flow_ends.h
@@ -1,6 +1,7 @@
 // State of the two ends of a flow, the caller and the backend server. The process of the soak runs both.
 #pragma once
 
+#include "soak/backend_load.h"
 #include "soak/packet.h"
 #include "tamarack/udp_socket.h"
 
@@ -10,9 +11,7 @@
 
 namespace soak {
 
-using tamarack::duration;
 using tamarack::endpoint;
-using tamarack::steady_time;
 
 struct caller_flow {
     enum class state : std::uint8_t { opening, open, closed };
@@ -20,6 +19,7 @@
     std::uint32_t route_address = 0;
     std::uint16_t route_port = 0;
     std::uint16_t port = 0;
+    std::size_t   route_index = 0; // in the order of the configuration
     state         current_state = state::opening;
     steady_time   started_at{};
     steady_time   last_sent_at{};      // time of the last packet
@@ -46,6 +46,12 @@
         unresponsive, // ignores all packets, as after a failure of its host
         crashed,      // has lost its flows and answers each packet with a RST
     };
+    // Independent of the state; the registration stays.
+    enum class disturbance : std::uint8_t {
+        none,
+        slow,    // requests take ten times as long
+        hanging, // ignores all packets, but keeps its flows
+    };
 
     std::string                           id;
     std::uint64_t                         identity = 0; // prefixes each packet that a balancer delivers to it
@@ -58,10 +64,20 @@
     std::uint64_t                         registration_sequence = 0;
     std::map<std::uint16_t, backend_flow> flows; // by the caller's port
     std::unique_ptr<tamarack::udp_socket> socket;
+    disturbance                           current_disturbance = disturbance::none;
+    steady_time                           disturbance_ends_at{};
+    std::optional<steady_time>            last_hang_ended_at;
+    work_queue<packet>                    requests;
+    warmup_state                          warmup;
 
     bool is_alive() const {
         return socket != nullptr && (current_state == state::active || current_state == state::draining);
     }
+    bool is_hanging() const { return current_disturbance == disturbance::hanging; }
+    // Balancers may still take it for hanging for a while after that.
+    bool was_hanging_since(steady_time time) const {
+        return is_hanging() || (last_hang_ended_at && *last_hang_ended_at > time);
+    }
 };
 
 } // namespace soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -19,6 +19,10 @@
 DEFINE_bool(packet_faults, true, "also lose and duplicate packets of callers; changes which run a seed gives");
 DEFINE_bool(restores, true, "also restore the store from copies some seconds old; changes which run a seed gives");
 DEFINE_bool(start_faults, true, "also start processes under bad conditions; changes which run a seed gives");
+DEFINE_bool(
+    load_faults, true,
+    "also evacuate failure domains, limit warm-ups, slow down, stop and overload backend servers; changes which "
+    "run a seed gives");
 
 namespace {
 
@@ -29,6 +33,16 @@
     return first_network + static_cast<unsigned>(seed % network_count);
 }
 
+void print_load(const soak::run_report& report) {
+    std::cout << "  " << report.evacuations << " evacuations, " << report.warmup_flows
+              << " flows at warming backend servers (at most " << report.busiest_warmup_second
+              << " in a second at one)\n";
+    for (std::size_t priority = 1; priority < report.refused_syns.size(); ++priority) {
+        std::cout << "  priority " << priority << ": " << report.refused_syns.at(priority)
+                  << " SYNs refused by balancers, " << report.overflowed_syns.at(priority) << " by backend servers\n";
+    }
+}
+
 bool run_seed(std::uint64_t seed) {
     std::string folder = (std::filesystem::temp_directory_path() / "entry_soak_XXXXXX").string();
     if (::mkdtemp(folder.data()) == nullptr) {
@@ -44,11 +58,13 @@
                                                .fault_duration = std::chrono::seconds(FLAGS_fault_seconds),
                                                .has_packet_faults = FLAGS_packet_faults,
                                                .has_restores = FLAGS_restores,
-                                               .has_start_faults = FLAGS_start_faults});
+                                               .has_start_faults = FLAGS_start_faults,
+                                               .has_load_faults = FLAGS_load_faults});
     std::cout << "seed " << seed << ": " << report.opened_flows << " flows, " << report.answered_requests
               << " requests answered, " << report.failed_flows << " flows failed, " << report.injected_faults
               << " faults, " << report.store_calls << " store calls, " << report.violations.size() << " violations"
               << std::endl;
+    if (FLAGS_load_faults) print_load(report);
     for (const std::string& violation : report.violations)
         std::cout << "  " << violation << "\n";
     if (report.violations.empty()) {
@@ -59,7 +75,7 @@
               << " --balancers=" << FLAGS_balancers << " --backends=" << FLAGS_backends
               << " --fault_seconds=" << FLAGS_fault_seconds << (FLAGS_packet_faults ? "" : " --nopacket_faults")
               << (FLAGS_restores ? "" : " --norestores") << (FLAGS_start_faults ? "" : " --nostart_faults")
-              << std::endl;
+              << (FLAGS_load_faults ? "" : " --noload_faults") << std::endl;
     return false;
 }
 
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -23,18 +23,33 @@
 constexpr duration      tick_interval = 5ms;
 constexpr duration      readiness_interval = 500ms;
 constexpr unsigned      failed_checks_to_leave_rotation = 2;
-constexpr duration      flow_interval = 12ms;       // about 80 new flows per second
-constexpr duration      program_load_time = 20ms;   // from exec until main has started, libraries included
-constexpr duration      recovery_bound = 4s;        // after the latest fault; the two bounds below hold from then on
-constexpr duration      drain_bound = 3s;           // no new flows to a draining backend server after this time
-constexpr duration      configuration_bound = 3s;   // no new flows by an old configuration after this time
-constexpr duration      lease_expiry = 2s;          // a failed backend server's registration disappears after this time
-constexpr duration      address_reuse_delay = 2s;   // until the address of a removed backend server is used again
-constexpr std::uint16_t packet_port = 8172;         // on which balancers receive packets, and callers resets
-constexpr std::uint32_t route_network = 0xc6120000; // 198.18.0.0; the host number is the number of the route
+constexpr duration      flow_interval = 12ms;      // about 80 new flows per second
+constexpr duration      program_load_time = 20ms;  // from exec until main has started, libraries included
+constexpr duration      recovery_bound = 4s;       // after the latest fault; the two bounds below hold from then on
+constexpr duration      drain_bound = 3s;          // no new flows to a draining backend server after this time
+constexpr duration      configuration_bound = 3s;  // no new flows by an old configuration after this time
+constexpr duration      lease_expiry = 2s;         // a failed backend server's registration disappears after this time
+constexpr duration      evacuation_bound = 3s;     // no SYN to an evacuated failure domain after this time
+constexpr duration      late_reset_allowance = 1s; // balancers may take a server for hanging for this long afterwards
+constexpr duration      warmup_time = 3s;          // of the service with a warm-up limit
+constexpr unsigned      warmup_flows_per_second = 2;
+constexpr double        warmup_overrun = 1.5;
+constexpr double        warmup_slack = 2.0;     // flows per second
+constexpr duration      slow_work_time = 300ms; // of a request at a slow backend server
+constexpr duration      surge_work_time = 30ms; // of a request while there are too many flows
+constexpr duration      surge_flow_interval = 4ms;
+constexpr duration      final_evacuation_time = 5s;      // of the evacuation after the last fault
+constexpr duration      address_reuse_delay = 2s;        // until the address of a removed backend server is used again
+constexpr std::uint16_t packet_port = 8172;              // on which balancers receive packets, and callers resets
+constexpr std::uint32_t route_network = 0xc6120000;      // 198.18.0.0; the host number is the number of the route
 constexpr std::size_t   hash_multiplier = 2'654'435'761; // Knuth's multiplicative hash
 constexpr std::array    services = {"desk", "ledger"};
 constexpr std::array    failure_domains = {"north", "south"};
+constexpr std::array    route_priorities = {1U, 2U}; // of the routes that callers use
+
+std::string evacuation_key(const std::string& failure_domain) {
+    return "op/evacuate/" + failure_domain;
+}
 
 endpoint loopback(unsigned network, unsigned third_byte, unsigned fourth_byte, std::uint16_t port) {
     return {tamarack::ip_address::v4((127U << 24U) | (network << 16U) | (third_byte << 8U) | fourth_byte), port};
@@ -63,6 +78,7 @@
     void          add_backend(const std::string& service, const std::optional<endpoint>& address);
     void          register_backend(soak_backend& backend);
     void          remove_backend(soak_backend& backend);
+    void          step_disturbance(soak_backend& backend);
     void          step_backends();
     void          step_balancers();
     void          step_process(balancer_process& balancer);
@@ -79,6 +95,12 @@
     void          end_store_fault();
     void          restore_store();
     void          write_again();
+    void          inject_load_fault(balancer_process& balancer);
+    void          disturb_backend(soak_backend::disturbance disturbance);
+    void          begin_evacuation(const std::string& failure_domain, duration time);
+    void          end_evacuation(const std::string& failure_domain, bool is_known_everywhere);
+    void          step_evacuations();
+    bool          begin_final_evacuation();
     // Flows
     void          start_flow();
     void          step_flows();
@@ -101,12 +123,21 @@
     void          check_placement(const soak_backend& backend, const caller_flow& flow, bool is_fixed_route);
     std::string   balancer_name(unsigned index) const { return balancers_[index]->name(); }
     bool          bounds_apply_to(unsigned balancer_index) const;
+    void          check_warmup(soak_backend& backend, const caller_flow& flow);
     soak_backend* find_backend(const std::string& id);
+    bool          is_usable(const soak_backend& backend) const;
+    std::vector<soak_backend*> dispensable_backends();
 
     steady_time now() const { return time_.steady_now(); }
     unsigned    random_below(std::size_t count) { return static_cast<unsigned>(random_() % count); }
+    bool        is_surge() const { return now() < surge_ends_at_; }
     bool        is_injecting_faults() const { return now() < fault_injection_ends_at_; }
 
+    struct evacuation {
+        steady_time written_at{};
+        steady_time ends_at{};
+    };
+
     run_settings                                   settings_;
     tamarack::system_clock                         time_;
     std::mt19937_64                                random_;
@@ -132,6 +163,8 @@
     store_history                                  store_copies_;
     std::optional<duration>                        restored_age_; // of the copy that the store returns with
     std::optional<steady_time>                     written_again_at_;
+    std::map<std::string, evacuation>              evacuations_; // that the operator wants, by failure domain
+    steady_time                                    surge_ends_at_{};
     std::string                                    configuration_; // as written last
     std::uint64_t                                  configuration_version_ = 0;
     std::string                                    changing_route_service_; // current service of route 2
@@ -151,6 +184,9 @@
       store_server_(context_, loopback(settings.network, 0, 1, 8169), store_, time_) {
     caller_socket_ = std::make_unique<tamarack::udp_socket>(
         tamarack::udp_socket::open(loopback(settings.network, 1, 1, packet_port)).value());
+    const auto limit_setting = [&](double value) {
+        return settings.has_load_faults ? std::to_string(value) : std::string();
+    };
     std::string contacts;
     for (unsigned i = 0; i < 3; ++i)
         contacts += (i == 0 ? "" : ",") + loopback(settings.network, 2, i + 1, 8166).to_string();
@@ -162,7 +198,9 @@
                                                  .failure_domain = failure_domains.at(i % failure_domains.size()),
                                                  .host = loopback(settings.network, 2, i + 1, 0).address,
                                                  .contacts = contacts,
-                                                 .store = loopback(settings.network, 2, i + 1, 8169)},
+                                                 .store = loopback(settings.network, 2, i + 1, 8169),
+                                                 .warmup_overrun = limit_setting(warmup_overrun),
+                                                 .warmup_slack = limit_setting(warmup_slack)},
                                         .store_address = loopback(settings.network, 0, 1, 8169)}));
     }
     for (unsigned i = 0; i < settings.backend_count; ++i)
@@ -175,14 +213,26 @@
     configuration_version_ += 1 + random_below(3);
     if (service != changing_route_service_) changing_route_changed_at_ = now();
     changing_route_service_ = service;
-    const auto route = [](const char* name, int host, const std::string& route_service) {
+    const auto admission_fields = [this](int host) -> std::string {
+        if (!settings_.has_load_faults) return "";
+        if (host == 1) return ",\"priority\":1,\"aim_ms\":400,\"timeout_ms\":2000";
+        return ",\"priority\":2,\"aim_ms\":1200,\"timeout_ms\":6000";
+    };
+    const auto route = [&](const char* name, int host, const std::string& route_service) {
         return std::string("{\"name\":\"") + name + "\",\"host\":\"198.18.0." + std::to_string(host) +
-               "\",\"prefix\":\"/443/\",\"type\":\"idempotent\",\"service\":\"" + route_service + "\"}";
+               "\",\"prefix\":\"/443/\",\"type\":\"idempotent\",\"service\":\"" + route_service + "\"" +
+               admission_fields(host) + "}";
     };
     std::string routes = route("fixed", 1, services[0]) + "," + route("changing", 2, service);
     if (configuration_version_ % 2 == 0) routes += "," + route("passing", 3, services[1]);
+    // The policy is that of the service of the fixed route, which always has flows.
+    const std::string policies = !settings_.has_load_faults
+                                     ? std::string()
+                                     : std::string("{\"name\":\"") + services[0] +
+                                           "\",\"warmup_s\":" + std::to_string(warmup_time / 1s) +
+                                           ",\"warmup_per_s\":" + std::to_string(warmup_flows_per_second) + "}";
     configuration_ = "{\"version\":" + std::to_string(configuration_version_) + ",\"routes\":[" + routes +
-                     "],\"services\":[],\"limits\":{\"idle_timeout_ms\":15000}}";
+                     "],\"services\":[" + policies + "],\"limits\":{\"idle_timeout_ms\":15000}}";
     store_.put("op/config", configuration_);
 }
 
@@ -196,6 +246,11 @@
     backend->failure_domain = failure_domains.at(last_backend_number_ / services.size() % failure_domains.size());
     backend->address = address.value_or(loopback(settings_.network, 3, ++last_backend_number_, 8080));
     backend->socket = std::make_unique<tamarack::udp_socket>(tamarack::udp_socket::open(backend->address).value());
+    const bool is_replacement = address.has_value();
+    if (settings_.has_load_faults && is_replacement) {
+        backend->failure_domain = failure_domains.at(random_below(failure_domains.size()));
+        if (service == services[0]) backend->warmup.begin_start(now() + warmup_time);
+    }
     register_backend(*backend);
     backends_.push_back(std::move(backend));
 }
@@ -205,7 +260,8 @@
     store_.put("servers/" + backend.id,
                "{\"service\":\"" + backend.service + "\",\"address\":\"" + backend.address.to_string() +
                    "\",\"zone\":\"" + backend.failure_domain + "\",\"capacity\":2,\"state\":\"" + state_name +
-                   "\",\"warmup_left_ms\":0,\"sequence\":" + std::to_string(++backend.registration_sequence) + "}");
+                   "\",\"warmup_left_ms\":" + std::to_string(backend.warmup.remaining_after_start(now()) / 1ms) +
+                   ",\"sequence\":" + std::to_string(++backend.registration_sequence) + "}");
     backend.changed_at = now();
 }
 
@@ -218,6 +274,7 @@
 void soak_run::step_backends() {
     for (auto& backend : backends_) {
         if (backend->socket) receive_at(*backend);
+        if (backend->socket) step_disturbance(*backend);
         const bool is_removal_due =
             backend->current_state != soak_backend::state::active && now() >= backend->removal_at;
         if (is_removal_due && backend->socket) remove_backend(*backend);
@@ -230,6 +287,18 @@
     });
 }
 
+void soak_run::step_disturbance(soak_backend& backend) {
+    if (backend.current_disturbance != soak_backend::disturbance::none && now() >= backend.disturbance_ends_at) {
+        if (backend.is_hanging()) backend.last_hang_ended_at = now();
+        backend.current_disturbance = soak_backend::disturbance::none;
+    }
+    if (!backend.is_alive()) backend.requests.clear();
+    if (backend.is_hanging()) return;
+    backend.requests.take_done(now(), [&](const std::string& id, const packet& request) {
+        send_answer(backend, request, ack, request.acknowledged, id);
+    });
+}
+
 void soak_run::step_process(balancer_process& balancer) {
     if (balancer.reap_predecessor()) record_fault(balancer); // its ports are free for the successor
     if (balancer.settings_complete_at && now() >= *balancer.settings_complete_at) {
@@ -346,6 +415,7 @@
     next_fault_at_ = now() + 100ms + std::chrono::milliseconds(random_below(400));
     ++report_.injected_faults;
     balancer_process& balancer = *balancers_[random_below(balancers_.size())];
+    if (settings_.has_load_faults && random_below(3) == 0) return inject_load_fault(balancer);
     switch (random_below(settings_.has_packet_faults ? 9 : 8)) {
     case 0:
     case 1:
@@ -455,17 +525,24 @@
     }
 }
 
-void soak_run::inject_backend_fault() {
+// Backend servers without which each service keeps one that can take flows, so that they need not be refused.
+std::vector<soak_backend*> soak_run::dispensable_backends() {
     std::vector<soak_backend*>         candidates;
-    std::map<std::string, std::size_t> active_per_service;
+    std::map<std::string, std::size_t> usable_per_service;
     for (auto& backend : backends_) {
         if (backend->current_state != soak_backend::state::active) continue;
         candidates.push_back(backend.get());
-        ++active_per_service[backend->service];
+        if (is_usable(*backend)) ++usable_per_service[backend->service];
     }
-    if (candidates.size() <= settings_.backend_count / 2) return;
-    // Each service keeps an active backend server. Without one, its flows could only be refused.
-    std::erase_if(candidates, [&](const soak_backend* each) { return active_per_service[each->service] < 2; });
+    if (candidates.size() <= settings_.backend_count / 2) return {};
+    std::erase_if(candidates,
+                  [&](const soak_backend* each) { return is_usable(*each) && usable_per_service[each->service] < 2; });
+    return candidates;
+}
+
+void soak_run::inject_backend_fault() {
+    const std::vector<soak_backend*> candidates = dispensable_backends();
+    if (candidates.empty()) return;
     soak_backend& backend = *candidates[random_below(candidates.size())];
     backend.changed_at = now();
     switch (random_below(3)) {
@@ -485,6 +562,76 @@
     }
 }
 
+void soak_run::inject_load_fault(balancer_process& balancer) {
+    switch (random_below(6)) {
+    case 0:
+        return disturb_backend(soak_backend::disturbance::slow);
+    case 1:
+        return disturb_backend(soak_backend::disturbance::hanging);
+    case 2:
+        surge_ends_at_ = now() + 300ms + std::chrono::milliseconds(random_below(1'200));
+        return;
+    default:
+        break;
+    }
+    const std::string failure_domain = failure_domains.at(random_below(failure_domains.size()));
+    // Both failure domains are evacuated at once for a moment only.
+    const bool        is_moment = !evacuations_.empty();
+    begin_evacuation(failure_domain, 100ms + std::chrono::milliseconds(random_below(is_moment ? 500 : 4'400)));
+    if (random_below(3) == 0) inject_process_fault(balancer);
+}
+
+void soak_run::disturb_backend(soak_backend::disturbance disturbance) {
+    const std::vector<soak_backend*> candidates = dispensable_backends();
+    if (candidates.empty()) return;
+    soak_backend& backend = *candidates[random_below(candidates.size())];
+    if (backend.current_disturbance != soak_backend::disturbance::none) return;
+    backend.current_disturbance = disturbance;
+    backend.disturbance_ends_at = now() + 500ms + std::chrono::milliseconds(random_below(3'500));
+}
+
+void soak_run::begin_evacuation(const std::string& failure_domain, duration time) {
+    if (evacuations_.contains(failure_domain)) return;
+    ++report_.evacuations;
+    evacuations_[failure_domain] = {.written_at = now(), .ends_at = now() + time};
+    store_.put(evacuation_key(failure_domain), "{}");
+}
+
+void soak_run::end_evacuation(const std::string& failure_domain, bool is_known_everywhere) {
+    evacuations_.erase(failure_domain);
+    store_.remove(evacuation_key(failure_domain));
+    for (auto& backend : backends_) {
+        if (backend->failure_domain == failure_domain && backend->service == services[0])
+            backend->warmup.begin_return(now() + warmup_time, is_known_everywhere);
+    }
+}
+
+// A removal while the store lacks the key would be lost: balancers hold what the copy of a restored store lacks.
+void soak_run::step_evacuations() {
+    if (written_again_at_) return;
+    for (const std::string failure_domain : failure_domains) {
+        const auto found = evacuations_.find(failure_domain);
+        if (found == evacuations_.end() || now() < found->second.ends_at) continue;
+        end_evacuation(failure_domain, now() - found->second.written_at > evacuation_bound);
+    }
+}
+
+// An evacuation for which the bounds hold everywhere, of a failure domain without which each service can take flows.
+bool soak_run::begin_final_evacuation() {
+    if (!evacuations_.empty()) return false;
+    for (const std::string failure_domain : failure_domains) {
+        const bool is_dispensable = std::ranges::all_of(services, [&](const std::string& service) {
+            return std::ranges::any_of(backends_, [&](const auto& each) {
+                return each->service == service && each->failure_domain != failure_domain && is_usable(*each);
+            });
+        });
+        if (!is_dispensable) continue;
+        begin_evacuation(failure_domain, final_evacuation_time);
+        return true;
+    }
+    return false;
+}
+
 // The store has lost what was written since the copy, until the operator and the backend servers write it again.
 void soak_run::restore_store() {
     const standin::kv_store* copy = store_copies_.copy_before(now() - *restored_age_);
@@ -501,6 +648,12 @@
     const auto configuration = store_.items().find("op/config");
     if (configuration == store_.items().end() || configuration->second.value != configuration_)
         store_.put("op/config", configuration_);
+    for (const std::string failure_domain : failure_domains) {
+        const bool is_wanted = evacuations_.contains(failure_domain);
+        const bool is_stored = store_.items().contains(evacuation_key(failure_domain));
+        if (is_wanted && !is_stored) store_.put(evacuation_key(failure_domain), "{}");
+        if (!is_wanted && is_stored) end_evacuation(failure_domain, false);
+    }
     for (auto& backend : backends_) {
         if (backend->is_alive()) register_backend(*backend);
         if (!backend->socket) store_.remove("servers/" + backend->id); // has left, and is only in the copy
@@ -527,7 +680,8 @@
 void soak_run::start_flow() {
     caller_flow flow;
     flow.port = ++last_caller_port_;
-    flow.route_address = route_network + 1 + random_below(2);
+    flow.route_index = random_below(2);
+    flow.route_address = route_network + 1 + static_cast<std::uint32_t>(flow.route_index);
     flow.route_port = 443;
     flow.started_at = now();
     flow.sequence = static_cast<std::uint32_t>(random_());
@@ -567,7 +721,7 @@
 
 void soak_run::step_flows() {
     if (now() >= next_flow_at_) {
-        next_flow_at_ = now() + flow_interval;
+        next_flow_at_ = now() + (is_surge() ? surge_flow_interval : flow_interval);
         start_flow();
     }
     for (auto& [port, flow] : flows_) {
@@ -665,7 +819,11 @@
     if (found == flows_.end() || found->second.current_state == caller_flow::state::closed) return;
     caller_flow& flow = found->second;
     const auto*  backend = find_backend(flow.backend_id);
-    if (flow.current_state == caller_flow::state::open && backend != nullptr && backend->is_alive()) {
+    if (flow.current_state == caller_flow::state::opening)
+        ++report_.refused_syns.at(route_priorities.at(flow.route_index));
+    const bool is_undisturbed =
+        backend != nullptr && backend->is_alive() && !backend->was_hanging_since(now() - late_reset_allowance);
+    if (flow.current_state == caller_flow::state::open && is_undisturbed) {
         report_violation("flow " + std::to_string(flow.port) + " was reset by " + balancer_name(flow.balancer_index) +
                          " while its backend server " + flow.backend_id + " was alive");
     }
@@ -697,6 +855,7 @@
     if (backend.current_state == soak_backend::state::crashed) return send_answer(backend, received, rst, 0, {});
     if ((received.flags & syn) != 0) return handle_syn(backend, received);
     check_flow(backend, received);
+    if (backend.is_hanging()) return;
     const auto found = backend.flows.find(received.source_port);
     if (found != backend.flows.end()) {
         found->second.is_open = true;
@@ -722,14 +881,24 @@
     const auto [executor, is_first_execution] = request_executors_.emplace(id, backend.id);
     if (!is_first_execution && executor->second != backend.id)
         report_violation("request " + id + " was executed by " + executor->second + " and " + backend.id);
-    send_answer(backend, received, ack, received.acknowledged, id);
+    const duration work = backend.current_disturbance == soak_backend::disturbance::slow ? slow_work_time
+                          : is_surge()                                                   ? surge_work_time
+                                                                                         : 0ms;
+    if (work == 0ms) return send_answer(backend, received, ack, received.acknowledged, id);
+    backend.requests.push(id, received, work, now());
 }
 
 void soak_run::handle_syn(soak_backend& backend, const packet& received) {
     const auto found = flows_.find(received.source_port);
     if (found == flows_.end()) return;
     check_placement(backend, found->second, received.destination == route_network + 1);
+    if (!backend.flows.contains(received.source_port)) check_warmup(backend, found->second);
     backend_flow& flow = backend.flows[received.source_port];
+    if (backend.is_hanging()) return;
+    if (flow.sequence == 0 && backend.requests.is_full()) {
+        ++report_.overflowed_syns.at(route_priorities.at(found->second.route_index));
+        return send_answer(backend, received, rst, 0, {});
+    }
     if (flow.sequence == 0) flow.sequence = static_cast<std::uint32_t>(random_()) | 1U;
     send_answer(backend, received, syn | ack, flow.sequence, {});
 }
@@ -739,6 +908,11 @@
     if (is_fixed_route && backend.service != services[0])
         report_violation("a new flow of service desk was placed on " + backend.id + " of service " + backend.service);
     if (!bounds_apply_to(flow.balancer_index)) return;
+    const auto evacuated = evacuations_.find(backend.failure_domain);
+    if (evacuated != evacuations_.end() && now() - evacuated->second.written_at > evacuation_bound) {
+        report_violation(backend.id + " got a SYN from " + balancer_name(flow.balancer_index) +
+                         " although evacuation_bound had passed since the evacuation of " + backend.failure_domain);
+    }
     if (backend.current_state == soak_backend::state::draining && flow.started_at - backend.changed_at > drain_bound) {
         report_violation(backend.id + " got a new flow from " + balancer_name(flow.balancer_index) +
                          " although drain_bound had passed since it began to drain");
@@ -750,6 +924,23 @@
     }
 }
 
+// Holds for all balancers together, also for those with faults. But a balancer that has started after the end of an
+// evacuation does not know of it (docs/design/warm-up-limit.md).
+void soak_run::check_warmup(soak_backend& backend, const caller_flow& flow) {
+    constexpr double limit = warmup_flows_per_second * warmup_overrun + warmup_slack;
+    const bool       is_checked = backend.warmup.is_checked_after_start(now()) ||
+                            (backend.warmup.is_checked_after_return(now()) && bounds_apply_to(flow.balancer_index));
+    if (!is_checked) return;
+    const std::size_t new_flows = backend.warmup.note_new_flow(now());
+    ++report_.warmup_flows;
+    report_.busiest_warmup_second = std::max<std::uint64_t>(report_.busiest_warmup_second, new_flows);
+    if (static_cast<double>(new_flows) > limit) {
+        report_violation(backend.id + " got " + std::to_string(new_flows) +
+                         " new flows in a second while it warmed up, the last one from " +
+                         balancer_name(flow.balancer_index));
+    }
+}
+
 // Answers go to the caller directly, bypassing the balancers, as on the platform.
 void soak_run::send_answer(soak_backend& backend, const packet& received, std::uint8_t flags, std::uint32_t sequence,
                            const std::string& payload) {
@@ -785,6 +976,12 @@
     return found == backends_.end() ? nullptr : found->get();
 }
 
+// It can take new flows without a limit.
+bool soak_run::is_usable(const soak_backend& backend) const {
+    return backend.current_state == soak_backend::state::active && !backend.warmup.is_active(now()) &&
+           !backend.is_hanging();
+}
+
 void soak_run::on_tick() {
     tick_timer_.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(tick_interval));
     tick_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -794,6 +991,7 @@
         step_backends();
         store_copies_.note(store_, now());
         write_again();
+        step_evacuations();
         step_balancers();
         end_store_fault();
         if (is_injecting_faults()) inject_fault();
@@ -812,7 +1010,16 @@
     // everywhere.
     write_configuration(services.at(configuration_version_ % 2));
     if (!backends_.empty()) inject_backend_fault();
-    context_.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(settings_.calm_duration) - 4s);
+    if (settings_.has_load_faults) {
+        constexpr unsigned final_seconds = 11; // the evacuation, the servers' warm-up after it, and waiting for them
+        bool               has_begun = false;
+        for (unsigned i = 0; i < final_seconds; ++i) {
+            has_begun = has_begun || (i < 3 && begin_final_evacuation());
+            context_.run_for(1s);
+        }
+    } else {
+        context_.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(settings_.calm_duration) - 4s);
+    }
     const std::uint64_t opened_flows_before = report_.opened_flows;
     const std::uint64_t failed_flows_before = report_.failed_flows;
     context_.run_for(2s);
--- a/standins/settings_template.h
+++ b/standins/settings_template.h
@@ -53,6 +53,8 @@
     std::string          contacts; // ADDRESS:PORT, separated by commas
     endpoint             store;
     unsigned             grace_seconds = 6;
+    std::string          warmup_overrun; // empty: the platform does not supply it
+    std::string          warmup_slack;
 
     std::string to_text() const {
         return fill_in_template(read_file(SOURCE_FOLDER "/platform/entry.ini.in"),
@@ -68,7 +70,9 @@
                                  {"limits.cpu_share", "0.25"},
                                  {"limits.link_mbps", "1000.0"},
                                  {"limits.memory_mb", "260"},
-                                 {"bounds.config_apply_ms", "3000"}});
+                                 {"bounds.config_apply_ms", "3000"},
+                                 {"bounds.warmup_overrun", warmup_overrun},
+                                 {"bounds.warmup_slack", warmup_slack}});
     }
 };
 
