Soak: attribute SYNs by their copy, and lose an evacuation with a restored store

A SYN's copies may go to different balancers after a change of the rotation, so that a late delivery was attributed to the balancer of the last one. A balancer that must know an evacuation is now held to it through later faults; in half of the runs the store loses it shortly before its end.

--- a/soak/flow_ends.h
+++ b/soak/flow_ends.h
@@ -16,22 +16,23 @@
 struct caller_flow {
     enum class state : std::uint8_t { opening, open, closed };
 
-    std::uint32_t route_address = 0;
-    std::uint16_t route_port = 0;
-    std::uint16_t port = 0;
-    std::size_t   route_index = 0; // in the order of the configuration
-    state         current_state = state::opening;
-    steady_time   started_at{};
-    steady_time   last_sent_at{};      // time of the last packet
-    unsigned      retransmissions = 0; // of the SYN, or of the pending request
-    unsigned      remaining_requests = 1;
-    std::uint32_t sequence = 0;     // next byte to send
-    std::uint32_t acknowledged = 0; // next byte expected
-    std::uint32_t reference = 0;    // backend reference from the last answer
-    std::string   backend_id;       // id of the backend server whose SYN+ACK was accepted
-    std::string   pending_request;  // id of the request without an answer so far; empty: none
-    steady_time   next_request_at{};
-    unsigned      balancer_index = 0; // of the balancer that got the last packet
+    std::uint32_t           route_address = 0;
+    std::uint16_t           route_port = 0;
+    std::uint16_t           port = 0;
+    std::size_t             route_index = 0; // in the order of the configuration
+    state                   current_state = state::opening;
+    steady_time             started_at{};
+    steady_time             last_sent_at{};      // time of the last packet
+    unsigned                retransmissions = 0; // of the SYN, or of the pending request
+    unsigned                remaining_requests = 1;
+    std::uint32_t           sequence = 0;     // next byte to send
+    std::uint32_t           acknowledged = 0; // next byte expected
+    std::uint32_t           reference = 0;    // backend reference from the last answer
+    std::string             backend_id;       // id of the backend server whose SYN+ACK was accepted
+    std::string             pending_request;  // id of the request without an answer so far; empty: none
+    steady_time             next_request_at{};
+    unsigned                balancer_index = 0; // of the balancer that got the last packet
+    std::array<unsigned, 3> syn_balancers{};    // of those that got the SYN and its copies
 };
 
 struct backend_flow {
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -72,6 +72,12 @@
     run_report run();
 
 private:
+    struct evacuation {
+        steady_time                       written_at{};
+        steady_time                       ends_at{};
+        std::set<const balancer_process*> informed_balancers; // must know it; not those that started again since
+    };
+
     void          on_tick();
     // Environment
     void          write_configuration(const std::string& service);
@@ -100,7 +106,9 @@
     void          begin_evacuation(const std::string& failure_domain, duration time);
     void          end_evacuation(const std::string& failure_domain, bool is_known_everywhere);
     void          step_evacuations();
+    void          note_informed_balancers(evacuation& order);
     bool          begin_final_evacuation();
+    void          run_final_evacuation();
     // Flows
     void          start_flow();
     void          step_flows();
@@ -120,10 +128,11 @@
     // Invariants
     void          report_violation(const std::string& description);
     void          check_flow(const soak_backend& backend, const packet& received);
-    void          check_placement(const soak_backend& backend, const caller_flow& flow, bool is_fixed_route);
+    void          check_placement(const soak_backend& backend, const caller_flow& flow, unsigned balancer_index,
+                                  bool is_fixed_route);
     std::string   balancer_name(unsigned index) const { return balancers_[index]->name(); }
     bool          bounds_apply_to(unsigned balancer_index) const;
-    void          check_warmup(soak_backend& backend, const caller_flow& flow);
+    void          check_warmup(soak_backend& backend, unsigned balancer_index);
     soak_backend* find_backend(const std::string& id);
     bool          is_usable(const soak_backend& backend) const;
     std::vector<soak_backend*> dispensable_backends();
@@ -133,11 +142,6 @@
     bool        is_surge() const { return now() < surge_ends_at_; }
     bool        is_injecting_faults() const { return now() < fault_injection_ends_at_; }
 
-    struct evacuation {
-        steady_time written_at{};
-        steady_time ends_at{};
-    };
-
     run_settings                                   settings_;
     tamarack::system_clock                         time_;
     std::mt19937_64                                random_;
@@ -346,6 +350,8 @@
         break;
     }
     balancer.start(now(), conditions);
+    for (auto& [failure_domain, order] : evacuations_)
+        order.informed_balancers.erase(&balancer);
 }
 
 void soak_run::step_balancers() {
@@ -593,7 +599,7 @@
 void soak_run::begin_evacuation(const std::string& failure_domain, duration time) {
     if (evacuations_.contains(failure_domain)) return;
     ++report_.evacuations;
-    evacuations_[failure_domain] = {.written_at = now(), .ends_at = now() + time};
+    evacuations_[failure_domain] = {.written_at = now(), .ends_at = now() + time, .informed_balancers = {}};
     store_.put(evacuation_key(failure_domain), "{}");
 }
 
@@ -606,12 +612,21 @@
     }
 }
 
+void soak_run::note_informed_balancers(evacuation& order) {
+    if (now() - order.written_at <= evacuation_bound) return;
+    for (unsigned i = 0; i < balancers_.size(); ++i) {
+        if (bounds_apply_to(i)) order.informed_balancers.insert(balancers_[i].get());
+    }
+}
+
 // A removal while the store lacks the key would be lost: balancers hold what the copy of a restored store lacks.
 void soak_run::step_evacuations() {
     if (written_again_at_) return;
     for (const std::string failure_domain : failure_domains) {
         const auto found = evacuations_.find(failure_domain);
-        if (found == evacuations_.end() || now() < found->second.ends_at) continue;
+        if (found == evacuations_.end()) continue;
+        note_informed_balancers(found->second);
+        if (now() < found->second.ends_at) continue;
         end_evacuation(failure_domain, now() - found->second.written_at > evacuation_bound);
     }
 }
@@ -632,6 +647,25 @@
     return false;
 }
 
+// In half of the runs the store is restored from a copy that is older than the evacuation.
+void soak_run::run_final_evacuation() {
+    constexpr unsigned max_attempts = 3;
+    const auto         run_until = [this](steady_time time) {
+        context_.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time - now()));
+    };
+    const steady_time ends_at = now() + 11s; // leaves time for the warm-up after the evacuation
+    for (unsigned i = 0; i < max_attempts && !begin_final_evacuation(); ++i)
+        run_until(now() + 1s);
+    run_until(now() + evacuation_bound + 500ms);
+    if (settings_.has_restores && !evacuations_.empty() && random_below(2) == 0) {
+        last_store_fault_at_ = now();
+        store_fault_ends_at_ = now() + 200ms;
+        store_server_.fault = kv_fault::unavailable;
+        restored_age_ = now() - evacuations_.begin()->second.written_at + 500ms;
+    }
+    run_until(ends_at);
+}
+
 // The store has lost what was written since the copy, until the operator and the backend servers write it again.
 void soak_run::restore_store() {
     const standin::kv_store* copy = store_copies_.copy_before(now() - *restored_age_);
@@ -701,6 +735,7 @@
     // A modulo hash, as in the fabric: a change of the rotation moves nearly all flows to other balancers.
     const unsigned index = rotation[std::hash<std::uint16_t>()(flow.port) * hash_multiplier % rotation.size()];
     flow.balancer_index = index;
+    if ((flags & syn) != 0) flow.syn_balancers.at(retransmission) = index;
     packet                  outgoing{.sequence = flow.sequence,
                                      .acknowledged = (flags & syn) != 0 ? retransmission : flow.acknowledged,
                                      .reference = flow.reference,
@@ -891,8 +926,10 @@
 void soak_run::handle_syn(soak_backend& backend, const packet& received) {
     const auto found = flows_.find(received.source_port);
     if (found == flows_.end()) return;
-    check_placement(backend, found->second, received.destination == route_network + 1);
-    if (!backend.flows.contains(received.source_port)) check_warmup(backend, found->second);
+    // The copies of a SYN may have gone to different balancers.
+    const unsigned balancer_index = found->second.syn_balancers.at(received.acknowledged);
+    check_placement(backend, found->second, balancer_index, received.destination == route_network + 1);
+    if (!backend.flows.contains(received.source_port)) check_warmup(backend, balancer_index);
     backend_flow& flow = backend.flows[received.source_port];
     if (backend.is_hanging()) return;
     if (flow.sequence == 0 && backend.requests.is_full()) {
@@ -903,33 +940,36 @@
     send_answer(backend, received, syn | ack, flow.sequence, {});
 }
 
-// The time bounds apply only to placements by balancers that have had no fault for recovery_bound.
-void soak_run::check_placement(const soak_backend& backend, const caller_flow& flow, bool is_fixed_route) {
+// The time bounds apply only to placements by balancers that have had no fault for recovery_bound. A balancer that must
+// know an evacuation keeps it whatever happens to its connections and to the store.
+void soak_run::check_placement(const soak_backend& backend, const caller_flow& flow, unsigned balancer_index,
+                               bool is_fixed_route) {
     if (is_fixed_route && backend.service != services[0])
         report_violation("a new flow of service desk was placed on " + backend.id + " of service " + backend.service);
-    if (!bounds_apply_to(flow.balancer_index)) return;
     const auto evacuated = evacuations_.find(backend.failure_domain);
-    if (evacuated != evacuations_.end() && now() - evacuated->second.written_at > evacuation_bound) {
-        report_violation(backend.id + " got a SYN from " + balancer_name(flow.balancer_index) +
+    if (evacuated != evacuations_.end() &&
+        evacuated->second.informed_balancers.contains(balancers_[balancer_index].get())) {
+        report_violation(backend.id + " got a SYN from " + balancer_name(balancer_index) +
                          " although evacuation_bound had passed since the evacuation of " + backend.failure_domain);
     }
+    if (!bounds_apply_to(balancer_index)) return;
     if (backend.current_state == soak_backend::state::draining && flow.started_at - backend.changed_at > drain_bound) {
-        report_violation(backend.id + " got a new flow from " + balancer_name(flow.balancer_index) +
+        report_violation(backend.id + " got a new flow from " + balancer_name(balancer_index) +
                          " although drain_bound had passed since it began to drain");
     }
     if (!is_fixed_route && backend.service != changing_route_service_ &&
         flow.started_at - changing_route_changed_at_ > configuration_bound) {
-        report_violation(balancer_name(flow.balancer_index) +
+        report_violation(balancer_name(balancer_index) +
                          " placed a new flow by a configuration that was replaced longer ago than configuration_bound");
     }
 }
 
 // Holds for all balancers together, also for those with faults. But a balancer that has started after the end of an
 // evacuation does not know of it (docs/design/warm-up-limit.md).
-void soak_run::check_warmup(soak_backend& backend, const caller_flow& flow) {
+void soak_run::check_warmup(soak_backend& backend, unsigned balancer_index) {
     constexpr double limit = warmup_flows_per_second * warmup_overrun + warmup_slack;
     const bool       is_checked = backend.warmup.is_checked_after_start(now()) ||
-                            (backend.warmup.is_checked_after_return(now()) && bounds_apply_to(flow.balancer_index));
+                            (backend.warmup.is_checked_after_return(now()) && bounds_apply_to(balancer_index));
     if (!is_checked) return;
     const std::size_t new_flows = backend.warmup.note_new_flow(now());
     ++report_.warmup_flows;
@@ -937,7 +977,7 @@
     if (static_cast<double>(new_flows) > limit) {
         report_violation(backend.id + " got " + std::to_string(new_flows) +
                          " new flows in a second while it warmed up, the last one from " +
-                         balancer_name(flow.balancer_index));
+                         balancer_name(balancer_index));
     }
 }
 
@@ -1011,12 +1051,7 @@
     write_configuration(services.at(configuration_version_ % 2));
     if (!backends_.empty()) inject_backend_fault();
     if (settings_.has_load_faults) {
-        constexpr unsigned final_seconds = 11; // the evacuation, the servers' warm-up after it, and waiting for them
-        bool               has_begun = false;
-        for (unsigned i = 0; i < final_seconds; ++i) {
-            has_begun = has_begun || (i < 3 && begin_final_evacuation());
-            context_.run_for(1s);
-        }
+        run_final_evacuation();
     } else {
         context_.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(settings_.calm_duration) - 4s);
     }
