--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -647,13 +647,14 @@
     return false;
 }
 
-// In half of the runs the store is restored from a copy that is older than the evacuation.
+// In half of the runs the store is restored from a copy that is older than the evacuation. The operator takes longer to
+// write again than balancers take to read the restored store.
 void soak_run::run_final_evacuation() {
     constexpr unsigned max_attempts = 3;
     const auto         run_until = [this](steady_time time) {
         context_.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time - now()));
     };
-    const steady_time ends_at = now() + 11s; // leaves time for the warm-up after the evacuation
+    const steady_time ends_at = now() + 12s; // leaves time for the warm-up after the evacuation
     for (unsigned i = 0; i < max_attempts && !begin_final_evacuation(); ++i)
         run_until(now() + 1s);
     run_until(now() + evacuation_bound + 500ms);
@@ -662,6 +663,8 @@
         store_fault_ends_at_ = now() + 200ms;
         store_server_.fault = kv_fault::unavailable;
         restored_age_ = now() - evacuations_.begin()->second.written_at + 500ms;
+        run_until(now() + 300ms);
+        if (written_again_at_) written_again_at_ = now() + 3s;
     }
     run_until(ends_at);
 }
