List a restored store instead of watching it from its beginning

A feeder that holds a removal shares position 0 of the new epoch. A follower that changed to the store then got the copy's whole history, in which an earlier evacuation of the same failure domain ends, and ended the order that the copy lacks. It lists now, so that the hold applies.

--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -99,6 +99,9 @@
     resumes_listing_ = false;
     listed_records_.clear();
     if (!store_replica_.is_complete()) return;
+    // After a restore of the store, its history may hold the end of an evacuation that was ordered again since the
+    // copy.
+    if (source.kind == source_kind::store && store_replica_.complete_revision().number == 0) return;
     probes_source_ = source.kind == source_kind::store;
     latest_call_.kind = source.kind == source_kind::store ? read_kind::watch : read_kind::resume;
     latest_call_.after_position = store_replica_.complete_revision().number;
--- a/tests/entry_evacuation_test.cpp
+++ b/tests/entry_evacuation_test.cpp
@@ -246,4 +246,27 @@
     }
 }
 
+// The copy's history holds the end of an earlier evacuation of the same failure domain, which is not that of the order.
+BOOST_AUTO_TEST_CASE(the_end_of_an_earlier_evacuation_in_the_history_of_a_restored_store_ends_no_later_one) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        fleet balancers({.failure_domains = 2, .hosts_per_domain = 6}, seed);
+        balancers.start_all();
+        balancers.run_for(10s);
+        balancers.write(evacuation_record({}, "domain-0"));
+        balancers.run_for(3s);
+        balancers.leave("evacuate/domain-0");
+        balancers.run_for(8s);
+        balancers.write(evacuation_record({}, "domain-0"));
+        balancers.run_for(3s);
+        bool is_kept = true;
+        balancers.check = [&](fleet_host& host) { is_kept = is_kept && host.records->is_evacuated("domain-0"); };
+        balancers.store().is_down = true;
+        balancers.run_for(2s);
+        balancers.restore_store(7s, 3s);
+        balancers.store().is_down = false;
+        balancers.run_for(25s);
+        BOOST_TEST(is_kept, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
