--- a/tests/entry_load_replay.h
+++ b/tests/entry_load_replay.h
@@ -4,6 +4,8 @@
 
 #include "entry_fixture.h"
 
+#include <boost/test/unit_test.hpp>
+
 #include <cmath>
 #include <functional>
 #include <queue>
@@ -299,4 +301,21 @@
     std::vector<second_result>             seconds_;
 };
 
+inline replay_settings with_demand(const std::function<double(double)>& demand) {
+    replay_settings settings;
+    settings.demand = [demand](double second, unsigned) { return demand(second); };
+    return settings;
+}
+
+// Shown with --log_level=message.
+inline void print(std::string_view name, const load_replay& replay, std::size_t first, std::size_t last) {
+    std::string line(name);
+    for (const auto& result : replay.results) {
+        line += " served=" + std::to_string(result.served_share()) + " late=" + std::to_string(result.late) +
+                " refused_by_hosts=" + std::to_string(result.refused_by_hosts) +
+                " refused_by_servers=" + std::to_string(result.refused_by_servers);
+    }
+    BOOST_TEST_MESSAGE(line << " busy=" << replay.busy_share(first, last));
+}
+
 } // namespace tamarack::entry
