--- a/standins/settings_template.h
+++ b/standins/settings_template.h
@@ -53,8 +53,8 @@
     std::string          contacts; // ADDRESS:PORT, separated by commas
     endpoint             store;
     unsigned             grace_seconds = 6;
-    std::string          warmup_overrun; // empty: the platform does not supply it
-    std::string          warmup_slack;
+    std::string          warmup_overrun{}; // empty: the platform does not supply it
+    std::string          warmup_slack{};
 
     std::string to_text() const {
         return fill_in_template(read_file(SOURCE_FOLDER "/platform/entry.ini.in"),
