Do not read an empty list of usual answer times

Requests and acknowledgements that are read together have the same time, so that an answer may take no time at all. If that held for a period, no period had a usual time, and the quartile of an empty list was read. The usual time stays unknown now. The test passed before, too: the vector's old memory held zeros.

--- a/entry/congestion.cpp
+++ b/entry/congestion.cpp
@@ -116,6 +116,7 @@
     for (const usual_value& value : state.periods) {
         if (value.time > duration::zero() && now - value.at <= usual_retention) values.push_back(value.time);
     }
+    if (values.empty()) return; // requests and acknowledgements were read together, so that no answer took any time
     std::ranges::sort(values);
     state.usual = values[values.size() / low_periods_divisor];
 }
--- /dev/null
+++ b/tests/entry_new_flow_edges_test.cpp
@@ -0,0 +1,112 @@
+// New flows in unusual states of the balancer: after a pause, after a change of the configuration, with answers that
+// take no measurable time, and with a failure domain that the route may not use or that is evacuated. Guards against
+// refusals while the backend servers have room, and against flows on backend servers that the rules exclude.
+#define BOOST_TEST_MODULE entry_new_flow_edges
+#include "entry_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+using namespace tamarack;
+using namespace tamarack::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t backend_count = 6;
+
+route desk_route(duration response_goal) {
+    return {.name = "desk",
+            .address = service_address,
+            .services = {{"desk", 1}},
+            .kind = request_kind::idempotent,
+            .response_goal = response_goal};
+}
+
+// Six backend servers of the own failure domain.
+struct service_fixture : balancer_fixture {
+    service_fixture() {
+        std::vector<record> records = {configuration_record(1, 1, {desk_route(400ms)})};
+        for (std::uint64_t identity = 1; identity <= backend_count; ++identity)
+            records.push_back(backend_record(1 + identity, registration_of(identity)));
+        load_records(records, last_revision);
+        time.advance(10s);
+    }
+
+    // A flow with one request, whose answer the caller acknowledges.
+    packet_action run_request(duration answer_time) {
+        const std::uint16_t     port = ++last_port;
+        const steering_decision placed = decide(syn_packet(port));
+        if (placed.action != packet_action::deliver) return placed.action;
+        const backend_reference reference = placed.backend->reference;
+        decide(later_packet(port, reference, 5'000, 100));
+        time.advance(answer_time);
+        segment end = later_packet(port, reference, 6'000);
+        end.fin = true;
+        decide(end);
+        return placed.action;
+    }
+    // Requests one after the other, and how many of them are refused.
+    unsigned run_requests(unsigned count, duration answer_time, duration interval) {
+        unsigned refused = 0;
+        for (unsigned i = 0; i < count; ++i) {
+            refused += run_request(answer_time) == packet_action::reset ? 1 : 0;
+            time.advance(interval);
+            decisions.expire(time.steady_now());
+        }
+        return refused;
+    }
+    // By port.
+    std::map<std::uint16_t, backend_reference> open_long_flows(unsigned count) {
+        std::map<std::uint16_t, backend_reference> references;
+        for (unsigned flow = 0; flow < count; ++flow) {
+            const std::uint16_t port = ++last_port;
+            references[port] = decide(syn_packet(port)).backend->reference;
+            decide(later_packet(port, references[port], 5'000));
+        }
+        return references;
+    }
+    void pause() {
+        time.advance(1'500ms);
+        decisions.note_pause(time.steady_now());
+    }
+    // A request every 10 ms, each answered after 400 ms, and how many of them are refused.
+    unsigned run_overload(unsigned count) {
+        unsigned                                                refused = 0;
+        std::deque<std::pair<std::uint16_t, backend_reference>> waiting;
+        for (unsigned i = 0; i < count; ++i) {
+            const std::uint16_t     port = ++last_port;
+            const steering_decision placed = decide(syn_packet(port));
+            if (placed.action == packet_action::deliver) {
+                decide(later_packet(port, placed.backend->reference, 5'000, 100));
+                waiting.emplace_back(port, placed.backend->reference);
+            } else {
+                ++refused;
+                waiting.emplace_back(port, 0);
+            }
+            time.advance(10ms);
+            if (waiting.size() > 40) {
+                const auto [answered_port, reference] = waiting.front();
+                waiting.pop_front();
+                if (reference != 0) decide(later_packet(answered_port, reference, 6'000));
+            }
+            decisions.expire(time.steady_now());
+        }
+        return refused;
+    }
+
+    std::uint64_t last_revision = 1 + backend_count;
+    std::uint16_t last_port = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(new_flows, service_fixture)
+
+// Packets that were read together have one time.
+BOOST_AUTO_TEST_CASE(answers_without_measurable_time_are_no_usual_time) {
+    BOOST_TEST(run_requests(300, 0ms, 20ms) == 0U);
+    BOOST_TEST(run_requests(300, 30ms, 20ms) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
