Measure no answer or handshake time over a pause of the process

After a pause the packets that waited in the socket are read together. Requests and acknowledgements of long flows among them looked like answers within no time, which congestion takes for refusals of backend servers: admission refused flows although no request waited. Answers and handshakes that began before the end of the pause, or within 200 ms after it, are not counted now.

--- a/entry/congestion.cpp
+++ b/entry/congestion.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t low_periods_divisor = 4; // the usual time is the lower quartile of the periods
 constexpr duration    usual_retention = std::chrono::minutes(10);
 constexpr int         handshake_smoothing = 8;
+// Time in which the packets that waited during a pause are handled.
+constexpr duration    pause_margin = std::chrono::milliseconds(200);
 
 duration quantile_of(std::span<duration> values) {
     const auto position = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(values.size() - 1));
@@ -43,6 +45,7 @@
 answer_kind congestion::note_answer(const backend_registration& backend, const std::string& route,
                                     const flow_progress& progress, steady_time now) {
     const duration answer_time = *progress.answer_time;
+    if (now - answer_time < measured_since_) return answer_kind::processed;
     route_state&   usual = routes_[{backend.service, route}];
     const duration refusal_limit = std::min(max_refusal_time, usual.usual / refusal_divisor);
     const bool     was_quick = answer_time < refusal_limit;
@@ -123,12 +126,17 @@
 
 void congestion::note_handshake(const std::string& service, const std::string& failure_domain, duration handshake_time,
                                 steady_time now) {
+    if (now - handshake_time < measured_since_) return;
     domain_state& state = domains_[{service, failure_domain}];
     state.last_used = now;
     if (state.handshake_time == duration::zero()) state.handshake_time = handshake_time;
     state.handshake_time += (handshake_time - state.handshake_time) / handshake_smoothing;
 }
 
+void congestion::note_pause(steady_time now) {
+    measured_since_ = now + pause_margin;
+}
+
 std::optional<queue_estimate> congestion::estimate(const std::string& service, const std::string& failure_domain,
                                                    steady_time now) const {
     return estimate_in(service, failure_domain, usual_window, now);
--- a/entry/congestion.h
+++ b/entry/congestion.h
@@ -32,6 +32,8 @@
                             const flow_progress& progress, steady_time now);
     void        note_handshake(const std::string& service, const std::string& failure_domain, duration handshake_time,
                                steady_time now);
+    // The process was paused: the times of packets that waited meanwhile tell nothing.
+    void        note_pause(steady_time now);
 
     // Nullopt: there are too few recent answers.
     std::optional<queue_estimate> estimate(const std::string& service, const std::string& failure_domain,
@@ -109,8 +111,9 @@
     static void note_usual(route_state& state, duration answer_time, std::uint32_t answered_bytes, steady_time now);
     static void note_usual_size(route_state& state);
 
-    std::map<name_pair, domain_state> domains_; // by service and failure domain
-    std::map<name_pair, route_state>  routes_;  // by service and route
+    std::map<name_pair, domain_state> domains_;          // by service and failure domain
+    std::map<name_pair, route_state>  routes_;           // by service and route
+    steady_time                       measured_since_{}; // answers to earlier requests are not counted
 };
 
 } // namespace tamarack::entry
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -277,6 +277,11 @@
     return is_settled(now) && store_replica_.last_confirmation() >= first_packet + confirmation_margin;
 }
 
+void steering::note_pause(steady_time now) {
+    conditions_.note_pause(now);
+    congestion_.note_pause(now);
+}
+
 void steering::expire(steady_time now) {
     const routing_table* routing = store_replica_.routing();
     flows_.expire(now, routing == nullptr ? std::chrono::seconds(15) : routing->idle_timeout);
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -90,7 +90,7 @@
     const flow_tracker&       flows() const { return flows_; }
     const warmup_limit&       warmup() const { return placement_.warmup(); }
     // The process was paused, and packets have waited meanwhile.
-    void                      note_pause(steady_time now) { conditions_.note_pause(now); }
+    void                      note_pause(steady_time now);
     backend_conditions&       conditions() { return conditions_; }
     const backend_conditions& conditions() const { return conditions_; }
     admission&                new_flow_admission() { return admission_; }
--- a/tests/entry_new_flow_edges_test.cpp
+++ b/tests/entry_new_flow_edges_test.cpp
@@ -109,4 +109,29 @@
     BOOST_TEST(run_requests(300, 30ms, 20ms) == 0U);
 }
 
+// The requests and acknowledgements that wait in the socket are read together after the pause: their answers seem to
+// have come at once, as refusals of backend servers do.
+BOOST_AUTO_TEST_CASE(answers_that_waited_during_a_pause_are_no_refusals_of_backend_servers) {
+    BOOST_REQUIRE(run_requests(200, 30ms, 30ms) == 0U);
+    const auto open_flows = open_long_flows(30);
+    pause();
+    for (const auto& [port, reference] : open_flows) {
+        decide(later_packet(port, reference, 5'000, 100));
+        decide(later_packet(port, reference, 6'000));
+    }
+    BOOST_TEST(run_requests(60, 30ms, 30ms) == 0U);
+}
+
+// Requests whose acknowledgements waited seem to have taken as long as the pause.
+BOOST_AUTO_TEST_CASE(answers_that_span_a_pause_show_no_delay) {
+    BOOST_REQUIRE(run_requests(200, 30ms, 30ms) == 0U);
+    const auto open_flows = open_long_flows(30);
+    for (const auto& [port, reference] : open_flows)
+        decide(later_packet(port, reference, 5'000, 100));
+    pause();
+    for (const auto& [port, reference] : open_flows)
+        decide(later_packet(port, reference, 6'000));
+    BOOST_TEST(run_requests(60, 30ms, 30ms) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
