End admission control when the routes of a service state no goal any more

Each new flow renewed the demand of its route, also of a route that no longer states a priority or a response-time goal. A service with traffic that lost its policy was therefore limited until the process ended.

--- a/entry/admission.cpp
+++ b/entry/admission.cpp
@@ -49,8 +49,9 @@
     return std::chrono::duration<double>(time).count();
 }
 
-bool states_a_goal(const route& matched_route) {
-    return matched_route.priority > 0 || matched_route.response_goal > duration::zero();
+// Of a route, or of its demand.
+bool states_a_goal(const auto& item) {
+    return item.priority > 0 || item.response_goal > duration::zero();
 }
 
 } // namespace
@@ -81,6 +82,11 @@
     demand.time_limit = matched_route.time_limit;
     demand.last_arrival = now;
     ++demand.arrivals;
+    if (!has_policy(state)) {
+        if (state.is_refusing) set_refusing(service, state, false);
+        services_.erase(service);
+        return true;
+    }
     update(service, state, now);
     // A SYN is only refused if its retransmissions can be refused, too.
     const bool        is_admitted = refused_order_.size() >= max_refused || draw(state, demand);
@@ -93,6 +99,11 @@
     return is_admitted;
 }
 
+// The configuration may have changed since the routes had their first flows.
+bool admission::has_policy(const service_state& state) {
+    return std::ranges::any_of(state.routes, [](const auto& item) { return states_a_goal(item.second); });
+}
+
 bool admission::was_refused(flow_key key, const segment& syn) const {
     const auto found = refused_.find(key);
     return found != refused_.end() && found->second == syn.sequence;
--- a/entry/admission.h
+++ b/entry/admission.h
@@ -94,6 +94,7 @@
     };
 
     bool        was_refused(flow_key key, const segment& syn) const;
+    static bool has_policy(const service_state& state);
     static bool draw(const service_state& state, route_demand& demand);
     void        update(const std::string& service, service_state& state, steady_time now);
     void        update_rates(const std::string& service, service_state& state, double seconds);
--- a/tests/entry_new_flow_edges_test.cpp
+++ b/tests/entry_new_flow_edges_test.cpp
@@ -134,4 +134,13 @@
     BOOST_TEST(run_requests(60, 30ms, 30ms) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_service_whose_routes_state_no_goal_any_more_refuses_nothing) {
+    BOOST_REQUIRE(run_requests(200, 30ms, 20ms) == 0U);
+    BOOST_REQUIRE(run_overload(200) > 0U);
+    BOOST_REQUIRE(decisions.new_flow_admission().status("desk").is_refusing);
+    store_replica.apply(configuration_record(++last_revision, 2, {desk_route({})}), time.steady_now());
+    BOOST_TEST(run_overload(100) == 0U);
+    BOOST_TEST(!decisions.new_flow_admission().status("desk").is_refusing);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
