Prefer the own failure domain if a flow may not use the domain it spills to

Spillover prefers a failure domain by service, and does not know the regions of a route. They prefer the own one now.

--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -98,7 +98,6 @@
     return handshake_factor * flows_.handshake_time() + handshake_margin;
 }
 
-// Whether choose takes the backend server for unresponsive, also if it has not noticed yet.
 // Whether choose takes the backend server for unresponsive, also if it has not noticed yet.
 bool placement::is_avoided(backend_reference reference, steady_time now) const {
     const backend_activity& activity = std::as_const(flows_).activity(reference);
@@ -130,6 +129,7 @@
 const known_backend* placement::choose(const route& matched_route, const flow_draw& drawn,
                                        std::string_view preferred_domain, backend_reference tried, steady_time now) {
     note_feeders(now);
+    preferred_domain = usable_domain(matched_route, drawn, preferred_domain, now);
     choice               best;
     choice               returning;              // if there is no other
     const known_backend* unresponsive = nullptr; // whose avoidance ends first
@@ -152,6 +152,19 @@
     return returning.backend != nullptr ? returning.backend : unresponsive;
 }
 
+// Without a usable preferred domain all candidates would cost the surcharge, and flows would cross domains for nothing.
+std::string_view placement::usable_domain(const route& matched_route, const flow_draw& drawn,
+                                          std::string_view preferred_domain, steady_time now) const {
+    if (preferred_domain == settings_.failure_domain) return preferred_domain;
+    const auto is_usable = [&](const known_backend* candidate) {
+        return candidate->registration.failure_domain == preferred_domain &&
+               rule_against(*candidate, matched_route, drawn.returning_position, now) == exclusion::none &&
+               !is_avoided(candidate->reference, now);
+    };
+    const bool is_any_usable = std::ranges::any_of(store_replica_.available_backends(drawn.service), is_usable);
+    return is_any_usable ? preferred_domain : std::string_view(settings_.failure_domain);
+}
+
 void placement::note_overdue_syns(backend_reference reference, const backend_activity& activity, steady_time now) {
     const auto evidence =
         activity.unanswered_syns > 1 ? silence_evidence::repeated_packet : silence_evidence::single_packet;
@@ -189,6 +202,7 @@
 
 std::vector<backend_candidate> placement::explain(const route& matched_route, const flow_draw& drawn,
                                                   std::string_view preferred_domain, steady_time now) const {
+    preferred_domain = usable_domain(matched_route, drawn, preferred_domain, now);
     std::vector<backend_candidate> candidates;
     for (const service_share& share : matched_route.services) {
         for (const known_backend* backend : store_replica_.available_backends(share.service)) {
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -62,7 +62,8 @@
     };
     flow_draw            draw(const route& matched_route);
     // The backend server of a new flow; null: there is none that takes it. Backend servers of the preferred failure
-    // domain cost no surcharge. Tried: an earlier SYN of the flow went to it and was not answered; 0: none.
+    // domain cost no surcharge; those of the own one if the flow can go to none there. Tried: an earlier SYN of the
+    // flow went to it and was not answered; 0: none.
     const known_backend* choose(const route& matched_route, const flow_draw& drawn, std::string_view preferred_domain,
                                 backend_reference tried, steady_time now);
     // Whether a retransmitted SYN may still go to the backend server that was chosen for the first one.
@@ -95,6 +96,8 @@
     // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
     exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
                                   steady_time now) const;
+    std::string_view usable_domain(const route& matched_route, const flow_draw& drawn,
+                                   std::string_view preferred_domain, steady_time now) const;
     bool             is_returning(const known_backend& backend, double position, steady_time now) const;
     double           cost_of(const known_backend& backend, std::string_view preferred_domain, steady_time now) const;
     bool             wins_tie(const known_backend& left, const known_backend& right) const;
--- a/tests/entry_new_flow_edges_test.cpp
+++ b/tests/entry_new_flow_edges_test.cpp
@@ -144,3 +144,44 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+constexpr std::uint64_t first_foreign = 5;
+
+// Two backend servers each in the own failure domain, in another one of the region, and in one of another region.
+struct regions_fixture {
+    manual_clock       time;
+    replica            store_replica;
+    placement_settings settings{.failure_domain = "north",
+                                .regions = {{"north", "inland"}, {"east", "inland"}, {"south", "coast"}}};
+    flow_tracker       flows{1'000};
+    backend_conditions conditions{store_replica, flows, 1};
+    placement          choices{settings, store_replica, flows, conditions, 1};
+    route              inland_route = desk_route({});
+
+    regions_fixture() {
+        inland_route.allowed_regions = {"inland"};
+        std::vector<record> records = {configuration_record(1, 1, {inland_route})};
+        for (std::uint64_t identity = 1; identity <= 6; ++identity) {
+            const std::string failure_domain = identity <= 2 ? "north" : identity < first_foreign ? "east" : "south";
+            records.push_back(backend_record(1 + identity, registration_of(identity, failure_domain)));
+        }
+        store_replica.note_store_available(time.steady_now());
+        store_replica.apply_listing(records, at_revision(7), time.steady_now());
+    }
+};
+
+} // namespace
+
+// Another domain's backend servers would otherwise cost as much as the own ones, and bytes between domains are charged.
+BOOST_FIXTURE_TEST_CASE(a_flow_that_prefers_a_domain_outside_its_regions_stays, regions_fixture) {
+    for (int flow = 0; flow < 4; ++flow) {
+        const auto           drawn = choices.draw(inland_route);
+        const known_backend* chosen = choices.choose(inland_route, drawn, "south", 0, time.steady_now());
+        BOOST_REQUIRE(chosen != nullptr);
+        BOOST_TEST(chosen->registration.failure_domain == "north");
+        flows.note_syn(chosen->reference, time.steady_now());
+        time.advance(1ms);
+    }
+}
