Deliver no late SYN of an open flow to an evacuated failure domain

A SYN of a flow that is tracked as open went to the flow's backend server without a look at evacuations: a copy that waited on the way, or the SYN of a new flow that reuses the addresses and ports of one whose end another balancer saw. The former is dropped now, as the flow is open; the latter is placed as a new flow.

--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -11,6 +11,8 @@
 // A confirmation by the store this long after a packet covers all writes that preceded the packet, also if it comes
 // through a feeder.
 constexpr duration confirmation_margin = std::chrono::milliseconds(300);
+// Callers abandon a SYN after 1.4 s; the network duplicates no packet later than that.
+constexpr duration syn_copy_time = std::chrono::seconds(2);
 // Callers retransmit data after 200 ms and after 400 ms more. The second retransmission rules out the loss of a single
 // packet.
 constexpr duration stall_time = std::chrono::milliseconds(450);
@@ -72,8 +74,13 @@
     if (tracked != nullptr && tracked->is_open) {
         // A late retransmission of the SYN of an open flow.
         const known_backend* backend = store_replica_.find_backend(tracked->reference);
-        if (backend != nullptr && !backend->removed_at)
-            return {packet_action::deliver, decision_reason::placed_again, backend};
+        if (backend != nullptr && !backend->removed_at) {
+            if (!store_replica_.is_evacuated(backend->registration.failure_domain))
+                return {packet_action::deliver, decision_reason::placed_again, backend};
+            // The flow is open and needs no SYN, unless it has ended elsewhere and its caller reuses the port.
+            const bool may_be_copy = packet.acknowledged > 0 || now < tracked->last_seen + syn_copy_time;
+            if (may_be_copy) return {packet_action::drop, decision_reason::no_backend};
+        }
     }
     return place(packet, *matched_route, tracked, now);
 }
--- a/tests/entry_new_flow_edges_test.cpp
+++ b/tests/entry_new_flow_edges_test.cpp
@@ -185,3 +185,23 @@
         time.advance(1ms);
     }
 }
+
+BOOST_FIXTURE_TEST_SUITE(evacuated_domain, service_fixture)
+
+// A copy may wait in a queue on the way, and callers reuse ports whose earlier flow ended through another balancer.
+BOOST_AUTO_TEST_CASE(no_late_syn_of_an_open_flow_reaches_an_evacuated_backend_server) {
+    const steering_decision placed = decide(syn_packet(1));
+    decide(later_packet(1, placed.backend->reference, 5'000, 100));
+    store_replica.apply({"evacuate/north", at_revision(++last_revision), evacuation{"north"}, "{}"}, time.steady_now());
+    store_replica.apply(backend_record(++last_revision, registration_of(20, "east")), time.steady_now());
+    time.advance(6s);
+    const auto late_copy = decide(syn_packet(1, 1));
+    BOOST_TEST((late_copy.action == packet_action::drop)); // the flow is open: no reset
+    segment reused = syn_packet(1);
+    reused.sequence = 900'000;
+    const auto next_flow = decide(reused);
+    BOOST_REQUIRE((next_flow.action == packet_action::deliver));
+    BOOST_TEST(next_flow.backend->registration.failure_domain == "east");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
