Refuse the copies of a SYN that was reset for want of a backend server

The quota of a warm-up limit, or the end of an evacuation or an avoidance, may make room between a SYN and its copy. The copy of a SYN that had been reset was then delivered, although the caller had been told that nothing of the flow runs. Admission remembers these SYNs now as it does its own refusals, for 2 s and within the same limit of 16,384.

--- a/entry/admission.cpp
+++ b/entry/admission.cpp
@@ -92,13 +92,17 @@
     const bool        is_admitted = refused_order_.size() >= max_refused || draw(state, demand);
     admission_counts& counts = counts_[matched_route.priority];
     ++(is_admitted ? counts.admitted : counts.refused);
-    if (!is_admitted) {
-        refused_[key] = syn.sequence;
-        refused_order_.push_back({key, syn.sequence, now});
-    }
+    if (!is_admitted) note_refused(syn, now);
     return is_admitted;
 }
 
+void admission::note_refused(const segment& syn, steady_time now) {
+    if (refused_order_.size() >= max_refused) return;
+    const flow_key key = key_of(syn);
+    refused_[key] = syn.sequence;
+    refused_order_.push_back({key, syn.sequence, now});
+}
+
 // The configuration may have changed since the routes had their first flows.
 bool admission::has_policy(const service_state& state) {
     return std::ranges::any_of(state.routes, [](const auto& item) { return states_a_goal(item.second); });
--- a/entry/admission.h
+++ b/entry/admission.h
@@ -44,6 +44,8 @@
 
     // For a SYN of which the balancer knows no earlier transmission.
     bool admit(const route& matched_route, const std::string& service, const segment& syn, steady_time now);
+    // The SYN is refused for another reason. Its retransmissions are refused, too, as long as there is room for it.
+    void note_refused(const segment& syn, steady_time now);
     // An answer of a backend server to a request of the route.
     void note_answer(const std::string& service, const std::string& route, answer_kind kind);
     void expire(steady_time now);
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -118,7 +118,10 @@
         return {packet_action::reset, decision_reason::not_admitted};
     const std::string&   preferred_domain = spillover_.choose_domain(drawn.service, now);
     const known_backend* chosen = placement_.choose(matched_route, drawn, preferred_domain, tried, now);
-    if (chosen == nullptr) return {packet_action::reset, decision_reason::no_backend};
+    if (chosen == nullptr) {
+        if (tracked == nullptr) admission_.note_refused(packet, now);
+        return {packet_action::reset, decision_reason::no_backend};
+    }
     if (is_retransmission) {
         flows_.reassign(*tracked, chosen->reference);
     } else {
--- a/tests/entry_new_flow_edges_test.cpp
+++ b/tests/entry_new_flow_edges_test.cpp
@@ -143,6 +143,23 @@
     BOOST_TEST(!decisions.new_flow_admission().status("desk").is_refusing);
 }
 
+// The caller takes the reset for the end of the flow, and may have sent a copy before it arrived. A quota of a warm-up
+// limit is free again at any moment.
+BOOST_AUTO_TEST_CASE(no_copy_of_a_syn_that_was_reset_for_want_of_a_backend_server_is_delivered) {
+    store_replica.apply({"evacuate/north", at_revision(++last_revision), evacuation{"north"}, "{}"}, time.steady_now());
+    BOOST_TEST((decide(syn_packet(1)).action == packet_action::reset));
+    store_replica.apply({"evacuate/north", at_revision(++last_revision), removed_record{}, {}}, time.steady_now());
+    time.advance(200ms);
+    BOOST_TEST((decide(syn_packet(1, 1)).action == packet_action::reset));
+    time.advance(400ms);
+    BOOST_TEST((decide(syn_packet(1, 2)).action == packet_action::reset));
+    BOOST_TEST((decide(syn_packet(2)).action == packet_action::deliver));
+    time.advance(1'500ms);
+    segment reused = syn_packet(1);
+    reused.sequence = 900'000;
+    BOOST_TEST((decide(reused).action == packet_action::deliver));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace {
