Require independent flows, or an answer to their caller, for the proof of a silent backend server

Two stalled flows proved a backend server unresponsive also if both were of one caller. If answers do not reach that caller, its requests stall at a backend server that works, and open flows of all callers there were reset. Two flows of a single caller count now only if it has acknowledged other data since.

--- a/entry/backend_condition.h
+++ b/entry/backend_condition.h
@@ -40,7 +40,7 @@
     void note_unresponsive(backend_reference reference, silence_evidence evidence, steady_time silent_since,
                            steady_time now);
     // A request on the flow was retransmitted and is stalled.
-    void note_stalled(backend_reference reference, flow_key flow, steady_time silent_since, steady_time now);
+    void note_stalled(backend_reference reference, const tracked_flow& flow, flow_key key, steady_time now);
     // The backend server answers, but a packet went unanswered: it was lost, maybe on this balancer's own link.
     void note_loss(steady_time now);
     // What a packet of the flow has shown about its request.
@@ -89,6 +89,7 @@
 private:
     struct stalled_flow {
         flow_key    flow = 0;
+        ip_address  caller;
         steady_time silent_since{}; // when its request was forwarded
         steady_time last_seen{};    // last retransmission; the epoch: none
     };
@@ -112,6 +113,15 @@
         std::array<stalled_flow, 2> stalled_flows{}; // different flows, the latest ones
     };
 
+    // Caller that has retransmitted a request.
+    struct waiting_caller {
+        steady_time last_retransmission{};
+        steady_time last_answer{}; // of any backend server, since the first retransmission
+    };
+
+    // The stalled flows have no cause in common but the backend server.
+    bool                 are_independent(const stalled_flow& left, const stalled_flow& right) const;
+    void                 note_waiting_caller(const ip_address& caller, const flow_progress& progress, steady_time now);
     backend_state*       find_state(backend_reference reference);
     const backend_state* find_state(backend_reference reference) const;
     steady_time          last_response(backend_reference reference) const;
@@ -133,7 +143,8 @@
     flow_tracker&                                        flows_;
     random_source                                        random_;
     response_outliers                                    outliers_;
-    std::unordered_map<backend_reference, backend_state> states_; // of registered backend servers only
+    std::unordered_map<backend_reference, backend_state> states_;          // of registered backend servers only
+    std::map<ip_address, waiting_caller>                 waiting_callers_; // of the last seconds
     steady_time                                          last_pause_end_{};
     std::array<steady_time, 3>                           losses_{}; // the latest ones, in order
 };
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -192,7 +192,7 @@
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
         decision.reason = decision_reason::stalled;
-        conditions_.note_stalled(reference, key_of(packet), flow->last_progress, now);
+        conditions_.note_stalled(reference, *flow, key_of(packet), now);
     }
     if (flow != nullptr && gains_by_reset(packet, *matched_route, *backend, now)) {
         flows_.note_reset(*flow, now);
--- a/tests/entry_backend_condition_test.cpp
+++ b/tests/entry_backend_condition_test.cpp
@@ -269,6 +269,22 @@
 
 BOOST_FIXTURE_TEST_SUITE(resets_of_open_flows, service_fixture)
 
+// Answers do not reach a caller whose own link is at fault. Its requests stall at a backend server that works.
+BOOST_AUTO_TEST_CASE(stalled_flows_of_a_single_caller_without_any_answers_are_no_proof) {
+    const auto of_silent_caller = [&](std::uint16_t port) {
+        segment packet = later_packet(port, reference_of(1), 5'000, 100);
+        packet.source.address = ip_address::v4(0x64400099);
+        return packet;
+    };
+    for (const duration wait : {0ms, 200ms, 400ms}) {
+        time.advance(wait);
+        run_healthy(2, 5); // for other callers
+        for (std::uint16_t port = 1; port <= 2; ++port)
+            BOOST_TEST((decide(of_silent_caller(port)).action == packet_action::deliver));
+    }
+    BOOST_TEST(!conditions().is_proven_unresponsive(*store_replica.find_backend(reference_of(1)), now()));
+}
+
 BOOST_AUTO_TEST_CASE(an_idempotent_request_to_a_dark_backend_server_is_reset_with_proof) {
     const auto stalled = stall_two_flows(1);
     BOOST_TEST((stalled.action == packet_action::reset));
