--- a/entry/admission.h
+++ b/entry/admission.h
@@ -44,6 +44,8 @@
 
     // For a SYN of which the balancer knows no earlier transmission.
     bool admit(const route& matched_route, const std::string& service, const segment& syn, steady_time now);
+    // The SYN is refused for another reason. Its retransmissions are refused, too, as long as there is room for it.
+    void note_refused(const segment& syn, steady_time now);
     // An answer of a backend server to a request of the route.
     void note_answer(const std::string& service, const std::string& route, answer_kind kind);
     void expire(steady_time now);
@@ -94,6 +96,7 @@
     };
 
     bool        was_refused(flow_key key, const segment& syn) const;
+    static bool has_policy(const service_state& state);
     static bool draw(const service_state& state, route_demand& demand);
     void        update(const std::string& service, service_state& state, steady_time now);
     void        update_rates(const std::string& service, service_state& state, double seconds);
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -11,6 +11,8 @@
 // A confirmation by the store this long after a packet covers all writes that preceded the packet, also if it comes
 // through a feeder.
 constexpr duration confirmation_margin = std::chrono::milliseconds(300);
+// Callers abandon a SYN after 1.4 s; the network duplicates no packet later than that.
+constexpr duration syn_copy_time = std::chrono::seconds(2);
 // Callers retransmit data after 200 ms and after 400 ms more. The second retransmission rules out the loss of a single
 // packet.
 constexpr duration stall_time = std::chrono::milliseconds(450);
@@ -72,8 +74,13 @@
     if (tracked != nullptr && tracked->is_open) {
         // A late retransmission of the SYN of an open flow.
         const known_backend* backend = store_replica_.find_backend(tracked->reference);
-        if (backend != nullptr && !backend->removed_at)
-            return {packet_action::deliver, decision_reason::placed_again, backend};
+        if (backend != nullptr && !backend->removed_at) {
+            if (!store_replica_.is_evacuated(backend->registration.failure_domain))
+                return {packet_action::deliver, decision_reason::placed_again, backend};
+            // The flow is open and needs no SYN, unless it has ended elsewhere and its caller reuses the port.
+            const bool may_be_copy = packet.acknowledged > 0 || now < tracked->last_seen + syn_copy_time;
+            if (may_be_copy) return {packet_action::drop, decision_reason::no_backend};
+        }
     }
     return place(packet, *matched_route, tracked, now);
 }
@@ -111,7 +118,10 @@
         return {packet_action::reset, decision_reason::not_admitted};
     const std::string&   preferred_domain = spillover_.choose_domain(drawn.service, now);
     const known_backend* chosen = placement_.choose(matched_route, drawn, preferred_domain, tried, now);
-    if (chosen == nullptr) return {packet_action::reset, decision_reason::no_backend};
+    if (chosen == nullptr) {
+        if (tracked == nullptr) admission_.note_refused(packet, now);
+        return {packet_action::reset, decision_reason::no_backend};
+    }
     if (is_retransmission) {
         flows_.reassign(*tracked, chosen->reference);
     } else {
@@ -182,7 +192,7 @@
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
         decision.reason = decision_reason::stalled;
-        conditions_.note_stalled(reference, key_of(packet), flow->last_progress, now);
+        conditions_.note_stalled(reference, *flow, key_of(packet), now);
     }
     if (flow != nullptr && gains_by_reset(packet, *matched_route, *backend, now)) {
         flows_.note_reset(*flow, now);
@@ -277,6 +287,11 @@
     return is_settled(now) && store_replica_.last_confirmation() >= first_packet + confirmation_margin;
 }
 
+void steering::note_pause(steady_time now) {
+    conditions_.note_pause(now);
+    congestion_.note_pause(now);
+}
+
 void steering::expire(steady_time now) {
     const routing_table* routing = store_replica_.routing();
     flows_.expire(now, routing == nullptr ? std::chrono::seconds(15) : routing->idle_timeout);
