--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -131,6 +131,22 @@
     BOOST_TEST(((*table)->idle_timeout == std::chrono::seconds(12)));
 }
 
+// A number that overflows the type it is converted to would end all flows at once, or keep a warming server without
+// any.
+BOOST_AUTO_TEST_CASE(numbers_of_a_configuration_that_are_too_large_are_limited) {
+    const auto  decoded_record = decode_record("op/config", {1, 9}, R"({"version":7,"routes":[
+        {"name":"a","host":"198.18.0.1","prefix":"/443/","split":[{"service":"desk","weight":4294967296},
+         {"service":"ledger","weight":1}]}],
+        "services":[{"name":"desk","warmup_s":10,"warmup_per_s":1e300}],
+        "limits":{"idle_timeout_ms":18446744073709551615}})");
+    const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&decoded_record.content);
+    BOOST_REQUIRE(table != nullptr);
+    BOOST_TEST(((*table)->idle_timeout >= std::chrono::hours(1)));
+    BOOST_TEST((*table)->routes.at(0).services.at(0).weight > 0U);
+    BOOST_TEST((*table)->services.at(0).warmup_requests_per_second <= 1e9);
+    BOOST_TEST((*table)->services.at(0).warmup_requests_per_second >= 1e6);
+}
+
 BOOST_AUTO_TEST_CASE(decodes_responses_of_the_store) {
     const auto listing = decode_listing(
         R"({"items":[{"key":"my/a","value":"bm9kZS0x","revision":412,"created":412,"lease":0}],"has_more":true,"current_rev":530})");
