Forget a held SYN when a later packet shows that its flow has opened

Meanwhile the first transmission may open the flow through another balancer; the copy then reached a second backend server with the listing, whose answer gives the caller a wrong reference. A later packet of the flow that arrives here, with a sequence number after that of the SYN, now removes the held SYN. the_syn_of_a_flow_that_has_opened_is_not_released failed without the removal (3 SYNs released instead of 1); the 10 cases of entry_pending_syns_test pass.

--- a/daemons/entry/packet_handler.cpp
+++ b/daemons/entry/packet_handler.cpp
@@ -86,7 +86,11 @@
         pending_.hold(packet, bytes, now);
         return;
     }
-    if (packet.syn) pending_.forget(packet);
+    if (packet.syn) {
+        pending_.forget(packet);
+    } else if (!pending_.is_empty()) {
+        pending_.forget_opened(packet);
+    }
     steer(packet, bytes, now);
 }
 
--- a/entry/pending_syns.cpp
+++ b/entry/pending_syns.cpp
@@ -20,6 +20,11 @@
 constexpr duration                release_interval = std::chrono::milliseconds(100);
 constexpr std::size_t             syns_per_slot = 3; // in one interval
 
+// Compares sequence numbers, which wrap around.
+bool is_after(std::uint32_t left, std::uint32_t right) {
+    return static_cast<std::int32_t>(left - right) > 0;
+}
+
 duration useful_time(const segment& packet) {
     if (!packet.syn) return later_packet_interval - travel_margin;
     const std::size_t copy = std::min<std::size_t>(packet.acknowledged, syn_intervals.size() - 1);
@@ -52,6 +57,7 @@
 
 // Copies that overtake each other on the way keep the newest one, whose time is the longest.
 bool pending_syns::hold(const segment& packet, byte_view bytes, steady_time now) {
+    if (!packet.syn) forget_opened(packet);
     pending_packet   held{.bytes = {bytes.begin(), bytes.end()},
                           .arrived_at = now,
                           .useful_until = now + useful_time(packet),
@@ -81,6 +87,19 @@
     remove(earlier);
 }
 
+// The caller may have reused the port: the packets of the earlier flow have sequence numbers before that of the SYN.
+void pending_syns::forget_opened(const segment& later_packet) {
+    const flow_key flow = key_of(later_packet);
+    for (auto packet = packets_.lower_bound({.flow = flow}); packet != packets_.end() && packet->first.flow == flow;) {
+        if (!packet->first.is_syn || !is_after(later_packet.sequence, packet->first.sequence)) {
+            ++packet;
+            continue;
+        }
+        ++counters_of(packet->second).replaced;
+        packet = remove(packet);
+    }
+}
+
 void pending_syns::expire(steady_time now) {
     for (auto packet = packets_.begin(); packet != packets_.end();) {
         if (now < packet->second.useful_until) {
--- a/entry/pending_syns.h
+++ b/entry/pending_syns.h
@@ -28,7 +28,7 @@
     std::uint64_t held = 0;
     std::uint64_t released = 0;
     std::uint64_t expired = 0;  // the caller has sent the next copy, or given up
-    std::uint64_t replaced = 0; // by a copy that arrived here
+    std::uint64_t replaced = 0; // by a copy, or for a SYN by a later packet of its flow, that arrived here
 };
 
 class pending_syns {
@@ -39,6 +39,8 @@
     bool                        hold(const segment& packet, byte_view bytes, steady_time now);
     // A copy of the SYN has been forwarded without being held.
     void                        forget(const segment& syn);
+    // The packet, which is no SYN, shows that its flow has opened through another balancer.
+    void                        forget_opened(const segment& later_packet);
     // Takes out the packets that are still useful, oldest first. The SYNs of one release are limited by the number of
     // slots of all backend servers; the rest wait for the next release.
     std::vector<pending_packet> release(std::size_t slots, steady_time now);
--- a/tests/entry_pending_syns_test.cpp
+++ b/tests/entry_pending_syns_test.cpp
@@ -57,6 +57,23 @@
     BOOST_TEST(pending.syns().held == pending.syns().released + pending.syns().replaced);
 }
 
+// The copy of a SYN may wait here while the first transmission opens the flow through another balancer. A second
+// backend server that answered the copy would give the caller a wrong reference.
+BOOST_FIXTURE_TEST_CASE(the_syn_of_a_flow_that_has_opened_is_not_released, pending_fixture) {
+    hold(1, 1, 0ms);
+    hold(2, 1, 0ms);
+    hold(3, 1, 0ms);
+    BOOST_TEST(pending.hold(later_packet(1, 5, 5'000, 100), syn_bytes, start + 100ms));
+    pending.forget_opened(later_packet(2, 5, 5'000, 100));
+    segment old_flow = later_packet(3, 5, 5'000);
+    old_flow.sequence = syn_packet(3).sequence - 70'000; // the port has been reused since
+    pending.forget_opened(old_flow);
+    const auto released = pending.release(many_slots, start + 110ms);
+    BOOST_TEST(std::ranges::count(released, true, &pending_packet::is_syn) == 1);
+    BOOST_TEST(released.size() == 2U);
+    BOOST_TEST(pending.syns().replaced == 2U);
+}
+
 // A host with few backend servers must not fill their queues at once.
 BOOST_FIXTURE_TEST_CASE(the_oldest_syns_are_released_first_at_the_pace_of_the_slots, pending_fixture) {
     for (std::uint16_t port = 0; port < 100; ++port)
