--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -76,6 +76,7 @@
     flow = {.caller = packet.source,
             .route_address = packet.destination,
             .reference = reference,
+            .syn_sequence = packet.sequence,
             .next_sequence = packet.sequence + packet.payload_size,
             .acknowledged = packet.syn ? 0 : packet.acknowledged,
             .first_syn = now,
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -31,6 +31,7 @@
     endpoint          caller;
     endpoint          route_address;
     backend_reference reference = 0;                 // of the flow's backend server
+    std::uint32_t     syn_sequence = 0;              // valid if syn_was_seen
     std::uint32_t     next_sequence = 0;             // sequence number after the data that the caller has sent
     std::uint32_t     acknowledged = 0;              // by the caller
     steady_time       first_syn{};                   // when it was forwarded; if no SYN was seen, the first packet
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -62,25 +62,32 @@
 steering_decision steering::decide_syn(const segment& packet, steady_time now) {
     if (store_replica_.routing() == nullptr || !store_replica_.is_complete())
         return {packet_action::drop, decision_reason::not_synchronized};
-    const route* matched_route = store_replica_.find_route(packet.destination);
+    tracked_flow* tracked = flows_.find(packet);
+    const route*  matched_route = store_replica_.find_route(packet.destination);
     if (matched_route == nullptr) {
         // While the store is unavailable, a route may have been added that this balancer does not know.
         if (!store_replica_.store_available_since()) return {packet_action::drop, decision_reason::no_route};
         return {packet_action::reset, decision_reason::no_route};
     }
-    tracked_flow* tracked = flows_.find(packet);
-    if (tracked != nullptr && tracked->is_open) {
-        // A late retransmission of the SYN of an open flow.
+    if (tracked != nullptr && tracked->is_open && !is_syn_of_other_flow(packet, *tracked)) {
+        // A late retransmission of the SYN of an open flow, which its caller does not need any more.
         const known_backend* backend = store_replica_.find_backend(tracked->reference);
-        if (backend != nullptr && !backend->removed_at)
-            return {packet_action::deliver, decision_reason::placed_again, backend};
+        if (backend != nullptr && !backend->removed_at) {
+            const bool is_allowed = placement_.allows(*backend, *matched_route);
+            return {is_allowed ? packet_action::deliver : packet_action::drop, decision_reason::placed_again, backend};
+        }
     }
     return place(packet, *matched_route, tracked, now);
 }
 
+// The caller has reused the port of a flow whose end did not pass this balancer.
+bool steering::is_syn_of_other_flow(const segment& packet, const tracked_flow& flow) {
+    return flow.syn_was_seen && packet.sequence != flow.syn_sequence;
+}
+
 // Callers number their retransmissions of a SYN. The network may also duplicate a packet, which keeps its number.
 bool steering::is_syn_retransmission(const segment& packet, const tracked_flow& flow) {
-    if (flow.is_closing) return false;
+    if (flow.is_closing || is_syn_of_other_flow(packet, flow)) return false;
     return packet.acknowledged > 0 || (!flow.is_open && packet.sequence == flow.next_sequence);
 }
 
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -105,6 +105,7 @@
 
     steering_decision decide_syn(const segment& packet, steady_time now);
     steering_decision decide_later_packet(const segment& packet, steady_time now);
+    static bool       is_syn_of_other_flow(const segment& packet, const tracked_flow& flow);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
     void note_progress(const route& matched_route, const known_backend& backend, const flow_progress& progress,
--- a/tests/entry_evacuation_test.cpp
+++ b/tests/entry_evacuation_test.cpp
@@ -91,6 +91,30 @@
     BOOST_TEST(later.backend->registration.name == placed.backend->registration.name);
 }
 
+// A late copy of the SYN of an open flow is no use to its caller, and must not reach the evacuated domain.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_an_open_flows_syn_does_not_reach_an_evacuated_failure_domain) {
+    const auto placed = decide(syn_packet(1));
+    decide(later_packet(1, placed.backend->reference, 5'000));
+    evacuate("north");
+    time.advance(6s);
+    BOOST_TEST((decide(syn_packet(1, 1)).action == packet_action::drop));
+    const auto later = decide(later_packet(1, placed.backend->reference, 6'000, 100));
+    BOOST_TEST((later.action == packet_action::deliver));
+    BOOST_TEST(later.backend->registration.name == placed.backend->registration.name);
+}
+
+// A caller may reuse the port of a flow whose end this balancer has not seen.
+BOOST_AUTO_TEST_CASE(a_new_flow_on_a_reused_port_leaves_an_evacuated_failure_domain) {
+    const auto placed = decide(syn_packet(1));
+    decide(later_packet(1, placed.backend->reference, 5'000));
+    evacuate("north");
+    segment next = syn_packet(1);
+    next.sequence += 70'000;
+    const auto decision = decide(next);
+    BOOST_REQUIRE(decision.backend != nullptr);
+    BOOST_TEST(decision.backend->registration.failure_domain == "south");
+}
+
 // Without a backend server that may take the flow, the caller must not wait until it gives up.
 BOOST_AUTO_TEST_CASE(new_flows_are_reset_at_once_if_all_failure_domains_are_evacuated) {
     evacuate("north");
