Drop a copy of an untracked SYN that cannot be placed instead of resetting it

A balancer that a flow's packets have moved to, or that has held the copy during its start, reset the copy if it had no route or no backend server that it may use (warm-up limit, evacuation). Another balancer may have delivered the first SYN, and the caller may have opened the flow since, so that the reset ended an undisturbed open flow. Admission already admits such copies for this reason. a_retransmitted_syn_that_is_not_tracked_is_not_reset failed before; the 35 cases of entry_steering_test pass. Copies of SYNs that this balancer tracks are still reset, which a_flow_is_reset_if_its_regions_have_no_backend_server_left requires.

--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -67,7 +67,7 @@
     if (matched_route == nullptr) {
         // While the store is unavailable, a route may have been added that this balancer does not know.
         if (!store_replica_.store_available_since()) return {packet_action::drop, decision_reason::no_route};
-        return {packet_action::reset, decision_reason::no_route};
+        return refuse_syn(packet, decision_reason::no_route, tracked != nullptr);
     }
     if (tracked != nullptr && tracked->is_open && !is_syn_of_other_flow(packet, *tracked)) {
         // A late retransmission of the SYN of an open flow, which its caller does not need any more.
@@ -80,6 +80,13 @@
     return place(packet, *matched_route, tracked, now);
 }
 
+// Another balancer may have delivered the first transmission of a SYN that this one does not track: the caller may have
+// opened the flow since, and a reset would end it.
+steering_decision steering::refuse_syn(const segment& packet, decision_reason reason, bool is_tracked) {
+    const bool may_have_been_delivered = packet.acknowledged > 0 && !is_tracked;
+    return {may_have_been_delivered ? packet_action::drop : packet_action::reset, reason};
+}
+
 // The caller has reused the port of a flow whose end did not pass this balancer.
 bool steering::is_syn_of_other_flow(const segment& packet, const tracked_flow& flow) {
     return flow.syn_was_seen && packet.sequence != flow.syn_sequence;
@@ -118,7 +125,7 @@
         return {packet_action::reset, decision_reason::not_admitted};
     const std::string&   preferred_domain = spillover_.choose_domain(drawn.service, now);
     const known_backend* chosen = placement_.choose(matched_route, drawn, preferred_domain, tried, now);
-    if (chosen == nullptr) return {packet_action::reset, decision_reason::no_backend};
+    if (chosen == nullptr) return refuse_syn(packet, decision_reason::no_backend, tracked != nullptr);
     if (is_retransmission) {
         flows_.reassign(*tracked, chosen->reference);
     } else {
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -118,6 +118,7 @@
     bool is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
     bool is_confirmed_since_first_packet(const segment& packet, steady_time now);
+    static steering_decision refuse_syn(const segment& packet, decision_reason reason, bool is_tracked);
     static steering_decision refuse(const segment& packet, decision_reason reason, bool is_proved);
     steering_decision        refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now);
     steering_decision refuse_removed(const segment& packet, const known_backend& backend, const tracked_flow* flow,
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -176,6 +176,22 @@
     BOOST_TEST((refused.reason == decision_reason::no_backend));
 }
 
+// Another balancer may have delivered the first SYN: the caller may have opened the flow since, and a reset would end
+// it although its backend server is alive.
+BOOST_AUTO_TEST_CASE(a_retransmitted_syn_that_is_not_tracked_is_not_reset) {
+    for (std::uint64_t identity = 1; identity <= 3; ++identity) {
+        auto draining = registration_of(identity, identity == 3 ? "south" : "north");
+        draining.state = backend_state::draining;
+        store_replica.apply(backend_record(10 + identity, draining), time.steady_now());
+    }
+    const auto copy = decide(syn_packet(2, 1));
+    BOOST_TEST((copy.action == packet_action::drop));
+    BOOST_TEST((copy.reason == decision_reason::no_backend));
+    segment unrouted = syn_packet(3, 1);
+    unrouted.destination.port = 9;
+    BOOST_TEST((decide(unrouted).action == packet_action::drop));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(open_flows, two_domain_fixture)
