Keep the weights of a split up to 32 bits, and sum them in 64

The limit is now 2^32 - 1, and placement adds the weights in 64 bits: two weights of 4,000,000,000 gave the second service no flow, since the sum wrapped around. a_split_route_with_large_weights_follows_them failed with 0 of 200 flows before; it passes.

--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -114,11 +114,11 @@
 placement::flow_draw placement::draw(const route& matched_route) {
     flow_draw     drawn{.returning_position = std::uniform_real_distribution<double>()(random_),
                         .service = matched_route.services.front().service};
-    std::uint32_t total_weight = 0;
+    std::uint64_t total_weight = 0;
     for (const service_share& share : matched_route.services)
         total_weight += share.weight;
     if (total_weight == 0 || matched_route.services.size() == 1) return drawn;
-    auto position = std::uniform_int_distribution<std::uint32_t>(0, total_weight - 1)(random_);
+    auto position = std::uniform_int_distribution<std::uint64_t>(0, total_weight - 1)(random_);
     for (const service_share& share : matched_route.services) {
         drawn.service = share.service;
         if (position < share.weight) break;
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -378,6 +378,24 @@
     BOOST_TEST(other_count < 150);
 }
 
+// The sum of the weights exceeds 32 bits.
+BOOST_AUTO_TEST_CASE(a_split_route_with_large_weights_follows_them) {
+    balancer_fixture balancer;
+    const route      split{
+        "split", service_address, {{"desk", 4'000'000'000}, {"ledger", 4'000'000'000}}, request_kind::idempotent};
+    auto other = registration_of(2);
+    other.service = "ledger";
+    balancer.load_records(
+        {configuration_record(1, 1, {split}), backend_record(2, registration_of(1)), backend_record(3, other)}, 3);
+    int other_count = 0;
+    for (std::uint16_t port = 1; port <= 200; ++port) {
+        if (balancer.decide(syn_packet(port)).backend->registration.identity == 2) ++other_count;
+    }
+    // 200 draws at one half: mean 100, standard deviation 7.1. A sum that wraps around gives none.
+    BOOST_TEST(other_count > 60);
+    BOOST_TEST(other_count < 140);
+}
+
 // Guards against flows that leave their route's regions when the backend servers there are gone, evacuated or silent.
 struct regions_fixture : balancer_fixture {
     steering regional_decisions{
--- a/tests/platform_format_test.cpp
+++ b/tests/platform_format_test.cpp
@@ -142,7 +142,7 @@
     const auto* table = std::get_if<std::shared_ptr<const routing_table>>(&decoded_record.content);
     BOOST_REQUIRE(table != nullptr);
     BOOST_TEST(((*table)->idle_timeout >= std::chrono::hours(1)));
-    BOOST_TEST((*table)->routes.at(0).services.at(0).weight > 0U);
+    BOOST_TEST((*table)->routes.at(0).services.at(0).weight == 4'294'967'295U);
     BOOST_TEST((*table)->services.at(0).warmup_requests_per_second <= 1e9);
     BOOST_TEST((*table)->services.at(0).warmup_requests_per_second >= 1e6);
 }
