--- a/entry/congestion.cpp
+++ b/entry/congestion.cpp
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr double      quantile = 0.3;
-// A refusal takes less time than any work of the services that are large enough to matter.
-constexpr duration    max_refusal_time = std::chrono::milliseconds(6);
-constexpr int         refusal_divisor = 4; // of the usual time
 // The answer that refuses a request is much shorter than a usual one.
 constexpr double      short_answer_part = 0.25; // of the usual size
 constexpr double      size_quantile = 0.75;
@@ -47,12 +44,10 @@
     const duration answer_time = *progress.answer_time;
     if (now - answer_time < measured_since_) return answer_kind::processed;
     route_state&   usual = routes_[{backend.service, route}];
-    const duration refusal_limit = std::min(max_refusal_time, usual.usual / refusal_divisor);
-    const bool     was_quick = answer_time < refusal_limit;
-    const bool     was_refused = is_short(usual, progress.answered_bytes) || was_quick;
+    const bool     was_refused = is_short(usual, progress.answered_bytes);
     const duration delay = usual.usual == duration::zero() ? duration::zero() : answer_time - usual.usual;
     domain_state&  state = domains_[{backend.service, backend.failure_domain}];
-    state.recent.at(state.next) = {now, delay, was_refused, was_quick};
+    state.recent.at(state.next) = {now, delay, was_refused};
     state.next = (state.next + 1) % recent_capacity;
     state.count = std::min(state.count + 1, recent_capacity);
     state.last_used = now;
@@ -87,7 +82,9 @@
 }
 
 void congestion::note_usual_size(route_state& state) {
-    std::vector<std::uint32_t> sizes = std::exchange(state.period_sizes, {});
+    std::vector<std::uint32_t> sizes;
+    for (const answer& item : state.period)
+        sizes.push_back(item.bytes);
     const auto position = static_cast<std::ptrdiff_t>(size_quantile * static_cast<double>(sizes.size() - 1));
     std::ranges::nth_element(sizes, sizes.begin() + position);
     const double size = sizes[static_cast<std::size_t>(position)];
@@ -96,23 +93,19 @@
 
 void congestion::note_usual(route_state& state, duration answer_time, std::uint32_t answered_bytes, steady_time now) {
     if (state.period.empty()) state.period_start = now;
-    state.period.push_back(answer_time);
-    state.period_sizes.push_back(answered_bytes);
+    state.period.push_back({answer_time, answered_bytes});
     const std::size_t enough = state.usual == duration::zero() ? first_period_samples : period_capacity;
     if (state.period.size() < enough) return;
     const duration period = state.usual == duration::zero() ? first_period : later_period;
     if (now - state.period_start < period) { // only the latest answers of a period count
-        if (state.period.size() == period_capacity) {
-            state.period.erase(state.period.begin());
-            state.period_sizes.erase(state.period_sizes.begin());
-        }
+        if (state.period.size() == period_capacity) state.period.erase(state.period.begin());
         return;
     }
     note_usual_size(state);
-    std::vector<duration> values = std::exchange(state.period, {});
-    std::ranges::sort(values);
-    const auto processed = std::ranges::lower_bound(values, max_refusal_time);
-    if (values.end() - processed >= std::ssize(values) / refusal_divisor) values.erase(values.begin(), processed);
+    std::vector<duration> values;
+    for (const answer& item : std::exchange(state.period, {})) { // in the first one refusals are not known as such yet
+        if (item.bytes >= short_answer_part * state.usual_size) values.push_back(item.time);
+    }
     state.periods.at(state.next_period) = {quantile_of(values), now};
     state.next_period = (state.next_period + 1) % period_count;
     values.clear();
@@ -155,7 +148,6 @@
     std::array<duration, recent_capacity> delays{};
     std::size_t                           processed = 0;
     std::size_t                           refused = 0;
-    std::size_t                           quick = 0; // of them
     for (std::size_t back = 1; back <= state.count; ++back) {
         const sample&  item = state.recent.at((state.next + recent_capacity - back) % recent_capacity);
         const duration age = now - item.at;
@@ -163,7 +155,6 @@
         if (age > window.longest || (age > window.preferred && has_enough)) break;
         if (item.was_refused) {
             ++refused;
-            quick += item.was_quick ? 1 : 0;
         } else {
             delays.at(processed++) = item.delay;
         }
@@ -171,9 +162,9 @@
     const std::size_t samples = processed + refused;
     if (samples < window.min_samples) return std::nullopt;
     const duration waiting = processed == 0 ? duration::zero() : quantile_of({delays.data(), processed});
-    const auto     counted = static_cast<int>(waiting >= min_refusal_wait ? refused : quick);
     duration       refusing{};
-    if (counted > 0 && is_refusing(state, now)) refusing = delay_of_refusals * counted / static_cast<int>(samples);
+    if (refused > 0 && waiting >= min_refusal_wait && is_refusing(state, now))
+        refusing = delay_of_refusals * static_cast<int>(refused) / static_cast<int>(samples);
     return queue_estimate{std::max({waiting, refusing, duration::zero()}), samples};
 }
 
--- a/entry/congestion.h
+++ b/entry/congestion.h
@@ -63,7 +63,6 @@
         steady_time at{};
         duration    delay{};
         bool        was_refused = false;
-        bool        was_quick = false; // the refusal took less time than any work
     };
     struct backend_answers {
         steady_time last_refused{};
@@ -82,10 +81,13 @@
         duration    time{};
         steady_time at{};
     };
+    struct answer {
+        duration      time{};
+        std::uint32_t bytes = 0; // covered by the first acknowledgement
+    };
     // The usual time is a low value of several periods, so that it is not raised by an overload.
     struct route_state {
-        std::vector<duration>                 period{};          // answer times of the current period
-        std::vector<std::uint32_t>            period_sizes{};    // bytes of the same answers
+        std::vector<answer>                   period{};          // the latest of the current period
         double                                usual_size = 0;    // bytes; 0: unknown
         unsigned                              short_answers = 0; // in a row
         steady_time                           period_start{};
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -64,18 +64,18 @@
 steering_decision steering::decide_syn(const segment& packet, steady_time now) {
     if (store_replica_.routing() == nullptr || !store_replica_.is_complete())
         return {packet_action::drop, decision_reason::not_synchronized};
-    const route* matched_route = store_replica_.find_route(packet.destination);
+    tracked_flow* tracked = flows_.find(packet);
+    const route*  matched_route = store_replica_.find_route(packet.destination);
     if (matched_route == nullptr) {
         // While the store is unavailable, a route may have been added that this balancer does not know.
         if (!store_replica_.store_available_since()) return {packet_action::drop, decision_reason::no_route};
-        return {packet_action::reset, decision_reason::no_route};
+        return refuse_syn(packet, decision_reason::no_route, tracked != nullptr);
     }
-    tracked_flow* tracked = flows_.find(packet);
-    if (tracked != nullptr && tracked->is_open) {
-        // A late retransmission of the SYN of an open flow.
+    if (tracked != nullptr && tracked->is_open && !is_syn_of_other_flow(packet, *tracked)) {
+        // A late retransmission of the SYN of an open flow, which its caller does not need any more.
         const known_backend* backend = store_replica_.find_backend(tracked->reference);
         if (backend != nullptr && !backend->removed_at) {
-            if (!store_replica_.is_evacuated(backend->registration.failure_domain))
+            if (placement_.allows(*backend, *matched_route))
                 return {packet_action::deliver, decision_reason::placed_again, backend};
             // The flow is open and needs no SYN, unless it has ended elsewhere and its caller reuses the port.
             const bool may_be_copy = packet.acknowledged > 0 || now < tracked->last_seen + syn_copy_time;
@@ -85,9 +85,21 @@
     return place(packet, *matched_route, tracked, now);
 }
 
+// Another balancer may have delivered the first transmission of a SYN that this one does not track: the caller may have
+// opened the flow since, and a reset would end it.
+steering_decision steering::refuse_syn(const segment& packet, decision_reason reason, bool is_tracked) {
+    const bool may_have_been_delivered = packet.acknowledged > 0 && !is_tracked;
+    return {may_have_been_delivered ? packet_action::drop : packet_action::reset, reason};
+}
+
+// The caller has reused the port of a flow whose end did not pass this balancer.
+bool steering::is_syn_of_other_flow(const segment& packet, const tracked_flow& flow) {
+    return flow.syn_was_seen && packet.sequence != flow.syn_sequence;
+}
+
 // Callers number their retransmissions of a SYN. The network may also duplicate a packet, which keeps its number.
 bool steering::is_syn_retransmission(const segment& packet, const tracked_flow& flow) {
-    if (flow.is_closing) return false;
+    if (flow.is_closing || is_syn_of_other_flow(packet, flow)) return false;
     return packet.acknowledged > 0 || (!flow.is_open && packet.sequence == flow.next_sequence);
 }
 
@@ -119,8 +131,9 @@
     const std::string&   preferred_domain = spillover_.choose_domain(drawn.service, now);
     const known_backend* chosen = placement_.choose(matched_route, drawn, preferred_domain, tried, now);
     if (chosen == nullptr) {
-        if (tracked == nullptr) admission_.note_refused(packet, now);
-        return {packet_action::reset, decision_reason::no_backend};
+        const steering_decision refusal = refuse_syn(packet, decision_reason::no_backend, tracked != nullptr);
+        if (tracked == nullptr && refusal.action == packet_action::reset) admission_.note_refused(packet, now);
+        return refusal;
     }
     if (is_retransmission) {
         flows_.reassign(*tracked, chosen->reference);
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -105,6 +105,7 @@
 
     steering_decision decide_syn(const segment& packet, steady_time now);
     steering_decision decide_later_packet(const segment& packet, steady_time now);
+    static bool       is_syn_of_other_flow(const segment& packet, const tracked_flow& flow);
     static bool       is_syn_retransmission(const segment& packet, const tracked_flow& flow);
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
     void note_progress(const route& matched_route, const known_backend& backend, const flow_progress& progress,
@@ -117,6 +118,7 @@
     bool is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
     bool is_confirmed_since_first_packet(const segment& packet, steady_time now);
+    static steering_decision refuse_syn(const segment& packet, decision_reason reason, bool is_tracked);
     static steering_decision refuse(const segment& packet, decision_reason reason, bool is_proved);
     steering_decision        refuse_unrouted(const segment& packet, const tracked_flow* flow, steady_time now);
     steering_decision refuse_removed(const segment& packet, const known_backend& backend, const tracked_flow* flow,
--- a/tests/entry_steering_test.cpp
+++ b/tests/entry_steering_test.cpp
@@ -176,6 +176,22 @@
     BOOST_TEST((refused.reason == decision_reason::no_backend));
 }
 
+// Another balancer may have delivered the first SYN: the caller may have opened the flow since, and a reset would end
+// it although its backend server is alive.
+BOOST_AUTO_TEST_CASE(a_retransmitted_syn_that_is_not_tracked_is_not_reset) {
+    for (std::uint64_t identity = 1; identity <= 3; ++identity) {
+        auto draining = registration_of(identity, identity == 3 ? "south" : "north");
+        draining.state = backend_state::draining;
+        store_replica.apply(backend_record(10 + identity, draining), time.steady_now());
+    }
+    const auto copy = decide(syn_packet(2, 1));
+    BOOST_TEST((copy.action == packet_action::drop));
+    BOOST_TEST((copy.reason == decision_reason::no_backend));
+    segment unrouted = syn_packet(3, 1);
+    unrouted.destination.port = 9;
+    BOOST_TEST((decide(unrouted).action == packet_action::drop));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(open_flows, two_domain_fixture)
@@ -362,6 +378,24 @@
     BOOST_TEST(other_count < 150);
 }
 
+// The sum of the weights exceeds 32 bits.
+BOOST_AUTO_TEST_CASE(a_split_route_with_large_weights_follows_them) {
+    balancer_fixture balancer;
+    const route      split{
+        "split", service_address, {{"desk", 4'000'000'000}, {"ledger", 4'000'000'000}}, request_kind::idempotent};
+    auto other = registration_of(2);
+    other.service = "ledger";
+    balancer.load_records(
+        {configuration_record(1, 1, {split}), backend_record(2, registration_of(1)), backend_record(3, other)}, 3);
+    int other_count = 0;
+    for (std::uint16_t port = 1; port <= 200; ++port) {
+        if (balancer.decide(syn_packet(port)).backend->registration.identity == 2) ++other_count;
+    }
+    // 200 draws at one half: mean 100, standard deviation 7.1. A sum that wraps around gives none.
+    BOOST_TEST(other_count > 60);
+    BOOST_TEST(other_count < 140);
+}
+
 // Guards against flows that leave their route's regions when the backend servers there are gone, evacuated or silent.
 struct regions_fixture : balancer_fixture {
     steering regional_decisions{
