--- a/daemons/entry/report_socket.h
+++ b/daemons/entry/report_socket.h
@@ -15,7 +15,7 @@
 
 namespace tamarack::entry {
 
-// Datagrams that did not arrive or were not decoded.
+// Datagrams that were not handled or not sent, by reason.
 struct report_datagram_counters {
     std::uint64_t malformed = 0; // or of another version of the protocol
     std::uint64_t unauthenticated = 0;
--- a/daemons/entry/status_page.cpp
+++ b/daemons/entry/status_page.cpp
@@ -82,7 +82,7 @@
 
 std::string format_outlooks(const flow_explanation& explanation) {
     std::string text;
-    for (const service_outlook& outlook : explanation.outlooks) {
+    for (const service_flow_status& outlook : explanation.outlooks) {
         text += format_line("admission", {{"service", outlook.service},
                                           {"refusing", outlook.status.is_refusing ? "yes" : "no"},
                                           {"admitted_share", format_hundredths(outlook.admitted_share)},
--- a/entry/admission.cpp
+++ b/entry/admission.cpp
@@ -10,12 +10,16 @@
 namespace {
 
 constexpr duration    update_interval = std::chrono::milliseconds(100);
-constexpr duration    max_update_gap = std::chrono::seconds(2); // after it the state is out of date
-constexpr double      rate_smoothing = 0.5;                     // seconds
+// Without an update for longer, as in a pause of the process, the state is out of date.
+constexpr duration    max_update_gap = std::chrono::seconds(2);
+constexpr double      rate_smoothing = 0.5; // seconds
 // Target of the delay: a part of the response-time goal and a small multiple of the usual time.
 constexpr int         goal_divisor = 16;
-constexpr double      usual_factor = 1.2;
+constexpr double      usual_factor = 1.2; // a queue of a few requests keeps the slots busy
 constexpr duration    min_target = std::chrono::milliseconds(15);
+// The error of the delay is 1 - delay / target: positive below the target, -1 at twice the target.
+constexpr double      min_error = -2.0;
+constexpr double      max_error = 1.0;
 // The delay must be twice the target for this long before flows are refused: a few long requests are no overload.
 constexpr double      begin_error = -1.0;
 constexpr duration    begin_time = std::chrono::milliseconds(400);
@@ -34,8 +38,9 @@
 constexpr duration    saturation_time = std::chrono::milliseconds(500);
 // Moves the rates of the balancers towards the same share of their demand, per second.
 constexpr double      equalizing_gain = 0.4;
-constexpr double      min_share = 0.02;       // of all work
-constexpr double      min_route_share = 0.05; // of each route's flows
+constexpr double      min_share = 0.02; // of all work: without answers, no delay can be seen
+// Of each route's flows: the callers of a low priority must not starve.
+constexpr double      min_route_share = 0.05;
 constexpr double      max_rate_factor = 1.3;  // of the demand
 constexpr double      open_rate_factor = 1.1; // of the demand; above it the rate no longer binds
 // Callers send the last retransmission of a SYN after 600 ms, and abandon it after 1.4 s.
@@ -43,23 +48,23 @@
 constexpr std::size_t max_refused = 16'384;
 constexpr std::size_t max_changes = 64; // that wait to be logged
 constexpr duration    demand_retention = std::chrono::minutes(1);
-constexpr double      unknown_work = 0.03; // seconds
+constexpr double      unknown_work = 0.03; // seconds; only its ratio to the work of other routes matters
 
 double to_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
 }
 
 // Of a route, or of its demand.
-bool states_a_goal(const auto& item) {
+bool asks_for_admission_control(const auto& item) {
     return item.priority > 0 || item.response_goal > duration::zero();
 }
 
 } // namespace
 
-admission::admission(congestion& waiting, std::uint64_t random_seed) : waiting_(waiting), random_(random_seed) {}
+admission::admission(congestion& waiting, std::uint64_t random_seed) : congestion_(waiting), random_(random_seed) {}
 
 admission::admission(const admission& other, congestion& waiting)
-    : waiting_(waiting), random_(other.random_), services_(other.services_), refused_(other.refused_),
+    : congestion_(waiting), random_(other.random_), services_(other.services_), refused_(other.refused_),
       refused_order_(other.refused_order_) {}
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -73,7 +78,7 @@
     // Another balancer may have delivered the first SYN.
     if (syn.acknowledged > 0) return true;
     service_state& state = services_[service];
-    if (!states_a_goal(matched_route) && state.routes.empty()) return true;
+    if (!asks_for_admission_control(matched_route) && state.routes.empty()) return true;
     const auto [at, is_new] = state.routes.try_emplace(matched_route.name);
     route_demand& demand = at->second;
     if (is_new) demand.credit = std::uniform_real_distribution<double>()(random_);
@@ -82,14 +87,14 @@
     demand.time_limit = matched_route.time_limit;
     demand.last_arrival = now;
     ++demand.arrivals;
-    if (!has_policy(state)) {
+    if (!is_controlled(state)) {
         if (state.is_refusing) set_refusing(service, state, false);
         services_.erase(service);
         return true;
     }
     update(service, state, now);
     // A SYN is only refused if its retransmissions can be refused, too.
-    const bool        is_admitted = refused_order_.size() >= max_refused || draw(state, demand);
+    const bool        is_admitted = refused_order_.size() >= max_refused || take_credit(state, demand);
     admission_counts& counts = counts_[matched_route.priority];
     ++(is_admitted ? counts.admitted : counts.refused);
     if (!is_admitted) note_refused(syn, now);
@@ -104,8 +109,8 @@
 }
 
 // The configuration may have changed since the routes had their first flows.
-bool admission::has_policy(const service_state& state) {
-    return std::ranges::any_of(state.routes, [](const auto& item) { return states_a_goal(item.second); });
+bool admission::is_controlled(const service_state& state) {
+    return std::ranges::any_of(state.routes, [](const auto& item) { return asks_for_admission_control(item.second); });
 }
 
 bool admission::was_refused(flow_key key, const segment& syn) const {
@@ -114,7 +119,7 @@
 }
 
 // Admits evenly distributed flows, which keeps the queues shorter than independent draws.
-bool admission::draw(const service_state& state, route_demand& demand) {
+bool admission::take_credit(const service_state& state, route_demand& demand) {
     if (!state.is_refusing) return true;
     const bool has_limit = demand.time_limit > duration::zero();
     if (has_limit && to_seconds(state.delay) + demand.work > to_seconds(demand.time_limit)) return false; // too late
@@ -166,10 +171,10 @@
     }
     const double seconds = to_seconds(elapsed);
     update_rates(service, state, seconds);
-    const auto delay = waiting_.lowest_delay(service, now);
+    const auto delay = congestion_.lowest_delay(service, now);
     state.delay = delay.value_or(duration::zero());
     state.target = target_of(state);
-    const double error = std::clamp(1.0 - to_seconds(state.delay) / to_seconds(state.target), -2.0, 1.0);
+    const double error = std::clamp(1.0 - to_seconds(state.delay) / to_seconds(state.target), min_error, max_error);
     if (state.is_refusing) {
         adjust(service, state, error, seconds, now);
     } else {
@@ -181,7 +186,7 @@
     const double weight = 1.0 - std::exp(-seconds / rate_smoothing);
     state.offered_rate = 0;
     for (auto& [name, demand] : state.routes) {
-        const duration usual = waiting_.usual_time(service, name);
+        const duration usual = congestion_.usual_time(service, name);
         demand.work = usual == duration::zero() ? unknown_work : to_seconds(usual);
         const auto arrivals = static_cast<double>(std::exchange(demand.arrivals, 0));
         demand.arrival_rate += weight * (arrivals / seconds - demand.arrival_rate);
@@ -216,8 +221,9 @@
 
 void admission::adjust(const std::string& service, service_state& state, double error, double seconds,
                        steady_time now) {
-    if (is_only_slow(service, state, error, seconds, now)) {
-        waiting_.relearn(service);
+    state.smoothed_error += (1.0 - std::exp(-seconds / error_smoothing)) * (error - state.smoothed_error);
+    if (note_slowness(service, state, now)) {
+        congestion_.relearn(service);
         return set_refusing(service, state, false);
     }
     const double offered = std::max(state.offered_rate, std::numeric_limits<double>::min());
@@ -245,15 +251,13 @@
 }
 
 // Backend servers may have become slow without being full: the delay stays, whatever is refused.
-bool admission::is_only_slow(const std::string& service, service_state& state, double error, double seconds,
-                             steady_time now) const {
-    state.smoothed_error += (1.0 - std::exp(-seconds / error_smoothing)) * (error - state.smoothed_error);
+bool admission::note_slowness(const std::string& service, service_state& state, steady_time now) const {
     if (state.smoothed_error >= 0) {
         state.delayed_since.reset();
         return false;
     }
     if (!state.delayed_since) state.delayed_since = now;
-    return now - std::max(*state.delayed_since, waiting_.last_refusal(service)) >= slowness_time;
+    return now - std::max(*state.delayed_since, congestion_.last_refusal(service)) >= slowness_time;
 }
 
 // By priority; within a priority those first that serve most requests with the same work.
--- a/entry/admission.h
+++ b/entry/admission.h
@@ -4,7 +4,8 @@
 // at a rate that follows the delay, and serves the routes in the order of their priority within that rate. All
 // balancers of a failure domain see the same backend servers, and come to the same rates without messages.
 //
-// Only a first SYN is ever refused, and its retransmissions are refused with it: a refusal means that nothing ran.
+// A flow is refused at the first transmission of its SYN or not at all; retransmissions of a refused SYN are refused,
+// too. So a refusal means that nothing has run.
 #pragma once
 
 #include "entry/congestion.h"
@@ -96,20 +97,20 @@
     };
 
     bool        was_refused(flow_key key, const segment& syn) const;
-    static bool has_policy(const service_state& state);
-    static bool draw(const service_state& state, route_demand& demand);
+    static bool is_controlled(const service_state& state);
+    static bool take_credit(const service_state& state, route_demand& demand);
     void        update(const std::string& service, service_state& state, steady_time now);
     void        update_rates(const std::string& service, service_state& state, double seconds);
     duration    target_of(const service_state& state) const;
     void        watch(const std::string& service, service_state& state, double error, steady_time now);
     void        adjust(const std::string& service, service_state& state, double error, double seconds, steady_time now);
-    bool        is_only_slow(const std::string& service, service_state& state, double error, double seconds,
-                             steady_time now) const;
+    // Returns whether the backend servers have become slow without being full.
+    bool        note_slowness(const std::string& service, service_state& state, steady_time now) const;
     static void share_out(service_state& state);
     void        set_refusing(const std::string& service, service_state& state, bool is_refusing);
     void        forget_refused(steady_time now);
 
-    congestion&                                 waiting_;
+    congestion&                                 congestion_;
     random_source                               random_;
     std::map<std::string, service_state>        services_; // by name
     std::unordered_map<flow_key, std::uint32_t> refused_;  // sequence numbers; the entries of refused_order_
--- a/entry/backend_condition.cpp
+++ b/entry/backend_condition.cpp
@@ -35,11 +35,11 @@
 constexpr std::size_t max_waiting_callers = 4'096;
 constexpr duration    proof_response_age = std::chrono::milliseconds(300);
 
-// Time over which the balancers return to a backend server. With 20 balancers it gets as many first flows a second as
-// in usual operation, while a single one takes 20 in an instant, which exceeds its slots and queue.
-constexpr duration return_time = std::chrono::seconds(2);
-// Of a backend server that returns: chosen only if the others are busy.
-constexpr double   return_cost_factor = 3.0;
+// All balancers see the recovery of a backend server at once. Their first flows spread over this time, so that they do
+// not exceed its slots and queue.
+constexpr duration recovery_time = std::chrono::seconds(2);
+// Of a backend server that recovers: chosen only if the others are busy.
+constexpr double   recovery_cost_factor = 3.0;
 
 // Counts other backend servers that the predicate selects and that have responded since, up to the limit.
 template <class Selects>
@@ -169,7 +169,7 @@
     state.reported_at = {};
     state.reported_until = {};
     state.stalled_flows = {};
-    state.returning_until = now + random_part(return_time);
+    state.recovering_until = now + random_part(recovery_time);
 }
 
 void backend_conditions::end_conditions(steady_time now) {
@@ -243,7 +243,7 @@
     unsigned& failures = flows_.activity(backend.reference).consecutive_failures;
     while (backoff_limit(avoidance_backoff, failures) < std::min(validity, avoidance_backoff.cap))
         ++failures;
-    state.returning_until = {};
+    state.recovering_until = {};
 }
 
 void backend_conditions::accept_well(backend_reference reference, const condition_report& report, steady_time now) {
@@ -300,8 +300,8 @@
     const double         factor = outliers_.cost_factor(reference, now);
     const backend_state* state = find_state(reference);
     if (state == nullptr) return factor;
-    const bool is_returning = now < state->returning_until || has_responded(reference, *state);
-    return is_returning ? std::max(factor, return_cost_factor) : factor;
+    const bool is_recovering = now < state->recovering_until || has_responded(reference, *state);
+    return is_recovering ? std::max(factor, recovery_cost_factor) : factor;
 }
 
 // Nothing is answered to a caller whose own link is at fault.
@@ -350,7 +350,7 @@
                   [&](const auto& item) { return now > item.second.last_retransmission + proof_retention; });
     std::erase_if(states_, [&](const auto& reference_and_state) {
         const auto& [reference, state] = reference_and_state;
-        if (now < std::max(state.reported_until, state.returning_until)) return false;
+        if (now < std::max(state.reported_until, state.recovering_until)) return false;
         const bool is_registered = store_replica_.find_backend(reference) != nullptr;
         return !is_registered || flows_.find_activity(reference) == nullptr;
     });
--- a/entry/backend_condition.h
+++ b/entry/backend_condition.h
@@ -23,6 +23,9 @@
     repeated_packet, // retransmitted, or on different flows
 };
 
+// Losses in a short time after which the own link is taken to be at fault.
+inline constexpr std::size_t suspicious_loss_count = 3;
+
 class backend_conditions {
 public:
     backend_conditions(const replica& store_replica, flow_tracker& flows, std::uint64_t random_seed);
@@ -103,12 +106,12 @@
         duration         validity{};
         bool             must_report = false; // the observation was not handed out yet
         bool             must_report_well = false;
-        steady_time      last_answer{}; // to a request rather than a SYN, since the observation
+        steady_time      last_answer{}; // latest answer to a request rather than a SYN
         // Report of another balancer, valid until a response that is not older.
         steady_time      reported_at{};    // of the observation; the epoch: none
         steady_time      reported_until{}; // end of the avoidance
         // All balancers see the end of the condition at once; this one waits until then with new flows.
-        steady_time      returning_until{};
+        steady_time      recovering_until{};
 
         std::array<stalled_flow, 2> stalled_flows{}; // different flows, the latest ones
     };
@@ -146,7 +149,7 @@
     std::unordered_map<backend_reference, backend_state> states_;          // of registered backend servers only
     std::map<ip_address, waiting_caller>                 waiting_callers_; // of the last seconds
     steady_time                                          last_pause_end_{};
-    std::array<steady_time, 3>                           losses_{}; // the latest ones, in order
+    std::array<steady_time, suspicious_loss_count>       losses_{}; // the latest ones, in order
 };
 
 } // namespace tamarack::entry
--- a/entry/congestion.cpp
+++ b/entry/congestion.cpp
@@ -19,7 +19,8 @@
 constexpr unsigned    max_short_answers = 256;
 // Delay that a share of refusals stands for: a fifth of the requests refused equals a delay of 50 ms.
 constexpr duration    delay_of_refusals = std::chrono::milliseconds(250);
-// Refusals count if more than this part of the backend servers has refused requests within this time.
+// Slow backend servers fill up and refuse while others are free. Refusals count if more than this part of the backend
+// servers has refused requests within this time.
 constexpr double      min_refusing_share = 0.45;
 constexpr duration    refusal_memory = std::chrono::seconds(2);
 constexpr std::size_t first_period_samples = 32;
@@ -44,7 +45,7 @@
     const duration answer_time = *progress.answer_time;
     if (now - answer_time < measured_since_) return answer_kind::processed;
     route_state&   usual = routes_[{backend.service, route}];
-    const bool     was_refused = is_short(usual, progress.answered_bytes);
+    const bool     was_refused = note_size(usual, progress.answered_bytes);
     const duration delay = usual.usual == duration::zero() ? duration::zero() : answer_time - usual.usual;
     domain_state&  state = domains_[{backend.service, backend.failure_domain}];
     state.recent.at(state.next) = {now, delay, was_refused};
@@ -70,7 +71,7 @@
     return static_cast<double>(refusing) > min_refusing_share * static_cast<double>(answering);
 }
 
-bool congestion::is_short(route_state& state, std::uint32_t answered_bytes) {
+bool congestion::note_size(route_state& state, std::uint32_t answered_bytes) {
     if (answered_bytes >= short_answer_part * state.usual_size) {
         state.short_answers = 0;
         return false;
--- a/entry/congestion.h
+++ b/entry/congestion.h
@@ -109,7 +109,8 @@
     std::optional<queue_estimate> estimate_in(const std::string& service, const std::string& failure_domain,
                                               const sample_window& window, steady_time now) const;
     static bool                   is_refusing(const domain_state& state, steady_time now);
-    static bool                   is_short(route_state& state, std::uint32_t answered_bytes);
+    // Returns whether the answer is much shorter than usual.
+    static bool                   note_size(route_state& state, std::uint32_t answered_bytes);
     static void note_usual(route_state& state, duration answer_time, std::uint32_t answered_bytes, steady_time now);
     static void note_usual_size(route_state& state);
 
--- a/entry/pending_syns.cpp
+++ b/entry/pending_syns.cpp
@@ -16,7 +16,7 @@
 constexpr duration                travel_margin = std::chrono::milliseconds(10);
 // Later packets may use this part of the room, since a SYN that is not held costs its caller more.
 constexpr std::size_t             later_packet_divisor = 2;
-// A slot processes about three requests of 30 ms in this interval.
+// Limits the released SYNs to about what the slots can process in an interval.
 constexpr duration                release_interval = std::chrono::milliseconds(100);
 constexpr std::size_t             syns_per_slot = 3; // in one interval
 
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -36,8 +36,6 @@
         return "region_not_allowed";
     case exclusion::warmup_limit:
         return "warmup_limit";
-    case exclusion::tried_before:
-        return "tried_before";
     case exclusion::unresponsive:
         return "unresponsive";
     case exclusion::other_service:
@@ -98,12 +96,13 @@
     return handshake_factor * flows_.handshake_time() + handshake_margin;
 }
 
-// Whether choose takes the backend server for unresponsive, also if it has not noticed yet.
+bool placement::has_overdue_syn(const backend_activity& activity, steady_time now) const {
+    return activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout();
+}
+
+// Whether choose would treat the backend server as unresponsive, without recording it.
 bool placement::is_avoided(backend_reference reference, steady_time now) const {
-    const backend_activity& activity = std::as_const(flows_).activity(reference);
-    const bool              is_answer_missing =
-        activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout();
-    return is_answer_missing || conditions_.is_avoided(reference, now);
+    return has_overdue_syn(std::as_const(flows_).activity(reference), now) || conditions_.is_avoided(reference, now);
 }
 
 //----------------------------------------------------------------------------------------------------------------------
@@ -137,8 +136,7 @@
         const exclusion rule = rule_against(*candidate, matched_route, drawn.returning_position, now);
         if (rule != exclusion::none && rule != exclusion::returning) continue;
         const backend_activity& activity = flows_.activity(candidate->reference);
-        if (activity.unanswered_syns > 0 && now >= activity.first_unanswered_syn + syn_answer_timeout())
-            note_overdue_syns(candidate->reference, activity, now);
+        if (has_overdue_syn(activity, now)) note_overdue_syns(candidate->reference, activity, now);
         const steady_time avoided_until = conditions_.avoided_until(candidate->reference);
         if (candidate->reference == tried || now < avoided_until) {
             const bool ends_first =
--- a/entry/placement.h
+++ b/entry/placement.h
@@ -4,8 +4,9 @@
 // candidate: for this flow only, or for all new flows. Of the others the one with the lowest cost is chosen.
 //
 // Load pattern: many short flows and some long ones with pauses, over backend servers with few slots each, of which
-// some may be unresponsive, warming up or in another failure domain. Only this balancer's own counts are used for the
-// cost: load reports lag, and health probes occupy slots.
+// some may be unresponsive, warming up or in another failure domain. The load of a backend server is counted by this
+// balancer itself, since load reports lag and health probes occupy slots. Reports of other balancers can exclude a
+// backend server or raise its cost.
 #pragma once
 
 #include "entry/backend_condition.h"
@@ -16,14 +17,13 @@
 
 namespace tamarack::entry {
 
-// Why a candidate is not chosen, whatever its cost is.
+// Why a candidate is not chosen, or only if there is no other.
 enum class exclusion : std::uint8_t {
     none,
     evacuated,          // the operator has evacuated its failure domain
     returning,          // the evacuation of its failure domain has just ended, and flows return gradually
     region_not_allowed, // the route allows other regions only
     warmup_limit,       // it is warming up, and this balancer may place no further flow on it now
-    tried_before,       // a SYN of this flow went there and was not answered
     unresponsive,       // it has not responded lately; chosen if there is no other candidate
     other_service,      // the route is split, and this flow falls to another service
 };
@@ -92,8 +92,9 @@
     void offer(choice& best, const known_backend& candidate, std::string_view preferred_domain, steady_time now) const;
     std::string_view region_of(const known_backend& backend) const; // empty: none
     bool             is_in_allowed_region(const known_backend& backend, const route& matched_route) const;
+    bool             has_overdue_syn(const backend_activity& activity, steady_time now) const;
     bool             is_avoided(backend_reference reference, steady_time now) const;
-    // Exclusions that hold for every new flow of the route. Returning domains take a part of the flows.
+    // The first rule that excludes the backend server from a new flow. Responsiveness is checked separately.
     exclusion        rule_against(const known_backend& backend, const route& matched_route, double returning_position,
                                   steady_time now) const;
     std::string_view usable_domain(const route& matched_route, const flow_draw& drawn,
--- a/entry/orphaned_flows.cpp
+++ b/entry/removed_backends.cpp
@@ -1,21 +1,21 @@
 // Removals of the replica since the last check.
-#include "entry/orphaned_flows.h"
+#include "entry/removed_backends.h"
 
 #include <utility>
 
 namespace tamarack::entry {
 
-void orphaned_flows::update(steady_time now) {
+void removed_backends::update(steady_time now) {
     if (store_replica_.generation() == checked_generation_) return;
     for (const auto& [key, backend] : store_replica_.backends()) {
-        if (backend.removed_at && *backend.removed_at >= checked_at_) ended_backends_.insert(backend.reference);
+        if (backend.removed_at && *backend.removed_at >= checked_at_) removed_.insert(backend.reference);
     }
     checked_generation_ = store_replica_.generation();
     checked_at_ = now;
 }
 
-std::unordered_set<backend_reference> orphaned_flows::take_ended_backends() {
-    auto ended = std::exchange(ended_backends_, {});
+std::unordered_set<backend_reference> removed_backends::take_removed() {
+    auto ended = std::exchange(removed_, {});
     // Another backend server may have the reference now, or the same one has registered again.
     std::erase_if(ended, [&](backend_reference reference) {
         const known_backend* backend = store_replica_.find_backend(reference);
--- a/entry/orphaned_flows.h
+++ b/entry/removed_backends.h
@@ -1,4 +1,4 @@
-// Finds the backend servers that have ended and may still have idle flows here.
+// Notes the backend servers that were removed since the last look, and may still have idle flows here.
 //
 // Load pattern: callers keep flows open with pauses of seconds between their requests. When a backend server ends
 // without closing its flows, the next request on each of them would be lost, and a request that must not run twice is
@@ -12,18 +12,18 @@
 
 namespace tamarack::entry {
 
-class orphaned_flows {
+class removed_backends {
 public:
-    explicit orphaned_flows(const replica& store_replica) : store_replica_(store_replica) {}
+    explicit removed_backends(const replica& store_replica) : store_replica_(store_replica) {}
 
     // Notes removals. Cheap unless the replica has changed.
     void                                  update(steady_time now);
     // Backend servers that have been removed since the last call, and not registered again.
-    std::unordered_set<backend_reference> take_ended_backends();
+    std::unordered_set<backend_reference> take_removed();
 
 private:
     const replica&                        store_replica_;
-    std::unordered_set<backend_reference> ended_backends_;
+    std::unordered_set<backend_reference> removed_;
     std::uint64_t                         checked_generation_ = 0; // of the replica
     steady_time                           checked_at_{};
 };
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -190,7 +190,8 @@
          change_effect::after_restart,
          [](std::string_view text, settings& values) { return parse_number(text, 1.0, 100.0, values.warmup_overrun); }},
         {"limits", "warmup_slack", false, "0 to 100000",
-         "New flows in a second that a backend server may get beyond that during its warm-up. Default 0.",
+         "New flows per second that a backend server may get in addition to its rate times warmup_overrun during its "
+         "warm-up. Default 0.",
          change_effect::after_restart,
          [](std::string_view text, settings& values) {
              return parse_number(text, 0.0, 100'000.0, values.warmup_slack);
--- a/entry/spillover.cpp
+++ b/entry/spillover.cpp
@@ -11,8 +11,8 @@
 constexpr duration update_interval = std::chrono::milliseconds(500);
 constexpr duration max_update_gap = std::chrono::seconds(5); // after it the shares are out of date
 // What a request must gain to cross failure domains, besides the longer handshake: bytes between domains are charged.
-constexpr duration crossing_price = std::chrono::milliseconds(15);
-// Gains between the price and the price plus or minus this change nothing.
+constexpr duration crossing_penalty = std::chrono::milliseconds(15);
+// A gain, less the penalty, of at most this in either direction changes nothing.
 constexpr duration hysteresis = std::chrono::milliseconds(6);
 // Share per second that moves at a gain of gain_unit. It grows with the square of the gain: quick while the own domain
 // is full, slow near the balance.
@@ -29,11 +29,11 @@
 
 spillover::spillover(std::string own_domain, const replica& store_replica, const congestion& waiting,
                      std::uint64_t random_seed)
-    : own_domain_(std::move(own_domain)), store_replica_(store_replica), waiting_(waiting), random_(random_seed) {}
+    : own_domain_(std::move(own_domain)), store_replica_(store_replica), congestion_(waiting), random_(random_seed) {}
 
 spillover::spillover(const spillover& other, const congestion& waiting)
-    : own_domain_(other.own_domain_), store_replica_(other.store_replica_), waiting_(waiting), random_(other.random_),
-      services_(other.services_) {}
+    : own_domain_(other.own_domain_), store_replica_(other.store_replica_), congestion_(waiting),
+      random_(other.random_), services_(other.services_) {}
 
 const std::string& spillover::choose_domain(const std::string& service, steady_time now) {
     service_state& state = services_[service];
@@ -65,11 +65,11 @@
 
 double spillover::changed_share(const std::string& service, const std::string& failure_domain, double share,
                                 double seconds, steady_time now) const {
-    const auto     own = waiting_.estimate(service, own_domain_, now);
-    const auto     other = waiting_.coarse_estimate(service, failure_domain, now);
+    const auto     own = congestion_.estimate(service, own_domain_, now);
+    const auto     other = congestion_.coarse_estimate(service, failure_domain, now);
     const duration own_delay = own ? own->delay : duration::zero();
     const duration other_delay = other ? other->delay : duration::zero();
-    const duration gain = own_delay - other_delay - price_of(service, failure_domain);
+    const duration gain = own_delay - other_delay - penalty_of(service, failure_domain);
     if (gain > hysteresis && !other) return std::max(share, probe_share);
     const double units = std::min(max_gain, std::abs(std::chrono::duration<double>(gain) / gain_unit));
     const double step = move_rate * units * units * seconds;
@@ -78,10 +78,10 @@
     return share;
 }
 
-duration spillover::price_of(const std::string& service, const std::string& failure_domain) const {
-    const duration own = waiting_.handshake_time(service, own_domain_);
-    const duration other = waiting_.handshake_time(service, failure_domain);
-    return crossing_price + std::max(duration::zero(), other - own);
+duration spillover::penalty_of(const std::string& service, const std::string& failure_domain) const {
+    const duration own = congestion_.handshake_time(service, own_domain_);
+    const duration other = congestion_.handshake_time(service, failure_domain);
+    return crossing_penalty + std::max(duration::zero(), other - own);
 }
 
 std::set<std::string> spillover::other_domains(const std::string& service) const {
--- a/entry/spillover.h
+++ b/entry/spillover.h
@@ -38,12 +38,12 @@
     void     update(const std::string& service, service_state& state, steady_time now);
     double   changed_share(const std::string& service, const std::string& failure_domain, double share, double seconds,
                            steady_time now) const;
-    duration price_of(const std::string& service, const std::string& failure_domain) const;
+    duration penalty_of(const std::string& service, const std::string& failure_domain) const;
     std::set<std::string> other_domains(const std::string& service) const;
 
     std::string                          own_domain_;
     const replica&                       store_replica_;
-    const congestion&                    waiting_;
+    const congestion&                    congestion_;
     random_source                        random_;
     std::map<std::string, service_state> services_; // by name
 };
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -45,13 +45,13 @@
       placement_({settings.failure_domain, settings.regions, settings.warmup}, store_replica, flows_, conditions_,
                  random_seed),
       admission_(congestion_, random_seed),
-      spillover_(settings.failure_domain, store_replica, congestion_, random_seed), orphaned_flows_(store_replica) {}
+      spillover_(settings.failure_domain, store_replica, congestion_, random_seed), removed_backends_(store_replica) {}
 
 steering::steering(const steering& other, without_flows)
     : settings_(other.settings_), store_replica_(other.store_replica_), flows_(other.flows_.without_flows()),
       conditions_(other.conditions_, flows_), placement_(other.placement_, flows_, conditions_),
       congestion_(other.congestion_), admission_(other.admission_, congestion_),
-      spillover_(other.spillover_, congestion_), orphaned_flows_(store_replica_) {}
+      spillover_(other.spillover_, congestion_), removed_backends_(store_replica_) {}
 
 steering_decision steering::decide(const segment& packet, steady_time now) {
     return packet.syn ? decide_syn(packet, now) : decide_later_packet(packet, now);
@@ -125,7 +125,7 @@
         tried = tracked->reference;
     }
     const placement::flow_draw drawn = placement_.draw(matched_route);
-    // A flow that is tracked may have been delivered before: it is never refused.
+    // Admission applies to untracked flows only: a tracked one may have been delivered before.
     if (tracked == nullptr && !admission_.admit(matched_route, drawn.service, packet, now))
         return {packet_action::reset, decision_reason::not_admitted};
     const std::string&   preferred_domain = spillover_.choose_domain(drawn.service, now);
@@ -207,7 +207,7 @@
         decision.reason = decision_reason::stalled;
         conditions_.note_stalled(reference, *flow, key_of(packet), now);
     }
-    if (flow != nullptr && gains_by_reset(packet, *matched_route, *backend, now)) {
+    if (flow != nullptr && should_reset_request(packet, *matched_route, *backend, now)) {
         flows_.note_reset(*flow, now);
         decision.action = packet_action::reset;
         decision.reason = decision_reason::backend_unresponsive;
@@ -225,10 +225,10 @@
     admission_.note_answer(registration.service, matched_route.name, kind);
 }
 
-// Load pattern: the callers of a dark backend server have long flows, on which they begin requests with a time limit of
-// some seconds, until its registration ends after about as long.
-bool steering::gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
-                              steady_time now) const {
+// Load pattern: the callers of a backend server that has fallen silent have long flows, on which they begin requests
+// with a time limit of some seconds, until its registration ends after about as long.
+bool steering::should_reset_request(const segment& packet, const route& matched_route, const known_backend& backend,
+                                    steady_time now) const {
     return packet.payload_size > 0 && !packet.rst && is_idempotent(matched_route.kind) &&
            conditions_.is_proven_unresponsive(backend, now);
 }
@@ -259,9 +259,9 @@
 // A removal counts when the store has confirmed it and has been available for long enough: registrations may expire
 // during an outage although their backend servers live. A backend server that is proven unresponsive is not waited for.
 std::vector<segment> steering::end_orphaned_flows(steady_time now) {
-    orphaned_flows_.update(now);
+    removed_backends_.update(now);
     std::unordered_set<backend_reference> lost_backends;
-    if (is_settled(now)) lost_backends = orphaned_flows_.take_ended_backends();
+    if (is_settled(now)) lost_backends = removed_backends_.take_removed();
     for (const backend_reference reference : conditions_.proven_unresponsive(now))
         lost_backends.insert(reference);
     if (lost_backends.empty()) return {};
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "entry/admission.h"
-#include "entry/orphaned_flows.h"
 #include "entry/placement.h"
+#include "entry/removed_backends.h"
 #include "entry/spillover.h"
 #include "entry/unknown_flows.h"
 
@@ -49,7 +49,7 @@
 };
 
 // Whether a service takes new flows of a route, and where they go.
-struct service_outlook {
+struct service_flow_status {
     std::string                   service;
     admission_status              status{};
     double                        admitted_share = 1.0; // of the route's new flows
@@ -58,11 +58,11 @@
 
 // Explains the destination of a flow. The pointers are valid until the next packet or change of the replica.
 struct flow_explanation {
-    const route*                   matched_route = nullptr; // null: no route has the address
-    const tracked_flow*            flow = nullptr;          // null: this balancer does not track the flow
-    steering_decision              next_decision{};         // if the next packet is the SYN of a new flow on the route
-    std::vector<backend_candidate> candidates{};            // for that flow; those that may be chosen first
-    std::vector<service_outlook>   outlooks{};              // by service of the route
+    const route*                     matched_route = nullptr; // null: no route has the address
+    const tracked_flow*              flow = nullptr;          // null: this balancer does not track the flow
+    steering_decision                next_decision{}; // if the next packet is the SYN of a new flow on the route
+    std::vector<backend_candidate>   candidates{};    // for that flow; those that may be chosen first
+    std::vector<service_flow_status> outlooks{};      // by service of the route
 };
 
 struct steering_settings {
@@ -112,8 +112,8 @@
                        steady_time now);
     // A reset lets the caller repeat the request on another backend server at once, and nothing runs twice that must
     // not.
-    bool gains_by_reset(const segment& packet, const route& matched_route, const known_backend& backend,
-                        steady_time now) const;
+    bool should_reset_request(const segment& packet, const route& matched_route, const known_backend& backend,
+                              steady_time now) const;
     bool is_stalled(const tracked_flow& flow, steady_time now);
     bool is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
@@ -132,7 +132,7 @@
     congestion         congestion_;
     admission          admission_;
     spillover          spillover_;
-    orphaned_flows     orphaned_flows_;
+    removed_backends   removed_backends_;
     unknown_flows      unknown_flows_; // whose route or backend server the replica lacks
 };
 
