Reset open flows only when the store has confirmed that their backend server has ended

Cause: a full backend server answers nothing for a while. Silence on two flows for 450 ms while others answer was taken for a proof that it does not respond, for idempotent requests and for idle flows. No packet that a balancer sees tells a full server from a dead one.

Change: both resets are gone, and with them their proof. Idle flows are still reset when the registration has ended.

--- a/entry/backend_condition.cpp
+++ b/entry/backend_condition.cpp
@@ -28,13 +28,6 @@
 // A silence that ends earlier was a loss rather than a condition.
 constexpr duration min_condition_time = std::chrono::seconds(2);
 
-// Callers retransmit data after 200 ms and after 400 ms and 800 ms more.
-constexpr duration    proof_silence = std::chrono::milliseconds(450);
-constexpr duration    proof_recency = std::chrono::seconds(1);   // of the last retransmission
-constexpr duration    proof_retention = std::chrono::seconds(3); // of the other flow's last retransmission
-constexpr std::size_t max_waiting_callers = 4'096;
-constexpr duration    proof_response_age = std::chrono::milliseconds(300);
-
 // All balancers see the recovery of a backend server at once. Their first flows spread over this time, so that they do
 // not exceed its slots and queue.
 constexpr duration recovery_time = std::chrono::seconds(2);
@@ -61,8 +54,8 @@
 
 backend_conditions::backend_conditions(const backend_conditions& other, flow_tracker& flows)
     : store_replica_(other.store_replica_), flows_(flows), random_(other.random_),
-      outliers_(other.outliers_, flows, avoidance()), states_(other.states_), waiting_callers_(other.waiting_callers_),
-      last_pause_end_(other.last_pause_end_), losses_(other.losses_) {}
+      outliers_(other.outliers_, flows, avoidance()), states_(other.states_), last_pause_end_(other.last_pause_end_),
+      losses_(other.losses_) {}
 
 response_outliers::avoidance_query backend_conditions::avoidance() const {
     return [this](backend_reference reference, steady_time now) { return is_avoided(reference, now); };
@@ -112,16 +105,6 @@
     state.must_report_well = false;
 }
 
-void backend_conditions::note_stalled(backend_reference reference, const tracked_flow& flow, flow_key key,
-                                      steady_time now) {
-    note_unresponsive(reference, silence_evidence::repeated_packet, flow.last_progress, now);
-    backend_state* state = find_state(reference);
-    if (state == nullptr) return;
-    auto& stalled = state->stalled_flows;
-    if (stalled[0].flow != key) std::swap(stalled[0], stalled[1]);
-    stalled[0] = {key, flow.caller.address, flow.last_progress, now};
-}
-
 void backend_conditions::note_loss(steady_time now) {
     std::rotate(losses_.begin(), losses_.begin() + 1, losses_.end());
     losses_.back() = now;
@@ -129,7 +112,6 @@
 
 void backend_conditions::note_progress(const known_backend& backend, request_kind kind, const segment& packet,
                                        const tracked_flow& flow, const flow_progress& progress, steady_time now) {
-    note_waiting_caller(packet.source.address, progress, now);
     if (progress.starts_request) outliers_.note_request(backend, kind, key_of(packet), now);
     backend_state* state = progress.answer_time ? find_state(backend.reference) : nullptr;
     if (state != nullptr) state->last_answer = now;
@@ -137,15 +119,6 @@
         outliers_.note_answer(backend, kind, flow, *progress.answer_time, now);
 }
 
-void backend_conditions::note_waiting_caller(const ip_address& caller, const flow_progress& progress, steady_time now) {
-    if (progress.acknowledges_data && !waiting_callers_.empty()) {
-        const auto found = waiting_callers_.find(caller);
-        if (found != waiting_callers_.end()) found->second.last_answer = now;
-    }
-    if (progress.is_retransmission && waiting_callers_.size() < max_waiting_callers)
-        waiting_callers_[caller].last_retransmission = now;
-}
-
 void backend_conditions::note_pause(steady_time now) {
     last_pause_end_ = now;
     outliers_.forget_waiting_requests();
@@ -168,7 +141,6 @@
     state.evidence = silence_evidence::single_packet;
     state.reported_at = {};
     state.reported_until = {};
-    state.stalled_flows = {};
     state.recovering_until = now + random_part(recovery_time);
 }
 
@@ -304,50 +276,10 @@
     return is_recovering ? std::max(factor, recovery_cost_factor) : factor;
 }
 
-// Nothing is answered to a caller whose own link is at fault.
-bool backend_conditions::are_independent(const stalled_flow& left, const stalled_flow& right) const {
-    if (left.caller != right.caller) return true;
-    const auto caller = waiting_callers_.find(left.caller);
-    return caller != waiting_callers_.end() &&
-           caller->second.last_answer >= std::max(left.silent_since, right.silent_since) + response_margin;
-}
-
-bool backend_conditions::is_proven_unresponsive(const known_backend& backend, steady_time now) const {
-    const backend_state* state = find_state(backend.reference);
-    if (state == nullptr || is_own_fault_likely(now) || !store_replica_.is_current(now)) return false;
-    const steady_time response = last_response(backend.reference);
-    const auto        attests = [&](const stalled_flow& stalled, duration max_age) {
-        return stalled.last_seen != steady_time{} && now <= stalled.last_seen + max_age &&
-               now >= stalled.silent_since + proof_silence && response <= stalled.silent_since;
-    };
-    const bool is_reported = now < state->reported_until && response < state->reported_at;
-    const auto& [latest, other_flow] = state->stalled_flows;
-    const bool is_attested =
-        attests(latest, proof_recency) &&
-        (is_reported || (attests(other_flow, proof_retention) && are_independent(latest, other_flow)));
-    if (!is_attested) return false;
-    const auto is_near = [&](const known_backend& other) {
-        return other.registration.failure_domain == backend.registration.failure_domain;
-    };
-    return count_responding(store_replica_, flows_, backend, now - proof_response_age, is_near) >=
-           min_responding_backends;
-}
-
-std::vector<backend_reference> backend_conditions::proven_unresponsive(steady_time now) const {
-    std::vector<backend_reference> proven;
-    for (const auto& [reference, state] : states_) {
-        const known_backend* backend = store_replica_.find_backend(reference);
-        if (backend != nullptr && is_proven_unresponsive(*backend, now)) proven.push_back(reference);
-    }
-    return proven;
-}
-
 void backend_conditions::expire(steady_time now) {
     end_conditions(now);
     outliers_.expire(now);
     outliers_.update(now);
-    std::erase_if(waiting_callers_,
-                  [&](const auto& item) { return now > item.second.last_retransmission + proof_retention; });
     std::erase_if(states_, [&](const auto& reference_and_state) {
         const auto& [reference, state] = reference_and_state;
         if (now < std::max(state.reported_until, state.recovering_until)) return false;
--- a/entry/backend_condition.h
+++ b/entry/backend_condition.h
@@ -42,8 +42,6 @@
     // request.
     void note_unresponsive(backend_reference reference, silence_evidence evidence, steady_time silent_since,
                            steady_time now);
-    // A request on the flow was retransmitted and is stalled.
-    void note_stalled(backend_reference reference, const tracked_flow& flow, flow_key key, steady_time now);
     // The backend server answers, but a packet went unanswered: it was lost, maybe on this balancer's own link.
     void note_loss(steady_time now);
     // What a packet of the flow has shown about its request.
@@ -74,11 +72,6 @@
     bool        is_outlier(backend_reference reference) const { return outliers_.is_outlier(reference); }
     // By which the cost of a new flow is multiplied; at least 1.
     double      cost_factor(backend_reference reference, steady_time now) const;
-    // The backend server does not respond although this balancer and the network work, so that an open flow whose
-    // request may run twice loses nothing by a reset.
-    bool        is_proven_unresponsive(const known_backend& backend, steady_time now) const;
-    // All for which that holds.
-    std::vector<backend_reference> proven_unresponsive(steady_time now) const;
 
     // Finds outliers. Part of expire and take_reports; does nothing unless an update is due.
     void        update(steady_time now) { outliers_.update(now); }
@@ -90,13 +83,6 @@
     std::size_t outlier_count() const { return outliers_.outlier_count(); }
 
 private:
-    struct stalled_flow {
-        flow_key    flow = 0;
-        ip_address  caller;
-        steady_time silent_since{}; // when its request was forwarded
-        steady_time last_seen{};    // last retransmission; the epoch: none
-    };
-
     struct backend_state {
         // Own observation, valid until a response that is not older.
         bool             is_unresponsive = false;
@@ -112,19 +98,8 @@
         steady_time      reported_until{}; // end of the avoidance
         // All balancers see the end of the condition at once; this one waits until then with new flows.
         steady_time      recovering_until{};
-
-        std::array<stalled_flow, 2> stalled_flows{}; // different flows, the latest ones
-    };
-
-    // Caller that has retransmitted a request.
-    struct waiting_caller {
-        steady_time last_retransmission{};
-        steady_time last_answer{}; // of any backend server, since the first retransmission
     };
 
-    // The stalled flows have no cause in common but the backend server.
-    bool                 are_independent(const stalled_flow& left, const stalled_flow& right) const;
-    void                 note_waiting_caller(const ip_address& caller, const flow_progress& progress, steady_time now);
     backend_state*       find_state(backend_reference reference);
     const backend_state* find_state(backend_reference reference) const;
     steady_time          last_response(backend_reference reference) const;
@@ -146,8 +121,7 @@
     flow_tracker&                                        flows_;
     random_source                                        random_;
     response_outliers                                    outliers_;
-    std::unordered_map<backend_reference, backend_state> states_;          // of registered backend servers only
-    std::map<ip_address, waiting_caller>                 waiting_callers_; // of the last seconds
+    std::unordered_map<backend_reference, backend_state> states_; // of registered backend servers only
     steady_time                                          last_pause_end_{};
     std::array<steady_time, suspicious_loss_count>       losses_{}; // the latest ones, in order
 };
--- a/entry/flow_tracker.cpp
+++ b/entry/flow_tracker.cpp
@@ -103,7 +103,6 @@
         flow.is_open = true;
         ++activity.open_flows;
     }
-    progress.acknowledges_data = acknowledges_answer;
     if (acknowledges_answer) {
         if (completes_handshake && !flow.syn_was_retransmitted) {
             progress.handshake_time = now - flow.first_syn;
--- a/entry/flow_tracker.h
+++ b/entry/flow_tracker.h
@@ -53,7 +53,6 @@
     std::optional<duration> answer_time{};             // from the request to the first acknowledgement of an answer
     bool                    starts_request = false;    // on a flow that waited for no answer
     std::uint32_t           answered_bytes = 0;        // that the acknowledgement of answer_time covers
-    bool                    acknowledges_data = false; // that the caller has not acknowledged before
     bool                    is_retransmission = false; // it carries data that the caller has sent before
 };
 
--- a/entry/steering.cpp
+++ b/entry/steering.cpp
@@ -33,9 +33,8 @@
 
 std::string_view to_string(decision_reason reason) {
     static constexpr std::array<std::string_view, decision_reason_count> names = {
-        "placed",      "placed_again", "placed_elsewhere", "by_reference",      "stalled",      "by_flow",
-        "no_route",    "no_backend",   "not_synchronized", "unknown_reference", "backend_gone", "backend_unresponsive",
-        "not_admitted"};
+        "placed",   "placed_again", "placed_elsewhere", "by_reference",      "stalled",      "by_flow",
+        "no_route", "no_backend",   "not_synchronized", "unknown_reference", "backend_gone", "not_admitted"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -205,12 +204,7 @@
     if (packet.reference != reference) decision.reason = decision_reason::by_flow;
     if (decision.progress.is_retransmission && is_stalled(*flow, now)) {
         decision.reason = decision_reason::stalled;
-        conditions_.note_stalled(reference, *flow, key_of(packet), now);
-    }
-    if (flow != nullptr && should_reset_request(packet, *matched_route, *backend, now)) {
-        flows_.note_reset(*flow, now);
-        decision.action = packet_action::reset;
-        decision.reason = decision_reason::backend_unresponsive;
+        conditions_.note_unresponsive(reference, silence_evidence::repeated_packet, flow->last_progress, now);
     }
     return decision;
 }
@@ -225,15 +219,8 @@
     admission_.note_answer(registration.service, matched_route.name, kind);
 }
 
-// Load pattern: the callers of a backend server that has fallen silent have long flows, on which they begin requests
-// with a time limit of some seconds, until its registration ends after about as long.
-bool steering::should_reset_request(const segment& packet, const route& matched_route, const known_backend& backend,
-                                    steady_time now) const {
-    return packet.payload_size > 0 && !packet.rst && is_idempotent(matched_route.kind) &&
-           conditions_.is_proven_unresponsive(backend, now);
-}
-
-// A reset may break a flow that is alive, so that it takes a proof. Without it the packet is dropped, and the caller
+// A reset may break a flow that is alive, so that it takes a proof by the store: a backend server that answers nothing
+// may only be full. Without it the packet is dropped, and the caller
 // retransmits it. A caller's reset is never answered.
 steering_decision steering::refuse(const segment& packet, decision_reason reason, bool is_proved) {
     const bool resets = is_proved && !packet.rst;
@@ -257,13 +244,11 @@
 }
 
 // A removal counts when the store has confirmed it and has been available for long enough: registrations may expire
-// during an outage although their backend servers live. A backend server that is proven unresponsive is not waited for.
+// during an outage although their backend servers live.
 std::vector<segment> steering::end_orphaned_flows(steady_time now) {
     removed_backends_.update(now);
     std::unordered_set<backend_reference> lost_backends;
     if (is_settled(now)) lost_backends = removed_backends_.take_removed();
-    for (const backend_reference reference : conditions_.proven_unresponsive(now))
-        lost_backends.insert(reference);
     if (lost_backends.empty()) return {};
     std::vector<segment> resets;
     for (tracked_flow* flow : flows_.idle_flows(lost_backends)) {
--- a/entry/steering.h
+++ b/entry/steering.h
@@ -21,21 +21,20 @@
 
 // Reason for a decision; names a counter and is a log field.
 enum class decision_reason : std::uint8_t {
-    placed,               // new flow
-    placed_again,         // retransmitted SYN, delivered to the same backend server
-    placed_elsewhere,     // retransmitted SYN; the first backend server has not responded
-    by_reference,         // later packet
-    stalled,              // later packet that retransmits data; the backend server has not responded in the meantime
-    by_flow,              // later packet whose reference differs from the backend server that the flow is pinned to
-    no_route,             // no route has the address
-    no_backend,           // the service has no backend server that takes new flows
-    not_synchronized,     // the replica is not complete yet
-    unknown_reference,    // no backend server has the reference; it may belong to one that is not known yet
-    backend_gone,         // the flow's backend server has been removed
-    backend_unresponsive, // idempotent request; the flow's backend server is proven not to respond
-    not_admitted,         // new flow; the service is short of capacity, and others go first
+    placed,            // new flow
+    placed_again,      // retransmitted SYN, delivered to the same backend server
+    placed_elsewhere,  // retransmitted SYN; the first backend server has not responded
+    by_reference,      // later packet
+    stalled,           // later packet that retransmits data; the backend server has not responded in the meantime
+    by_flow,           // later packet whose reference differs from the backend server that the flow is pinned to
+    no_route,          // no route has the address
+    no_backend,        // the service has no backend server that takes new flows
+    not_synchronized,  // the replica is not complete yet
+    unknown_reference, // no backend server has the reference; it may belong to one that is not known yet
+    backend_gone,      // the flow's backend server has been removed
+    not_admitted,      // new flow; the service is short of capacity, and others go first
 };
-inline constexpr std::size_t decision_reason_count = 13;
+inline constexpr std::size_t decision_reason_count = 12;
 
 std::string_view to_string(packet_action action); // past tense, as the outcome of a packet
 std::string_view to_string(decision_reason reason);
@@ -83,8 +82,8 @@
 
     steering_decision         decide(const segment& packet, steady_time now);
     flow_explanation          explain(const endpoint& caller, const endpoint& route_address, steady_time now) const;
-    // Idle flows whose backend server has ended or is proven unresponsive, to be reset now: the segments name the
-    // caller, the route and the caller's last acknowledgement. To be called at every tick.
+    // Idle flows whose backend server has ended, to be reset now: the segments name the caller, the route and the
+    // caller's last acknowledgement. To be called at every tick.
     std::vector<segment>      end_orphaned_flows(steady_time now);
     void                      expire(steady_time now);
     const flow_tracker&       flows() const { return flows_; }
@@ -110,10 +109,6 @@
     steering_decision place(const segment& packet, const route& matched_route, tracked_flow* tracked, steady_time now);
     void note_progress(const route& matched_route, const known_backend& backend, const flow_progress& progress,
                        steady_time now);
-    // A reset lets the caller repeat the request on another backend server at once, and nothing runs twice that must
-    // not.
-    bool should_reset_request(const segment& packet, const route& matched_route, const known_backend& backend,
-                              steady_time now) const;
     bool is_stalled(const tracked_flow& flow, steady_time now);
     bool is_settled(steady_time now) const;
     // Also records when the first packet of the flow arrived, if it is this one.
