--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -17,7 +17,7 @@
 int main(int argc, char** argv) {
     if (argc != 2) return 2;
     run_record     record(argv[1]);
-    world_settings settings{.zones = {"north", "east", "south"}, .machines_per_zone = {3, 3, 3}, .extra_limits = {}, .services = {}};
+    world_settings settings{.zones = {"north", "east", "south"}, .machines_per_zone = {3, 3, 3}, .extra_limits = {}};
     world          w(settings, record);
     w.open_client_sockets();
     w.platform_store.put("op/config", configuration(2, {{1, "desk"}}, service_row("desk")));
@@ -71,7 +71,6 @@
     is_over = true;
     record.line("%u flows opened, %lu requests sent, %lu answered, %u resets of open flows, %u of them break FLOW", opened,
                 w.sent, w.answered, seen, broken);
-    w.end_processes();
-    if (w.answered < w.sent / 2) return 2;
-    return broken > 0 ? 1 : 0;
+    if (w.answered < w.sent / 2) w.give_up("too few requests were answered");
+    w.finish(broken > 0 ? 1 : 0);
 }
--- a/review/harness-2/store.h
+++ b/review/harness-2/store.h
@@ -129,6 +129,9 @@
     }
 
 private:
+    static constexpr std::size_t page_items = 500;
+    static constexpr std::size_t page_bytes = 1'048'576;
+
     struct event {
         std::string         key;
         std::uint64_t       revision;
@@ -310,11 +313,16 @@
             const std::string prefix = parameter(target, "prefix");
             const std::string after = parameter(target, "after");
             std::string       items;
+            std::size_t       count = 0;
+            bool              has_more = false;
             for (const auto& [key, stored] : content_.items) {
                 if (key.rfind(prefix, 0) != 0 || (!after.empty() && key <= after)) continue;
+                has_more = count >= page_items || (count > 0 && items.size() + stored.value.size() > page_bytes);
+                if (has_more) break;
                 items += (items.empty() ? "" : ",") + json_of(key, stored);
+                ++count;
             }
-            text = "{\"items\":[" + items + "],\"has_more\":false" + revision_text;
+            text = "{\"items\":[" + items + "],\"has_more\":" + (has_more ? "true" : "false") + revision_text;
         } else if (target.find("/tamarackshore/kv-key") == 0) {
             const auto found = content_.items.find(parameter(target, "key"));
             status = found == content_.items.end() ? 404 : 200;
--- a/review/harness-2/world.h
+++ b/review/harness-2/world.h
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <set>
@@ -26,7 +27,7 @@
     std::vector<unsigned>    machines_per_zone;
     double                   heartbeat = 0.77; // seconds
     std::string              extra_limits;     // lines of the settings' [limits]
-    std::string              services;         // names of the services in the configuration, as JSON objects
+    bool                     has_log_pipes = false; // a collector reads the logs of the processes from pipes
 };
 
 // A client attempt to open a flow and to send requests on it.
@@ -109,7 +110,8 @@
     bool                  is_removed = false;
     std::atomic<unsigned> misses{misses_to_leave};
     std::atomic<bool>     is_in_rotation{false};
-    double                last_disruption = -100;
+    int                   log_reader = -1; // of the pipe, which stays the same over restarts
+    int                   log_writer = -1;
 };
 
 class world {
@@ -140,8 +142,7 @@
 
     [[noreturn]] void give_up(const char* reason) {
         record.line("the case cannot run: %s", reason);
-        end_processes();
-        std::_Exit(2);
+        finish(2);
     }
 
     //------------------------------------------------------------------------------------------------------------------
@@ -174,6 +175,13 @@
     }
     void start(machine& on) {
         write_settings(on);
+        if (settings_.has_log_pipes && on.log_writer < 0) {
+            int ends[2];
+            if (::pipe2(ends, O_CLOEXEC) != 0) give_up("no pipe");
+            ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+            on.log_reader = ends[0];
+            on.log_writer = ends[1];
+        }
         on.first_start = false;
         on.restart_at = 0;
         const std::string log = folder_ + "/" + on.name + ".log";
@@ -181,7 +189,8 @@
         on.pid = ::fork();
         if (on.pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int out = on.log_writer >= 0 ? on.log_writer
+                                               : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
             char* arguments[] = {const_cast<char*>("target/tamarack-entry"), nullptr};
@@ -206,7 +215,13 @@
             each->pid = 0;
         }
     }
-    const std::string& folder() const { return folder_; }
+    // Ends the processes and this program at once, since the threads of the store and the readiness checks go on.
+    [[noreturn]] void finish(int status) {
+        end_processes();
+        std::error_code ignored;
+        std::filesystem::remove_all(folder_, ignored);
+        std::_Exit(status);
+    }
 
     // Starts all machines, waits until they are in rotation; false: they are not.
     bool start_all() {
@@ -354,6 +369,7 @@
     };
     std::function<bool(const machine&)>                               keeps_down = [](const machine&) { return false; };
 
+    bool                                  is_collector_stopped = false; // reads no logs
     run_record&                           record;
     store                                 platform_store{record};
     timed_events                          events;
@@ -408,7 +424,16 @@
     // Processes and routers
     //------------------------------------------------------------------------------------------------------------------
 
+    void collect_logs() {
+        if (is_collector_stopped) return;
+        char bytes[65536];
+        for (auto& each : machines) {
+            while (each->log_reader >= 0 && ::read(each->log_reader, bytes, sizeof bytes) > 0) {
+            }
+        }
+    }
     void step_processes() {
+        collect_logs();
         for (auto& each : machines) {
             int status = 0;
             if (each->pid > 0 && ::waitpid(each->pid, &status, WNOHANG) == each->pid) {
