--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in review/*/case.cpp; do
+for case in review/*/case.cc; do
     number=$(basename "$(dirname "$case")")
     grep -q harness-2 "$case" || continue
     "${CXX:-g++}" -std=c++20 -O2 -pthread -Wall -Wextra -o "target/review-2/case-$number" "$case"
