--- a/review/8/case.cpp
+++ b/review/7/case.cc
@@ -1,6 +1,6 @@
 // The collector of the logs stops reading the standard output of the processes. The check is Fault: a program does not
 // start, or no request is served, although machines, links, store and targets are undisturbed.
-#include "../harness-2/world.h"
+#include "../harness-2/world.hh"
 
 using namespace rv;
 
