--- a/review/harness-2/world.hh
+++ b/review/harness-2/world.hh
@@ -293,7 +293,7 @@
     // Clients
     //------------------------------------------------------------------------------------------------------------------
 
-    // The route's address is 198.18.0.NUMBER:8443.
+    // The route's address is 127.18.0.NUMBER:8443.
     client_flow& open_flow(unsigned zone, unsigned route_number, const std::string& service, unsigned requests,
                            double pause, double time_limit) {
         auto added = std::make_unique<client_flow>();
@@ -301,7 +301,7 @@
         added->zone = zone;
         added->client = ipv4(127, network_, 10 + zone, 1 + added->number % clients_per_zone);
         added->port = static_cast<std::uint16_t>(1'024 + added->number % 60'000);
-        added->route = ipv4(198, 18, 0, route_number);
+        added->route = ipv4(127, 18, 0, route_number);
         added->route_port = 8443;
         added->service = service;
         added->started_at = now();
@@ -795,7 +795,7 @@
     std::string rows;
     for (const route_row& row : routes) {
         rows += (rows.empty() ? "" : ",") + std::string("{\"name\":\"r-") + std::to_string(row.number) +
-                "\",\"host\":\"198.18.0." + std::to_string(row.number) + "\",\"prefix\":\"/8443/\",\"type\":\"" +
+                "\",\"host\":\"127.18.0." + std::to_string(row.number) + "\",\"prefix\":\"/8443/\",\"type\":\"" +
                 row.type + "\",\"timeout_ms\":2500,\"aim_ms\":250,\"priority\":1,\"service\":\"" + row.service +
                 "\",\"max_attempts\":2}";
     }
