Write the log of the entry balancer without a wait for its reader

A killed process did not start again with the same pipe, and SIGTERM ended none.

Cause: event_log::flush wrote to standard output in the only thread and relied on EAGAIN, but nothing makes an inherited pipe nonblocking. Evidence on with a full named pipe: the process sleeps in pipe_write, within write on descriptor 1, the open file lacks O_NONBLOCK, and the process is still there 2 s after SIGTERM.

Change: a thread (tamarack/log_writer) writes the lines and waits; the event loop appends them to a buffer of 256 KB. Beyond it lines are dropped and counted (log_lines_dropped, field dropped of T6005). Why it works: no call of the event loop reaches the descriptor any more, whatever it is and whoever shares it, and the flags of the open file stay as they are. A summary that finds no room keeps its counts. Error messages of the start and of a crash are discarded if standard error is full.

--- a/daemons/entry/entry_metrics.h
+++ b/daemons/entry/entry_metrics.h
@@ -16,7 +16,8 @@
     std::size_t                          slow_backend_servers = 0;    // with fewer new flows for it
     std::uint64_t                        rejected_requests = 0;       // of followers without the feeder's key
     unsigned                             restarts = 0;                // of this process, after exceptions
-    std::uint64_t                        omitted_log_lines = 0;
+    std::uint64_t                        omitted_log_lines = 0;       // beyond their rate, or dropped
+    std::uint64_t                        dropped_log_lines = 0;       // the reader of the log was too far behind
     std::uint64_t                        failed_accepts = 0;
     std::size_t                          missing_listeners = 0;    // optional ones that are not open
     std::uint64_t                        warmup_flows = 0;         // placed on backend servers under a warm-up limit
--- a/daemons/entry/entry_process.cpp
+++ b/daemons/entry/entry_process.cpp
@@ -108,8 +108,8 @@
 } // namespace
 
 struct entry_process::impl {
-    impl(const settings& initial_settings, std::string path, const clock& time_source, udp_socket socket,
-         unsigned restart_count);
+    impl(const settings& initial_settings, std::string path, const clock& time_source, log_writer& log_output,
+         udp_socket socket, unsigned restart_count);
 
     std::optional<std::string> open_listeners(); // the reason if a required one cannot be opened
     void                       start();
@@ -176,9 +176,9 @@
 };
 
 entry_process::impl::impl(const settings& initial_settings, std::string path, const clock& time_source,
-                          udp_socket socket, unsigned restart_count)
+                          log_writer& log_output, udp_socket socket, unsigned restart_count)
     : current_settings(initial_settings), settings_path(std::move(path)), time(time_source),
-      log(time_source, initial_settings.name),
+      log(time_source, initial_settings.name, log_output),
       sync(store_replica, make_source_settings(initial_settings), random_number()),
       slot_claim(make_claim_settings(initial_settings, own_feed_key), store_replica, random_number()),
       flow_steering({.failure_domain = initial_settings.failure_domain,
@@ -470,6 +470,7 @@
                                  .rejected_requests = rejected_requests,
                                  .restarts = restarts,
                                  .omitted_log_lines = log.omitted_lines(),
+                                 .dropped_log_lines = log.dropped_lines(),
                                  .failed_accepts = http_listeners.failed_accepts(),
                                  .missing_listeners = http_listeners.missing() + (peer_reports.is_open() ? 0 : 1),
                                  .warmup_flows = flow_steering.warmup().placed_count(),
@@ -499,12 +500,13 @@
 entry_process::entry_process(std::unique_ptr<impl> implementation) : impl_(std::move(implementation)) {}
 entry_process::~entry_process() = default;
 
-result<std::unique_ptr<entry_process>, std::string>
-entry_process::open(const settings& initial_settings, std::string settings_path, const clock& time, unsigned restarts) {
+result<std::unique_ptr<entry_process>, std::string> entry_process::open(const settings& initial_settings,
+                                                                        std::string settings_path, const clock& time,
+                                                                        log_writer& log_output, unsigned restarts) {
     auto socket = udp_socket::open(initial_settings.packets_address, {.receive_buffer = receive_buffer_size});
     if (!socket) return socket.error();
-    auto implementation =
-        std::make_unique<impl>(initial_settings, std::move(settings_path), time, std::move(socket).value(), restarts);
+    auto implementation = std::make_unique<impl>(initial_settings, std::move(settings_path), time, log_output,
+                                                 std::move(socket).value(), restarts);
     if (auto reason = implementation->open_listeners()) return std::move(*reason);
     return std::unique_ptr<entry_process>(new entry_process(std::move(implementation)));
 }
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -57,6 +57,7 @@
 
 int main(int argc, char** argv) {
     prepare_environment();
+    discard_unread_errors(); // the log goes to standard output
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
--- a/daemons/entry/startup.cpp
+++ b/daemons/entry/startup.cpp
@@ -52,7 +52,7 @@
         if (report_.is_due(to_string(read.problems), time_.steady_now())) log_.note_settings_problems(read.problems);
         return nullptr;
     }
-    auto process = entry_process::open(*read.values, settings_path_, time_, restarts_);
+    auto process = entry_process::open(*read.values, settings_path_, time_, output_, restarts_);
     if (!process) {
         if (report_.is_due(process.error(), time_.steady_now())) log_.note_socket_failed(process.error());
         return nullptr;
--- a/daemons/entry/startup.h
+++ b/daemons/entry/startup.h
@@ -12,6 +12,8 @@
 #include "entry/event_log.h"
 #include "tamarack/waiting_report.h"
 
+#include <unistd.h>
+
 namespace tamarack::entry {
 
 class startup {
@@ -29,8 +31,9 @@
 
     std::string    settings_path_;
     const clock&   time_;
-    event_log      log_{time_, "starting"}; // the name of the balancer is not known yet
-    std::string    latest_text_;            // of the settings file
+    log_writer     output_{STDOUT_FILENO};           // outlives a balancer that ends by an exception
+    event_log      log_{time_, "starting", output_}; // the name of the balancer is not known yet
+    std::string    latest_text_;                     // of the settings file
     steady_time    text_changed_at_{};
     unsigned       restarts_ = 0; // after exceptions
     waiting_report report_;
--- a/entry/event_log.cpp
+++ b/entry/event_log.cpp
@@ -1,20 +1,17 @@
 // Events of the structured log.
 #include "entry/event_log.h"
 
-#include <cerrno>
 #include <ctime>
-#include <unistd.h>
 #include <utility>
 
 namespace tamarack::entry {
 
 namespace {
 
-constexpr std::size_t max_unwritten = 262'144; // bytes
-constexpr double      failure_lines_per_second = 30.0;
-constexpr double      placement_lines_per_second = 10.0;
-constexpr double      request_lines_per_second = 10.0;
-constexpr duration    summary_interval = std::chrono::seconds(1);
+constexpr double   failure_lines_per_second = 30.0;
+constexpr double   placement_lines_per_second = 10.0;
+constexpr double   request_lines_per_second = 10.0;
+constexpr duration summary_interval = std::chrono::seconds(1);
 
 std::string timestamp(wall_time now) {
     // Rounded down, since a host without a clock of its own may start before 1970.
@@ -52,38 +49,38 @@
 
 } // namespace
 
-event_log::event_log(const clock& time, std::string balancer)
-    : time_(time), balancer_(std::move(balancer)),
+event_log::event_log(const clock& time, std::string balancer, log_writer& output)
+    : time_(time), balancer_(std::move(balancer)), output_(output),
       failure_budget_(failure_lines_per_second, failure_lines_per_second, time.steady_now()),
       placement_budget_(placement_lines_per_second, placement_lines_per_second, time.steady_now()),
       request_budget_(request_lines_per_second, request_lines_per_second, time.steady_now()),
       summary_due_(time.steady_now() + summary_interval) {}
 
+std::string event_log::line_of(event number, std::initializer_list<event_field> fields) const {
+    return timestamp(time_.wall_now()) + " " + balancer_ + " " + format_event(number, fields) + "\n";
+}
+
 void event_log::write(event number, std::initializer_list<event_field> fields) {
-    std::string line = timestamp(time_.wall_now()) + " " + balancer_ + " " + format_event(number, fields) + "\n";
-    if (unwritten_.size() + line.size() > max_unwritten) {
-        ++omitted_lines_;
+    output_.append(line_of(number, fields));
+}
+
+// Without room for it the summary waits: its counts would be lost with it.
+void event_log::write_summary() {
+    const std::uint64_t dropped = output_.unreported_lines();
+    const std::uint64_t count = omitted_lines_ + dropped;
+    if (count == 0) return;
+    if (!output_.append_report(line_of(event::lines_left_out, {{"count", count}, {"dropped", dropped}}), dropped))
         return;
-    }
-    unwritten_ += line;
+    total_omitted_lines_ += std::exchange(omitted_lines_, 0);
 }
 
 void event_log::flush() {
     const steady_time now = time_.steady_now();
-    if (omitted_lines_ > 0 && now >= summary_due_) {
+    if (now >= summary_due_) {
         summary_due_ = now + summary_interval;
-        const std::uint64_t count = std::exchange(omitted_lines_, 0);
-        total_omitted_lines_ += count;
-        write(event::lines_left_out, {{"count", count}});
-    }
-    while (!unwritten_.empty()) {
-        const ssize_t written = ::write(STDOUT_FILENO, unwritten_.data(), unwritten_.size());
-        if (written > 0) {
-            unwritten_.erase(0, static_cast<std::size_t>(written));
-        } else if (written == 0 || errno != EINTR) {
-            return; // the pipe is full or closed; the lines stay buffered
-        }
+        write_summary();
     }
+    output_.flush();
 }
 
 void event_log::note_start() {
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -1,20 +1,22 @@
 // Structured log on standard output: one line per event with key=value fields; docs/events.md lists the event numbers.
 //
-// Never blocks: lines are buffered until the pipe accepts them, and are dropped and counted when the buffer is full.
-// Lines about single packets are rate-limited; failures have a budget of their own, which is larger than those of
-// placements and requests. A summary reports how many lines were omitted.
+// Never waits for the reader of the log: log_writer keeps the lines until it accepts them, and drops and counts them
+// when it is too far behind. Lines about single packets are rate-limited; failures have a budget of their own, which is
+// larger than those of placements and requests. A summary reports how many lines were omitted or dropped.
 #pragma once
 
 #include "entry/settings.h"
 #include "entry/steering.h"
 #include "entry/store_sync.h"
 #include "tamarack/events.h"
+#include "tamarack/log_writer.h"
 
 namespace tamarack::entry {
 
 class event_log {
 public:
-    event_log(const clock& time, std::string balancer);
+    // The lines go to the output, which several logs may share.
+    event_log(const clock& time, std::string balancer, log_writer& output);
 
     void note_start();
     void note_synchronized(duration time_since_start, const replica& store_replica);
@@ -45,22 +47,26 @@
     void note_decision(const segment& packet, const steering_decision& decision, const replica& store_replica,
                        steady_time now);
 
-    // Writes buffered lines as far as the pipe accepts them, and the summary of omitted lines when it is due.
+    // Lets the output write the lines, and the summary when it is due.
     void flush();
 
-    std::uint64_t omitted_lines() const { return total_omitted_lines_ + omitted_lines_; } // since the start
+    // Lines that are not in the log: beyond their rate since the construction, and dropped by the output.
+    std::uint64_t omitted_lines() const { return total_omitted_lines_ + omitted_lines_ + output_.dropped_lines(); }
+    std::uint64_t dropped_lines() const { return output_.dropped_lines(); }
 
 private:
     token_bucket* budget_of(const segment& packet, const steering_decision& decision);
+    std::string   line_of(event number, std::initializer_list<event_field> fields) const;
     void          write(event number, std::initializer_list<event_field> fields);
+    void          write_summary();
 
     const clock&  time_;
     std::string   balancer_;
-    std::string   unwritten_;               // buffered lines
+    log_writer&   output_;
     token_bucket  failure_budget_;          // lines about packets not delivered, or not to the usual backend server
     token_bucket  placement_budget_;        // lines about placed flows
     token_bucket  request_budget_;          // lines about requests on open flows
-    std::uint64_t omitted_lines_ = 0;       // since the last summary
+    std::uint64_t omitted_lines_ = 0;       // beyond their rate, since the last summary
     std::uint64_t total_omitted_lines_ = 0; // until the last summary
     steady_time   summary_due_;
 };
--- a/tamarack/process_environment.cpp
+++ b/tamarack/process_environment.cpp
@@ -4,7 +4,10 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <unistd.h>
 #include <vector>
@@ -21,6 +24,8 @@
 constexpr std::array ignored_signals = {SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM, SIGTTIN, SIGTTOU};
 constexpr std::array handled_signals = {SIGTERM, SIGINT, SIGHUP};
 
+std::terminate_handler library_terminate = nullptr;
+
 void note_request(int signal) {
     (signal == SIGHUP ? has_reload_request : has_stop_request) = 1;
 }
@@ -46,9 +51,17 @@
 // Before the static initializers of libraries, which run before main: gRPC opens a descriptor there.
 [[gnu::section(".preinit_array"), gnu::used]] void (*const open_files_first)() = open_standard_files;
 
+// Before the message of the C++ library that says why it ends the process.
+[[noreturn]] void terminate_without_wait() {
+    discard_unread_errors();
+    library_terminate();
+    std::abort();
+}
+
 } // namespace
 
 void prepare_environment() {
+    library_terminate = std::set_terminate(terminate_without_wait);
     for (const int signal : ignored_signals)
         (void)std::signal(signal, SIG_IGN);
     for (const int signal : handled_signals)
@@ -56,6 +69,15 @@
     unblock_signals();
 }
 
+void discard_unread_errors() {
+    pollfd errors{.fd = STDERR_FILENO, .events = POLLOUT, .revents = 0};
+    if (::poll(&errors, 1, 0) != 0) return; // accepts a message, or fails without a wait
+    const int discarded = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+    if (discarded < 0) return;
+    (void)::dup2(discarded, STDERR_FILENO);
+    (void)::close(discarded);
+}
+
 bool is_stop_requested() {
     return has_stop_request != 0;
 }
@@ -66,6 +88,14 @@
     return true;
 }
 
+void block_handled_signals() {
+    sigset_t signals{};
+    ::sigemptyset(&signals);
+    for (const int signal : handled_signals)
+        ::sigaddset(&signals, signal);
+    (void)::pthread_sigmask(SIG_BLOCK, &signals, nullptr); // fails only for an unknown operation
+}
+
 std::size_t descriptor_limit() {
     constexpr std::size_t usual_limit = 1'024;
     rlimit                limit{};
--- a/tests/entry_event_log_test.cpp
+++ b/tests/entry_event_log_test.cpp
@@ -45,7 +45,8 @@
 BOOST_AUTO_TEST_CASE(a_clock_before_1970_gives_log_lines) {
     const fixed_clock time(wall_time(std::chrono::milliseconds(-1'250)));
     const std::string text = capture_output([&] {
-        event_log log(time, "one");
+        log_writer output(STDOUT_FILENO);
+        event_log  log(time, "one", output);
         log.note_start();
     });
     BOOST_TEST(text.starts_with("1969-12-31T23:59:58.750Z one T1001"), text);
--- a/tests/entry_pending_syns_test.cpp
+++ b/tests/entry_pending_syns_test.cpp
@@ -215,7 +215,8 @@
 
 struct handler_fixture : balancer_fixture {
     boost::asio::io_context context;
-    event_log               log{time, "one"};
+    log_writer              log_output{STDOUT_FILENO};
+    event_log               log{time, "one", log_output};
     udp_socket              backend = udp_socket::open(loopback_endpoint(128, 0)).value();
     udp_socket              fabric = udp_socket::open(loopback_endpoint(129, 0)).value();
     endpoint                address;
--- a/tests/entry_report_socket_test.cpp
+++ b/tests/entry_report_socket_test.cpp
@@ -30,7 +30,8 @@
 struct socket_fixture {
     boost::asio::io_context       context;
     test_clock                    time;
-    event_log                     log{time, "balancer"};
+    log_writer                    log_output{STDOUT_FILENO};
+    event_log                     log{time, "balancer", log_output};
     replica                       store_replica;
     endpoint                      feeder = loopback_endpoint(97, 7'720);
     endpoint                      follower = loopback_endpoint(98, 7'720);
