Write the log of tamarackd without a wait for its reader

The same cause as in the entry balancer: glog writes each line to standard error with a blocking call under its mutex, so that every thread that logs waits for the reader. With a full pipe the balancer did not become ready, answered no operator and was not ended by SIGTERM.

glog_output takes the lines as a sink of glog and hands them to log_writer. Lines that are dropped are reported by T6005, at most once a second.

--- a/daemons/tamarackd.cpp
+++ b/daemons/tamarackd.cpp
@@ -1,11 +1,13 @@
 // tamarackd: runs one balancer with the settings of a file.
 #include "tamarack/clock.h"
 #include "tamarack/events.h"
+#include "tamarack/glog_output.h"
 #include "tamarack/process_environment.h"
 #include "tamarack/startup.h"
 
 #include <atomic>
 #include <cstdlib>
+#include <fcntl.h>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <google/protobuf/stubs/logging.h>
@@ -62,19 +64,25 @@
     log_event(event::grpc_message, {{"message", message->message}}, message->file, message->line);
 }
 
+// The log keeps its file if standard error is replaced.
+int log_descriptor() {
+    const int duplicate = ::fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, STDERR_FILENO + 1);
+    return duplicate < 0 ? STDERR_FILENO : duplicate;
+}
+
 int fail(const std::string& reason) {
     log_event(event::start_failed, {{"reason", reason}});
     return exit_start;
 }
 
-int run_daemon() {
+int run_daemon(glog_output& output, const tamarack::clock& time) {
     ::gpr_set_log_function(log_grpc_message);
     google::protobuf::SetLogHandler(nullptr); // the default handler logs every malformed text that a client sends
     if (::sodium_init() < 0) return fail("libsodium cannot be initialised");
-    const system_clock time;
-    const auto         balancer = startup(FLAGS_config, time).open_balancer();
+    const auto balancer = startup(FLAGS_config, time).open_balancer();
     if (!balancer) return exit_ok;
     balancer->run();
+    output.drain();
     // Without destruction: Boost.Asio's signal set would first set the default actions, with which SIGHUP ends a
     // process.
     std::quick_exit(exit_ok);
@@ -84,7 +92,8 @@
 
 int main(int argc, char** argv) {
     prepare_environment();
-    FLAGS_logtostderr = true;
+    const int log_file = log_descriptor();
+    discard_unread_errors(); // of the command line and of libraries
     gflags::SetVersionString(TAMARACK_VERSION);
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
@@ -93,11 +102,13 @@
         return exit_ok;
     }
     gflags::HandleCommandLineHelpFlags();
+    const system_clock time;
+    glog_output        output(log_file, time);
     google::InitGoogleLogging(argv[0]);
     if (argc > 1) {
         std::cerr << "'" << argv[1] << "' is not accepted (expected flags only, see --help)\n";
         return exit_settings;
     }
     if (!FLAGS_reference.empty()) return print_reference();
-    return FLAGS_check ? check_settings(read_settings_file(FLAGS_config)) : run_daemon();
+    return FLAGS_check ? check_settings(read_settings_file(FLAGS_config)) : run_daemon(output, time);
 }
--- a/tests/daemon_process_ends_test.cpp
+++ b/tests/daemon_process_ends_test.cpp
@@ -3,6 +3,7 @@
 #include "child_program.h"
 #include "loopback_endpoint.h"
 #include "tamarack/admin_client.h"
+#include "unread_pipe.h"
 
 #include <boost/test/unit_test.hpp>
 #include <poll.h>
@@ -388,4 +389,42 @@
     }
 }
 
+//----------------------------------------------------------------------------------------------------------------------
+// A log that nobody reads
+//----------------------------------------------------------------------------------------------------------------------
+
+// Every thread that logged waited for the reader, and with it the answers to operators and the end of the process.
+BOOST_AUTO_TEST_CASE(a_balancer_whose_log_is_not_read_answers_and_stops) {
+    unread_pipe   log;
+    child_program unread(DAEMON_PROGRAM, settings_path, log.path());
+    log.fill();
+    unread.start();
+    BOOST_TEST(becomes_ready());
+    for (int i = 0; i < 3; ++i) {
+        unread.send_signal(SIGHUP); // worth a line
+        std::this_thread::sleep_for(300ms);
+    }
+    BOOST_TEST(answers_operators(admin_address()));
+    unread.send_signal(SIGTERM);
+    BOOST_TEST(ends_with_success(unread.wait_for_end(end_bound)));
+}
+
+// The balancer's own output took the place of glog's: no line may be lost with it.
+BOOST_AUTO_TEST_CASE(a_reader_that_continues_gets_the_lines_of_the_meantime) {
+    unread_pipe   log;
+    child_program unread(DAEMON_PROGRAM, settings_path, log.path());
+    log.fill();
+    unread.start();
+    BOOST_TEST(becomes_ready());
+    std::string text;
+    wait_until(ready_bound, [&] {
+        text += log.read(log.size(), ready_bound);
+        return text.find("T1002 listening port=admin") != std::string::npos;
+    });
+    BOOST_TEST(text.find("T1001") != std::string::npos, text);
+    unread.send_signal(SIGTERM);
+    BOOST_TEST(ends_with_success(unread.wait_for_end(end_bound)));
+    BOOST_TEST(log.read(log.size(), ready_bound).find("T1004") != std::string::npos); // the last line
+}
+
 BOOST_AUTO_TEST_SUITE_END()
