Try a store that failed again within the deadline of a change

While the feeder answered, though without a recent confirmation, the host tried the store every 4 to 16 s. 4 s after the cut had ended it still lacked configurations that the store had had for longer than 3 s, and so would have placed flows on backend servers that drain.

Change: the wait between attempts ends within the deadline less what a pending call, a call to another balancer, a tick and the answer take (store_retry_limit, checked by the compiler). 1.5 s at a deadline of 3 s, 4.5 s at 6 s; the wait of feeders ends at 1.5 s, before at 1.6 s. Why it works: the attempt after the return of the path now always begins in time.

During an outage of more than about 4 s followers of feeders that answer call the store more often than before; the bound on calls in the first 6 s (an_outage_of_the_store_is_not_answered_with_calls_of_all_hosts) holds.

--- a/entry/change_deadline.h
+++ b/entry/change_deadline.h
@@ -28,6 +28,10 @@
 // A balancer that reads the store although it is no feeder waits for a feeder to be registered, at most this long.
 inline constexpr duration most_reader_pause = std::chrono::milliseconds(900);
 
+// A watch on the store, or on another balancer that has not answered the last call, has this long beyond its wait.
+inline constexpr duration store_watch_grace = std::chrono::milliseconds(700);
+inline constexpr duration brief_timeout = std::chrono::milliseconds(400);
+
 // Age of the last confirmation at which a balancer reads the store itself.
 constexpr duration store_fallback_age(duration change_deadline) {
     return change_deadline - tick_interval - store_answer_time;
@@ -42,6 +46,18 @@
 inline constexpr duration age_after_pause =
     std::max(burst_pause, most_reader_pause) + tick_interval + store_answer_time;
 
+// After failures of the store, a balancer waits at most this long before it tries it again.
+constexpr duration store_retry_limit(duration change_deadline) {
+    return change_deadline - store_watch_grace - brief_timeout - tick_interval - store_answer_time;
+}
+
+// From the moment at which the store serves a balancer again: a call of before ends by its timeout, the wait begins,
+// and ends during a call to another balancer.
+constexpr duration time_to_return(duration change_deadline) {
+    return store_watch_grace + store_retry_limit(change_deadline) + brief_timeout + tick_interval + store_answer_time;
+}
+
+static_assert(time_to_return(least_change_deadline) <= least_change_deadline);
 static_assert(age_after_fallback(least_change_deadline) <= least_change_deadline);
 static_assert(age_after_pause <= least_change_deadline);
 // While nothing fails, each confirmation arrives before the fallback, so that the store gets no calls for it.
--- a/entry/source_choice.cpp
+++ b/entry/source_choice.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-constexpr backoff_settings store_backoff = {std::chrono::milliseconds(100), std::chrono::milliseconds(1'600)};
-// Of a balancer whose feeder answers, but without a recent confirmation: the feeder retries the store itself.
-constexpr backoff_settings answering_tree_backoff = {std::chrono::seconds(4), std::chrono::seconds(16)};
+constexpr backoff_settings store_backoff = {std::chrono::milliseconds(100), std::chrono::milliseconds(1'500)};
+static_assert(store_backoff.cap <= store_retry_limit(least_change_deadline));
+// Of a balancer whose feeder answers, but without a recent confirmation: the feeder retries the store itself, but may
+// not reach it when this balancer does.
+constexpr duration         answering_tree_first_backoff = std::chrono::seconds(4);
 // Of a balancer whose feeder does not answer: nobody else reads the store for it. The limit is half of the deadline of
 // a change, which leaves time for a pending call to another source.
 constexpr duration         lost_tree_first_backoff = std::chrono::milliseconds(500);
@@ -230,7 +232,7 @@
     if (source.kind == source_kind::store) {
         if (prefers_store() || is_served_by_store_ || !store_due_ || store_replica_.feeders().empty())
             return store_retry_at();
-        const auto backoff = does_own_tree_answer() ? answering_tree_backoff : lost_tree_backoff();
+        const auto backoff = does_own_tree_answer() ? answering_tree_backoff() : lost_tree_backoff();
         return std::max(store_retry_after(backoff), *store_due_);
     }
     const auto health = balancer_health_.find(source.address);
@@ -265,6 +267,11 @@
     return store_health_.failed_at + limit / 2 + std::chrono::duration_cast<duration>(limit / 2 * store_health_.jitter);
 }
 
+backoff_settings source_choice::answering_tree_backoff() const {
+    const duration limit = store_retry_limit(settings_.change_deadline);
+    return {std::min(answering_tree_first_backoff, limit), limit};
+}
+
 backoff_settings source_choice::lost_tree_backoff() const {
     const duration limit = settings_.change_deadline / lost_tree_deadline_divisor;
     return {std::min(lost_tree_first_backoff, limit), limit};
--- a/entry/source_choice.h
+++ b/entry/source_choice.h
@@ -113,6 +113,7 @@
     bool                       lacks_source(steady_time now) const;
     bool                       does_own_tree_answer() const;
     steady_time                store_retry_after(const backoff_settings& backoff) const;
+    backoff_settings           answering_tree_backoff() const;
     backoff_settings           lost_tree_backoff() const;
     backoff_settings           backoff_of(const record_source& source, source_failure failure) const;
     void                       delay_store(const record_source& stale_source, steady_time now);
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -16,7 +16,6 @@
 constexpr duration min_watch_wait = std::chrono::milliseconds(100);
 // A connection that has stopped delivering data must be noticed within three seconds, when a host is first held to
 // its service limits: waits plus the time for the answer to arrive.
-constexpr duration store_watch_grace = std::chrono::milliseconds(700);
 constexpr duration feeder_watch_grace = std::chrono::milliseconds(500);
 constexpr duration list_timeout = std::chrono::milliseconds(1'200);
 constexpr duration connect_timeout = std::chrono::milliseconds(700);
@@ -24,7 +23,6 @@
 // failed: other sources wait, and little is left of the deadline of a change. A listing, which may be large, follows
 // only when it has answered. A contact may have no power, and must not keep a start from other sources.
 constexpr duration brief_connect_timeout = std::chrono::milliseconds(200);
-constexpr duration brief_timeout = std::chrono::milliseconds(400);
 // A listing that is cut off by its timeout loads its source again: the timeout doubles, at most this often.
 constexpr unsigned max_timeout_doublings = 2;
 // Changes in quick succession are collected into one answer of the store; a single change is read immediately. A
--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
+#include <deque>
 
 using namespace tamarack;
 using namespace tamarack::entry;
@@ -421,6 +422,83 @@
     };
 }
 
+// Hosts lose power, are paused, killed or cut off from the store, mostly the feeders, while the configuration changes
+// now and then or in bursts. A host without a fault of its own during contact_time, whatever happens to the others,
+// uses each version within the deadline.
+class change_deadline_check {
+public:
+    change_deadline_check(const fleet_options& options, duration contact_time, std::uint64_t seed)
+        : deadline_(options.change_deadline), contact_time_(contact_time), balancers_(options, seed) {
+        balancers_.start_all();
+        balancers_.run_for(10s);
+        for (const auto& host : balancers_.hosts())
+            calm_since_[host.get()] = balancers_.now();
+    }
+
+    void run(unsigned steps) {
+        for (unsigned step = 0; step < steps; ++step) {
+            const auto choice = balancers_.random()() % 4;
+            if (choice == 0) toggle_random_fault();
+            if (choice == 1) change_repeatedly();
+            if (choice >= 2) change();
+            run_for(std::chrono::milliseconds(balancers_.random()() % 1'500));
+        }
+    }
+
+private:
+    void change() {
+        balancers_.change_configuration();
+        changes_.emplace_back(balancers_.now(), balancers_.configuration_version());
+    }
+    void change_repeatedly() {
+        for (auto left = balancers_.random()() % 8; left > 0; --left) {
+            change();
+            run_for(std::chrono::milliseconds(balancers_.random()() % 300));
+        }
+    }
+    void toggle_random_fault() {
+        constexpr std::array kinds{fault_kind::kill, fault_kind::pause, fault_kind::cut_from_store, fault_kind::darken};
+        auto&                hosts = balancers_.hosts();
+        fleet_host*          host = hosts[balancers_.random()() % hosts.size()].get();
+        fleet_host*          feeder = balancers_.feeder_of(host->failure_domain);
+        if (feeder != nullptr && balancers_.random()() % 4 != 0) host = feeder;
+        if (host->runs() && host->reaches_store) {
+            toggle_fault(balancers_, *host, kinds.at(balancers_.random()() % kinds.size()));
+        } else {
+            host->is_paused = host->is_dark = false;
+            host->reaches_store = true;
+            if (!host->records) balancers_.start(*host);
+        }
+        calm_since_[host] = balancers_.now();
+    }
+    void run_for(duration time) {
+        const steady_time end = balancers_.now() + time;
+        while (balancers_.now() < end) {
+            balancers_.run_for(10ms);
+            check();
+        }
+    }
+    void check() {
+        while (!changes_.empty() && balancers_.now() > changes_.front().first + deadline_) {
+            required_version_ = changes_.front().second;
+            changes_.pop_front();
+        }
+        for (const auto& host : balancers_.hosts()) {
+            const bool is_held_to_it =
+                host->runs() && host->reaches_store && balancers_.now() >= calm_since_[host.get()] + contact_time_;
+            const bool is_late = is_held_to_it && host->records->routing()->version < required_version_;
+            if (is_late) BOOST_FAIL(host->name << " has version " << host->records->routing()->version);
+        }
+    }
+
+    duration                                          deadline_;
+    duration                                          contact_time_;
+    fleet                                             balancers_;
+    std::map<const fleet_host*, steady_time>          calm_since_; // its last fault began or ended
+    std::deque<std::pair<steady_time, std::uint64_t>> changes_;    // within the deadline: time and version
+    std::uint64_t                                     required_version_ = 0;
+};
+
 // After the last fault each balancer is current within seconds, and the store has one reader in each failure domain.
 void check_recovery(fleet& balancers, unsigned failure_domains) {
     end_faults(balancers);
@@ -491,6 +569,21 @@
 
 } // namespace
 
+// Guards against a wait for one source after the other that exceeds the deadline of a change in sum (review/9).
+BOOST_AUTO_TEST_CASE(a_change_is_used_in_time_whatever_sources_are_lost) {
+    const std::uint64_t seeds = number_from_environment("TREE_SEEDS", 60);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            const auto domains = static_cast<unsigned>(1 + seed % 4);
+            const auto hosts = static_cast<unsigned>(2 + seed % 3);
+            change_deadline_check({.failure_domains = domains, .hosts_per_domain = hosts}, 4s, seed).run(60);
+            change_deadline_check(
+                {.failure_domains = 4, .hosts_per_domain = 20, .strong_per_domain = 3, .change_deadline = 5s}, 5s, seed)
+                .run(10);
+        }
+    }
+}
+
 // The invariants hold at each step, and the fleet is up to date within seconds after the last fault.
 BOOST_AUTO_TEST_CASE(random_faults_leave_no_balancer_behind) {
     const std::uint64_t seeds = number_from_environment("TREE_SEEDS", 60);
--- a/tests/entry_store_sync_test.cpp
+++ b/tests/entry_store_sync_test.cpp
@@ -596,6 +596,34 @@
     BOOST_TEST(calls <= 12U); // of the backoff that begins with 0.1 s and ends at 1.6 s
 }
 
+// A host that is cut off from the store together with its feeder, and reaches it again alone: while the feeder
+// answered, though without a recent confirmation, the host tried the store every 4 to 16 s only.
+BOOST_AUTO_TEST_CASE(a_store_that_failed_is_tried_again_within_the_deadline_of_a_change) {
+    for (const duration deadline : {3s, 5s, 6s}) {
+        sync_fixture host(deadline);
+        host.complete_listing({near_feeder, far_feeder});
+        host.wait_for_next();
+        const steady_time lost_at = host.now;
+        steady_time       last_call_end = lost_at;
+        duration          longest{};
+        host.fail(read_error::refused); // the feeder has lost the store, too
+        while (host.now < lost_at + 60s) {
+            const read_call call = host.wait_for_next();
+            if (is_store(call)) {
+                longest = std::max(longest, host.now - last_call_end);
+                host.now += call.connect_timeout;
+                last_call_end = host.now;
+                host.fail(read_error::timed_out);
+            } else {
+                host.now += 5ms;
+                host.fail(read_error::refused);
+            }
+        }
+        const duration limit = store_retry_limit(deadline) + brief_timeout;
+        BOOST_TEST((longest <= limit), longest / 1ms << " ms, deadline " << deadline / 1ms << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_balancer_that_a_feeder_turns_away_reads_from_a_follower_of_it) {
     complete_listing({near_feeder, far_feeder});
     const read_call refused = wait_for_next();
