Check the time that the last log lines may take against the end of a stop

The event loop notices SIGTERM and the end of the grace time with a tick each, and log_writer waits for the reader: 0.4 s of the margin of 0.5 s, checked by the compiler. No behaviour changes.

--- a/daemons/entry/startup.cpp
+++ b/daemons/entry/startup.cpp
@@ -1,6 +1,8 @@
 // Repeats the start until everything that it needs is there.
 #include "daemons/entry/startup.h"
 
+#include "entry/change_deadline.h"
+#include "entry/lifecycle.h"
 #include "tamarack/process_environment.h"
 
 #include <thread>
@@ -12,6 +14,9 @@
 constexpr std::chrono::milliseconds retry_interval(100);
 // A settings file that may be incomplete is used when it has not changed for this long.
 constexpr duration                  settle_time = std::chrono::seconds(1);
+// The end of a stop: the event loop notices the signal and the end of the grace time with a tick each, and the last
+// lines of the log wait for their reader.
+static_assert(2 * tick_interval + last_lines_wait <= grace_margin);
 
 } // namespace
 
--- a/entry/lifecycle.cpp
+++ b/entry/lifecycle.cpp
@@ -14,8 +14,6 @@
 constexpr duration pause_limit = std::chrono::milliseconds(190);
 // If no packet has arrived for this long, the fabric sends to other balancers.
 constexpr duration quiet_time = std::chrono::milliseconds(250);
-// The process exits this long before the host would kill it.
-constexpr duration grace_margin = std::chrono::milliseconds(500);
 
 } // namespace
 
--- a/entry/lifecycle.h
+++ b/entry/lifecycle.h
@@ -9,6 +9,9 @@
 
 namespace tamarack::entry {
 
+// The event loop of a stopping process ends this long before the host would kill the process.
+inline constexpr duration grace_margin = std::chrono::milliseconds(500);
+
 // Detects that the process did not run for a while.
 //
 // A SYN that was queued during such a pause is stale: its retransmission may have opened the flow through another
