--- a/entry/change_deadline.h
+++ b/entry/change_deadline.h
@@ -28,8 +28,9 @@
 // A balancer that reads the store although it is no feeder waits for a feeder to be registered, at most this long.
 inline constexpr duration most_reader_pause = std::chrono::milliseconds(900);
 
-// A watch on the store, or on another balancer that has not answered the last call, has this long beyond its wait.
+// Timeout of a watch on the store beyond its wait. A call to a store that does not answer ends after this time.
 inline constexpr duration store_watch_grace = std::chrono::milliseconds(700);
+// Timeout of a call to another balancer while the sources are in doubt.
 inline constexpr duration brief_timeout = std::chrono::milliseconds(400);
 
 // Age of the last confirmation at which a balancer reads the store itself.
@@ -51,8 +52,8 @@
     return change_deadline - store_watch_grace - brief_timeout - tick_interval - store_answer_time;
 }
 
-// From the moment at which the store serves a balancer again: a call of before ends by its timeout, the wait begins,
-// and ends during a call to another balancer.
+// From the moment at which the store serves a balancer again until its answer: the pending call to the store ends by
+// its timeout, the balancer waits, and the wait ends while a call to another balancer is pending.
 constexpr duration time_to_return(duration change_deadline) {
     return store_watch_grace + store_retry_limit(change_deadline) + brief_timeout + tick_interval + store_answer_time;
 }
--- a/entry/store_sync.cpp
+++ b/entry/store_sync.cpp
@@ -111,7 +111,7 @@
         return;
     }
     const bool needs_store = sources_.needs_store(now);
-    if (needs_store && !sources_.is_feeder()) ++fallbacks_;
+    if (needs_store && !reads_store() && !sources_.is_feeder()) ++fallbacks_;
     const bool is_mid_listing = latest_call_.kind == read_kind::list && !latest_call_.after_key.empty() && !needs_store;
     const auto source = is_mid_listing ? latest_call_.source : sources_.choose(now);
     if (source) {
@@ -123,6 +123,7 @@
 
 void store_sync::set_timeouts(steady_time now) {
     set_usual_timeouts(now);
+    // A call to another balancer ends in time for a read of the store.
     if (latest_call_.source.kind != source_kind::feeder) return;
     // A listing may take its whole time, and is what a balancer has to wait for while the store fails.
     if (latest_call_.kind == read_kind::list && sources_.has_store_failed()) return;
--- a/tamarack/events.cpp
+++ b/tamarack/events.cpp
@@ -81,8 +81,7 @@
      "Entry balancer: a record of the store cannot be used, see `reason`. Look for another program that writes it."},
     {event::lines_left_out, severity::warning, "lines left out",
      "`count` lines are not in the log since the last such line: lines of single packets beyond their rate, and "
-     "`dropped` "
-     "lines of all kinds, since the reader of the log did not keep up. Look at the program that reads it."},
+     "`dropped` lines of all kinds, since the reader of the log did not keep up. Look at the program that reads it."},
 
     {event::feeding_began, severity::info, "feeding began",
      "Entry balancer: this balancer reads the store for its failure domain."},
