Split the tests of the store's readers by their subject, and share the host of the process tests

Two test programs of tamarack-entry had the same host. A calm fleet is checked to have no store_fallbacks.

--- a/tests/entry_feed_tree_test.cpp
+++ b/tests/entry_feed_tree_test.cpp
@@ -142,6 +142,8 @@
         balancers.run_for(20s);
         // A watch of two seconds for each of six readers.
         BOOST_TEST(balancers.store().calls - calls_before <= 6U * 11U);
+        for (const auto& host : balancers.hosts())
+            BOOST_TEST(host->sync->fallbacks() == 0U, host->name);
         balancers.change_configuration();
         balancers.run_for(1s);
         BOOST_TEST(count_up_to_date(balancers) == 6U * hosts);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -43,6 +43,15 @@
     return {"backend/" + std::to_string(identity), at_revision(revision), removed_record{}, {}};
 }
 
+constexpr std::uint32_t own_domain_feeder = 0x0a010001;   // in the failure domain of the tested balancer
+constexpr std::uint32_t other_domain_feeder = 0x0a020001; // in another failure domain
+
+inline record feeder_record(std::uint64_t revision, const std::string& name, const std::string& failure_domain,
+                            unsigned slot, std::uint32_t address) {
+    return {"feeder/" + failure_domain + "/" + std::to_string(slot), at_revision(revision),
+            feeder_registration{name, failure_domain, slot, {ip_address::v4(address), 7720}}, "raw"};
+}
+
 // The caller numbers the retransmissions of a SYN; 0 is the first transmission.
 inline segment syn_packet(std::uint16_t port, std::uint32_t retransmission = 0) {
     segment packet;
--- a/tests/entry_log_reader_test.cpp
+++ b/tests/entry_log_reader_test.cpp
@@ -9,31 +9,13 @@
 
 namespace {
 
-constexpr duration ready_bound = 5s;    // from a start to readiness; a start takes some tens of milliseconds
-constexpr duration end_bound = 5s;      // from SIGTERM to the end; a stop without packets takes 1.1 s
 constexpr duration response_bound = 2s; // two readiness checks, half a second apart, and time to spare
 constexpr duration reading_time = 10s;
 
-struct host_fixture {
-    static std::uint8_t next_network() {
-        static std::uint8_t last_network = 149;
-        return ++last_network;
-    }
-
-    temporary_folder folder;
-    endpoint         host = loopback_endpoint(next_network(), 0);
-    endpoint         store_address = loopback_endpoint(next_network(), 8'169);
-    store_thread     store{store_address};
-    std::string      settings_path = folder.file("one.ini");
-    unread_pipe      log;
-    entry_program    program{settings_path, log.path()};
-
-    host_fixture() { write_settings(settings_text("one", host, store_address)); }
+struct host_fixture : entry_host<150> {
+    unread_pipe   log;
+    entry_program program{settings_path, log.path()};
 
-    void write_settings(const std::string& text) const { std::ofstream(settings_path, std::ios::trunc) << text; }
-    bool becomes_ready() const {
-        return wait_until(ready_bound, [&] { return is_ready(host); });
-    }
     // Each SIGHUP is worth a line.
     void request_reloads(unsigned count) const {
         for (unsigned i = 0; i < count; ++i) {
@@ -41,11 +23,7 @@
             std::this_thread::sleep_for(120ms); // longer than one iteration of the event loop
         }
     }
-    bool stops_gracefully() {
-        program.send_signal(SIGTERM);
-        const auto status = program.wait_for_end(end_bound);
-        return status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
-    }
+    bool        stops_gracefully() { return entry_host::stops_gracefully(program); }
     std::string metrics() const { return http_get(with_port(host, metrics_port), "/metrics"); }
 };
 
--- a/tests/entry_process_ends_test.cpp
+++ b/tests/entry_process_ends_test.cpp
@@ -10,38 +10,14 @@
 
 namespace {
 
-constexpr duration ready_bound = 5s;  // from a start to readiness; a start takes some tens of milliseconds
-constexpr duration end_bound = 5s;    // from SIGTERM to the end; a stop without packets takes 1.1 s
 constexpr duration staying_time = 1s; // a process that is still alive after it did not end because of its start
 
-// One host with its settings file, and the store. Each test case has hosts of its own, so that nothing of an earlier
-// one is in the way.
-struct host_fixture {
-    static std::uint8_t next_network() {
-        static std::uint8_t last_network = 29;
-        return ++last_network;
-    }
-
-    temporary_folder folder;
-    endpoint         host = loopback_endpoint(next_network(), 0);
-    endpoint         store_address = loopback_endpoint(next_network(), 8'169);
-    store_thread     store{store_address};
-    std::string      settings_path = folder.file("one.ini");
-    std::string      log_path = folder.file("one.log");
-    entry_program    program{settings_path, log_path};
-
-    host_fixture() { write_settings(settings_text("one", host, store_address)); }
+struct host_fixture : entry_host<30> {
+    std::string   log_path = folder.file("one.log");
+    entry_program program{settings_path, log_path};
 
-    void write_settings(const std::string& text) const { std::ofstream(settings_path, std::ios::trunc) << text; }
-    bool becomes_ready() const {
-        return wait_until(ready_bound, [&] { return is_ready(host); });
-    }
     bool stays_alive() { return !program.wait_for_end(staying_time).has_value(); }
-    bool stops_gracefully() {
-        program.send_signal(SIGTERM);
-        const auto status = program.wait_for_end(end_bound);
-        return status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
-    }
+    bool stops_gracefully() { return entry_host::stops_gracefully(program); }
     void check_idle_connections(rlim_t descriptor_limit) {
         constexpr int connection_count = 60;
         program.start({.descriptor_limit = descriptor_limit});
--- a/tests/entry_program.h
+++ b/tests/entry_program.h
@@ -95,4 +95,39 @@
     return http_get(with_port(host, readiness_port), "/tamarackshore/ready").starts_with("HTTP/1.1 200");
 }
 
+//----------------------------------------------------------------------------------------------------------------------
+// Host
+//----------------------------------------------------------------------------------------------------------------------
+
+// One host with its settings file, and the store. Each test case has addresses of its own, so that nothing of an
+// earlier one is in the way; each test program begins with a network of its own, since several run at once.
+template <std::uint8_t first_network>
+struct entry_host {
+    static constexpr duration ready_bound = 5s; // from a start to readiness; a start takes some tens of milliseconds
+    static constexpr duration end_bound = 5s;   // from SIGTERM to the end; a stop without packets takes 1.1 s
+
+    static std::uint8_t next_network() {
+        static std::uint8_t next = first_network;
+        return next++;
+    }
+
+    temporary_folder folder;
+    endpoint         host = loopback_endpoint(next_network(), 0);
+    endpoint         store_address = loopback_endpoint(next_network(), 8'169);
+    store_thread     store{store_address};
+    std::string      settings_path = folder.file("one.ini");
+
+    entry_host() { write_settings(settings_text("one", host, store_address)); }
+
+    void write_settings(const std::string& text) const { std::ofstream(settings_path, std::ios::trunc) << text; }
+    bool becomes_ready() const {
+        return wait_until(ready_bound, [&] { return is_ready(host); });
+    }
+    static bool stops_gracefully(child_program& program) {
+        program.send_signal(SIGTERM);
+        const auto status = program.wait_for_end(end_bound);
+        return status && WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+    }
+};
+
 } // namespace tamarack
