--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -324,8 +324,8 @@
     balancer.restart_at = now() + 300ms;
 }
 
-// Some starts find little: few descriptors, a log that is full or missing, or a settings file that is just being
-// written.
+// Some starts find little: few descriptors, a log that is full, missing or not read, or a settings file that is just
+// being written.
 void soak_run::start_balancer(balancer_process& balancer) {
     standin::start_conditions conditions;
     const bool                has_trouble = settings_.has_start_faults && is_injecting_faults();
@@ -346,6 +346,9 @@
         balancer.write_part_of_settings(random_below(400));
         balancer.settings_complete_at = now() + 50ms + std::chrono::milliseconds(random_below(1'500));
         break;
+    case 5:
+        conditions.is_log_unread = true;
+        break;
     default:
         break;
     }
@@ -1067,6 +1070,10 @@
                          " flows failed in the last two seconds, long after the last fault");
     }
     if (report_.answered_requests == 0) report_violation("no request was answered");
+    for (const auto& balancer : balancers_) {
+        if (!balancer->is_in_rotation)
+            report_violation("balancer " + balancer->name() + " is not ready, long after the last fault");
+    }
     report_.store_calls = store_server_.call_count();
     return report_;
 }
