Give each SIGHUP of the log's tests an iteration of its own

On a busy machine two signals 120 ms apart could fall into one iteration of the event loop, which logs them as one. The check (all five lines) is unchanged. The header of the tests' pipe includes what it uses.

--- a/tests/entry_log_reader_test.cpp
+++ b/tests/entry_log_reader_test.cpp
@@ -20,7 +20,7 @@
     void request_reloads(unsigned count) const {
         for (unsigned i = 0; i < count; ++i) {
             program.send_signal(SIGHUP);
-            std::this_thread::sleep_for(120ms); // longer than one iteration of the event loop
+            std::this_thread::sleep_for(300ms); // two signals within one iteration of the event loop count as one
         }
     }
     bool        stops_gracefully() { return entry_host::stops_gracefully(program); }
--- a/tests/unread_pipe.h
+++ b/tests/unread_pipe.h
@@ -1,6 +1,7 @@
 // A named pipe for a log, whose reader reads only when the test says so.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
