--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr ms drain_bound = 5000; // drain_ms of grown/tuul-swap-grown.toml
+constexpr ms drain_bound = 5000; // drain_ms of simeto-gauges-grown
 
 } // namespace
 
@@ -15,12 +15,12 @@
     deployment world(argc > 1 ? argv[1] : ".");
     recorder&  record = world.record;
     const auto address = 127U << 24 | 18U << 16 | 1U;
-    world.client_zone = "ub-khan";
+    world.client_zone = "simeto";
     world.time_limit = 2500;
-    const std::vector<std::string> zones{"ub-khan", "ub-bayan"};
-    for (const char* zone : {"ub-khan", "ub-khan", "ub-khan", "ub-bayan", "ub-bayan"})
-        world.add_target("swap-desk", zone);
-    // In each zone one machine of each of the two kinds of tuul-swap-grown.
+    const std::vector<std::string> zones{"simeto", "alcantara"};
+    for (const char* zone : {"simeto", "simeto", "simeto", "alcantara", "alcantara"})
+        world.add_target("telemetry", zone);
+    // In each zone one machine of each of the two kinds of simeto-gauges-grown.
     constexpr double megabit = 125; // bytes a millisecond
     for (const std::string& zone : zones) {
         world.add_balancer({.name = "frontend-" + zone + "-1", .zone = zone, .cpu_share = "0.5", .link_mbps = "200.0", .memory_mb = "256", .change_ms = "5000"}, zones, 200 * megabit);
@@ -29,9 +29,9 @@
     // 240 routes without traffic and 1,400 that big_config adds.
     std::uint64_t version = 6;
     const auto    configure = [&] {
-        std::vector<route_terms> routes{{"r-orders", "swap-desk", address}};
+        std::vector<route_terms> routes{{"r-orders", "telemetry", address}};
         for (std::uint32_t i = 0; i < 1640; ++i)
-            routes.push_back({"r-idle" + std::to_string(i), "swap-desk", address + 1 + i, "idempotent", 2500 + static_cast<ms>(version)});
+            routes.push_back({"r-idle" + std::to_string(i), "telemetry", address + 1 + i, "idempotent", 2500 + static_cast<ms>(version)});
         world.write_configuration(++version, routes);
     };
     configure();
